--- /dev/null
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/__init__.py
@@ -0,0 +1,3 @@
+"""Operator command line."""
+
+__all__ = ()
--- /dev/null
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
@@ -0,0 +1,300 @@
+"""Commands and their options."""
+
+import os
+
+import attrs
+import cappa
+from jacinthmount_node.options import choose, flag, option, word
+
+__all__ = ('COMMAND_LINE', 'JacinthmountCommand')
+
+DEFAULT_WAIT_S = 30.0
+ENV_PLATFORM = 'JACINTHMOUNT_PLATFORM'
+ENV_TOKEN = 'JACINTHMOUNT_ADMIN_TOKEN_FILE'
+ENV_FRONT = 'JACINTHMOUNT_FRONT'
+ENV_KEY = 'JACINTHMOUNT_KEY_FILE'
+
+
+@attrs.define(kw_only=True)
+class CheckCommand:
+    """Validates a folder of declarations."""
+
+    folder: str
+
+
+@attrs.define(kw_only=True)
+class DiffCommand:
+    """Compares a folder with the configuration in force."""
+
+    folder: str
+
+
+@attrs.define(kw_only=True)
+class ApplyCommand:
+    """Applies a folder of declarations."""
+
+    folder: str
+    wait: bool
+    timeout_s: float
+
+
+@attrs.define(kw_only=True)
+class GetCommand:
+    """Shows the declarations of one kind."""
+
+    kind: str
+
+
+@attrs.define(kw_only=True)
+class StatusCommand:
+    """Shows the state of the fleet."""
+
+
+@attrs.define(kw_only=True)
+class GrantCommand:
+    """Grants a key."""
+
+    account: str
+
+
+@attrs.define(kw_only=True)
+class WithdrawCommand:
+    """Withdraws a key."""
+
+    key_id: str
+    hosts: str
+
+
+@attrs.define(kw_only=True)
+class ListKeysCommand:
+    """Lists keys."""
+
+
+@attrs.define(kw_only=True)
+class KeysCommand:
+    """Groups the commands about keys."""
+
+    command: object
+
+
+@attrs.define(kw_only=True)
+class SubmitCommand:
+    """Submits a batch."""
+
+    path: str
+    window: str
+    idempotency_key: str
+    wait: bool
+
+
+@attrs.define(kw_only=True)
+class BatchStatusCommand:
+    """Shows a batch."""
+
+    batch_id: str
+
+
+@attrs.define(kw_only=True)
+class CancelCommand:
+    """Cancels a batch."""
+
+    batch_id: str
+
+
+@attrs.define(kw_only=True)
+class ResultsCommand:
+    """Reads the results of a batch."""
+
+    batch_id: str
+
+
+@attrs.define(kw_only=True)
+class BatchCommand:
+    """Groups the commands about batches, which act as a caller."""
+
+    command: object
+    front: str
+    key_file: str
+
+
+@attrs.define(kw_only=True)
+class DrainCommand:
+    """Drains an endpoint."""
+
+    endpoint: str
+    undo: bool
+
+
+@attrs.define(kw_only=True)
+class JacinthmountCommand:
+    """Options that all commands share."""
+
+    command: object
+    platform: str
+    admin_token_file: str
+    output: str
+
+
+FOLDER = word('folder', 'Folder with INI declarations.')
+BATCH_ID = word('batch_id', 'Id of the batch.')
+
+KEYS = cappa.Command(
+    KeysCommand,
+    name='keys',
+    help='Grant, withdraw and list keys.',
+    arguments=[
+        choose(
+            cappa.Command(
+                GrantCommand,
+                name='grant',
+                help='Grant a new key to an account.',
+                arguments=[word('account', 'Client account.')],
+            ),
+            cappa.Command(
+                WithdrawCommand,
+                name='withdraw',
+                help='Withdraw a key for good.',
+                arguments=[
+                    word('key_id', 'Id of the key.'),
+                    option(
+                        'hosts',
+                        'Admin addresses to tell directly, with commas between.',
+                        '',
+                    ),
+                ],
+            ),
+            cappa.Command(
+                ListKeysCommand,
+                name='list',
+                help='List keys without their secrets.',
+            ),
+        )
+    ],
+)
+
+BATCH = cappa.Command(
+    BatchCommand,
+    name='batch',
+    help='Submit, follow and cancel batches.',
+    arguments=[
+        option(
+            'front',
+            f'IP:port of a host for callers; or {ENV_FRONT}.',
+            os.environ.get(ENV_FRONT, ''),
+        ),
+        option(
+            'key_file',
+            f'File with the key of the account; or {ENV_KEY}.',
+            os.environ.get(ENV_KEY, ''),
+        ),
+        choose(
+            cappa.Command(
+                SubmitCommand,
+                name='submit',
+                help='Upload a JSONL file and run it.',
+                arguments=[
+                    word('path', 'JSONL file.'),
+                    option(
+                        'window',
+                        'Time to the deadline, like 30m or 24h.',
+                        '24h',
+                    ),
+                    option(
+                        'idempotency_key',
+                        'A command sent again with it finds the same batch.',
+                        '',
+                    ),
+                    flag('wait', 'Show progress until the batch ends.'),
+                ],
+            ),
+            cappa.Command(
+                BatchStatusCommand,
+                name='status',
+                help='Show a batch.',
+                arguments=[BATCH_ID],
+            ),
+            cappa.Command(
+                CancelCommand,
+                name='cancel',
+                help='Cancel a batch.',
+                arguments=[BATCH_ID],
+            ),
+            cappa.Command(
+                ResultsCommand,
+                name='results',
+                help='Write the results to standard output.',
+                arguments=[BATCH_ID],
+            ),
+        ),
+    ],
+)
+
+COMMAND_LINE = cappa.Command(
+    JacinthmountCommand,
+    name='jacinthmount',
+    help='Operate a jacinthmount fleet.',
+    arguments=[
+        option(
+            'platform',
+            f'IP:port of the platform; or {ENV_PLATFORM}.',
+            os.environ.get(ENV_PLATFORM, ''),
+        ),
+        option(
+            'admin_token_file',
+            f'File with the operator token; or {ENV_TOKEN}.',
+            os.environ.get(ENV_TOKEN, ''),
+        ),
+        option('output', 'table or json.', 'table'),
+        choose(
+            cappa.Command(
+                CheckCommand,
+                name='check',
+                help='Validate declarations.',
+                arguments=[FOLDER],
+            ),
+            cappa.Command(
+                DiffCommand,
+                name='diff',
+                help='Show what apply would change.',
+                arguments=[FOLDER],
+            ),
+            cappa.Command(
+                ApplyCommand,
+                name='apply',
+                help='Bring declarations into force.',
+                arguments=[
+                    FOLDER,
+                    flag('wait', 'Wait until every host has it in force.'),
+                    option(
+                        'timeout_s',
+                        'Longest wait in seconds.',
+                        DEFAULT_WAIT_S,
+                        parse=float,
+                    ),
+                ],
+            ),
+            cappa.Command(
+                GetCommand,
+                name='get',
+                help='Show declarations in force.',
+                arguments=[word('kind', 'Kind, such as account.')],
+            ),
+            cappa.Command(
+                StatusCommand,
+                name='status',
+                help='Show hosts and open batches.',
+            ),
+            KEYS,
+            BATCH,
+            cappa.Command(
+                DrainCommand,
+                name='drain',
+                help='Stop new work to an endpoint.',
+                arguments=[
+                    word('endpoint', 'Name of the endpoint.'),
+                    flag('undo', 'Let it have work again.'),
+                ],
+            ),
+        ),
+    ],
+)
--- /dev/null
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
@@ -0,0 +1,328 @@
+"""What an operator can do, as plain functions."""
+
+import json
+import time
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+
+import curio
+from jacinthmount.declarations import (
+    CONFIG_PREFIX,
+    SCHEMAS,
+    Endpoint,
+    object_name,
+    parse_declarations,
+)
+from jacinthmount.errors import (
+    InvalidDeclarations,
+    JacinthmountError,
+    NotFound,
+    PeerUnavailable,
+    StoreConflict,
+)
+from jacinthmount.keys import KEY_PREFIX, KeyRecord, hash_secret, make_key
+from jacinthmount.members import HOST_PREFIX, HostRecord
+from jacinthmount.ports import ABSENT, ObjectStore, Stored
+from jacinthmount.records import (
+    Record,
+    parse_json,
+    replaced,
+    serialize_json,
+)
+from jacinthmount.stores import new_write_id, write_definitely
+from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
+
+from jacinthmount_ctl.changes import Change, check_shares, compare
+
+__all__ = (
+    'apply_changes',
+    'drain_endpoint',
+    'grant_key',
+    'list_keys',
+    'plan_changes',
+    'read_declarations',
+    'read_objects',
+    'read_status',
+    'wait_in_force',
+    'withdraw_key',
+)
+
+APPLY_NAME = 'apply/generation'
+CALL_ERRORS = (*TRANSPORT_ERRORS, JacinthmountError)
+ADMIN_TIMEOUT_S = 3.0
+WAIT_POLL_S = 0.2
+
+
+class ApplyMark(Record):
+    """Object that one apply replaces, so that two can't mix."""
+
+    __slots__ = ('write_id',)
+
+    write_id: str
+
+
+class Plan(Record):
+    """Changes to make and the version of the apply mark they rest on."""
+
+    __slots__ = ('changes', 'mark_version')
+
+    changes: list[Change]
+    mark_version: int
+
+
+def read_declarations(folder: str) -> dict[str, Record]:
+    """Reads and validates all INI files of a folder.
+
+    :raises InvalidDeclarations: anything is wrong.
+    """
+    paths = sorted(Path(folder).glob('*.ini'))
+    if not paths:
+        raise InvalidDeclarations(problems=[f'{folder}: no .ini files'])
+    return parse_declarations({path.name: path.read_text() for path in paths})
+
+
+async def plan_changes(
+    store: ObjectStore,
+    records: dict[str, Record],
+) -> Plan:
+    """Compares declarations with the configuration in force."""
+    mark = await store.read(APPLY_NAME)
+    listing = await store.list_names(CONFIG_PREFIX)
+    problems = check_shares(records, listing.objects)
+    if problems:
+        raise InvalidDeclarations(problems=problems)
+    return Plan(
+        changes=compare(records, listing.objects),
+        mark_version=mark.version if mark else ABSENT,
+    )
+
+
+async def apply_changes(store: ObjectStore, plan: Plan) -> int:
+    """Writes the changes conditionally.
+
+    :returns: the newest version written, 0 where nothing changed.
+    :raises StoreConflict: another operator changed the configuration.
+    """
+    if not plan.changes:
+        return 0
+    mark = serialize_json(ApplyMark(write_id=new_write_id()))
+    await write_definitely(store, APPLY_NAME, mark, plan.mark_version)
+    version = 0
+    for change in plan.changes:
+        version = await _write_change(store, change)
+    return version
+
+
+async def wait_in_force(
+    store: ObjectStore,
+    version: int,
+    token: str,
+    timeout_s: float,
+) -> list[str]:
+    """Waits until every host has a configuration in force.
+
+    :returns: hosts that did not report it in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while True:
+        statuses = await read_status(store, token)
+        behind = [
+            host
+            for host, status in statuses.items()
+            if not status or status['revision'] < version
+        ]
+        if not behind or time.monotonic() >= deadline:
+            return behind
+        await curio.sleep(WAIT_POLL_S)
+
+
+async def read_objects(store: ObjectStore, kind: str) -> list[Record]:
+    """Reads all declarations of one kind that are in force."""
+    if kind not in SCHEMAS:
+        raise NotFound(detail=f'kinds: {", ".join(sorted(SCHEMAS))}')
+    listing = await store.list_names(f'{CONFIG_PREFIX}{kind}/')
+    return [
+        parse_json(SCHEMAS[kind][0], one.body or '') for one in listing.objects
+    ]
+
+
+async def read_status(
+    store: ObjectStore,
+    token: str,
+) -> dict[str, dict[str, Any] | None]:
+    """Reads the status of every registered host; None if it did not answer."""
+    listing = await store.list_names(HOST_PREFIX)
+    statuses: dict[str, dict[str, Any] | None] = {}
+    for one in listing.objects:
+        record = parse_json(HostRecord, one.body or '')
+        try:
+            statuses[record.host] = await call_admin(
+                record.admin_address,
+                'GET',
+                '/admin/status',
+                token,
+                None,
+            )
+        except PeerUnavailable:
+            statuses[record.host] = None
+    return statuses
+
+
+async def grant_key(store: ObjectStore, account: str) -> tuple[str, str]:
+    """Grants a new key to an account.
+
+    :returns: the key id and the key, which is not stored anywhere.
+    :raises NotFound: there is no such account.
+    """
+    if await store.read(object_name('account', account)) is None:
+        raise NotFound(detail=f'no account {account}')
+    key_id, key = make_key()
+    record = KeyRecord(
+        key_id=key_id,
+        account=account,
+        secret_hash=hash_secret(key),
+        withdrawn=False,
+        write_id=new_write_id(),
+    )
+    await write_definitely(
+        store,
+        f'{KEY_PREFIX}{key_id}',
+        serialize_json(record),
+        ABSENT,
+    )
+    return key_id, key
+
+
+async def withdraw_key(
+    store: ObjectStore,
+    key_id: str,
+    hosts: list[str],
+    token: str,
+) -> list[str]:
+    """Withdraws a key, at the hosts first and then in the platform.
+
+    :param hosts: admin addresses to tell directly.
+    :returns: addresses of the hosts that took it.
+    :raises StoreUnavailable: the platform did not take it yet; hosts that
+        took it write it there later.
+    """
+    told = []
+    for address in hosts:
+        try:
+            await call_admin(
+                address,
+                'POST',
+                '/admin/withdraw',
+                token,
+                {'key_id': key_id},
+            )
+        except PeerUnavailable:
+            continue
+        told.append(address)
+    name = f'{KEY_PREFIX}{key_id}'
+    stored = await store.read(name)
+    if stored is None or stored.body is None:
+        raise NotFound(detail=f'no key {key_id}')
+    record = parse_json(KeyRecord, stored.body)
+    if not record.withdrawn:
+        await _write_withdrawn(store, name, record, stored.version)
+    return told
+
+
+async def list_keys(store: ObjectStore) -> list[KeyRecord]:
+    """Lists all keys that were granted."""
+    listing = await store.list_names(KEY_PREFIX)
+    return [parse_json(KeyRecord, one.body or '') for one in listing.objects]
+
+
+async def drain_endpoint(
+    store: ObjectStore,
+    name: str,
+    *,
+    leaving: bool,
+) -> int:
+    """Marks an endpoint as leaving, or takes the mark back.
+
+    :returns: the version in which it is in force.
+    """
+    stored = await store.read(object_name('endpoint', name))
+    if stored is None or stored.body is None:
+        raise NotFound(detail=f'no endpoint {name}')
+    record = parse_json(Endpoint, stored.body)
+    edited = replaced(record, leaving=leaving, write_id=new_write_id())
+    return await write_definitely(
+        store,
+        stored.name,
+        serialize_json(edited),
+        stored.version,
+    )
+
+
+async def call_admin(
+    address: str,
+    method: str,
+    path: str,
+    token: str,
+    body: Any,
+) -> dict[str, Any]:
+    """Calls the admin listener of a host.
+
+    :raises PeerUnavailable: it did not answer, or refused.
+    """
+    pool = ClientPool()
+    packed = json.dumps(body).encode() if body is not None else b''
+    headers = [('authorization', f'Bearer {token}')]
+    try:
+        exchange = await pool.fetch(
+            address,
+            method,
+            path,
+            headers,
+            packed,
+            ADMIN_TIMEOUT_S,
+        )
+        answer = await exchange.read_body()
+        await exchange.close()
+    except CALL_ERRORS as exc:
+        raise PeerUnavailable(detail=f'{address}: no answer') from exc
+    if exchange.status != HTTPStatus.OK:
+        raise PeerUnavailable(detail=f'{address}: status {exchange.status}')
+    return json.loads(answer)
+
+
+async def _write_change(store: ObjectStore, change: Change) -> int:
+    if change.body is None:
+        return await store.delete(change.name, change.expected)
+    record_type = SCHEMAS[change.name.split('/')[2]][0]
+    record = replaced(
+        parse_json(record_type, change.body),
+        write_id=new_write_id(),
+    )
+    return await write_definitely(
+        store,
+        change.name,
+        serialize_json(record),
+        change.expected,
+    )
+
+
+async def _write_withdrawn(
+    store: ObjectStore,
+    name: str,
+    record: KeyRecord,
+    version: int,
+) -> None:
+    edited = replaced(record, withdrawn=True, write_id=new_write_id())
+    try:
+        await write_definitely(store, name, serialize_json(edited), version)
+    except StoreConflict:
+        found: Stored | None = await store.read(name)
+        if (
+            found is None
+            or not parse_json(
+                KeyRecord,
+                found.body or '',
+            ).withdrawn
+        ):
+            raise
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/__init__.py
@@ -0,0 +1,3 @@
+"""Adapters and tasks of the node process."""
+
+__all__ = ()
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/admission.py
@@ -0,0 +1,183 @@
+"""Rate and burst: tokens from the host that owns the account's bucket."""
+
+import uuid
+
+import curio
+from jacinthmount.buckets import TAKE_VALID_S, Loan
+from jacinthmount.declarations import DataCentre
+from jacinthmount.errors import (
+    PeerUnavailable,
+    RateExceeded,
+    ShareUnconfirmed,
+)
+from jacinthmount.members import HostRecord, rank_hosts
+from jacinthmount.records import parse_json
+from jacinthmount.shares import SHARE_PREFIX, ShareTable
+
+from jacinthmount_node.messages import LoanAsk, LoanReply, Take, TakeReply
+from jacinthmount_node.node import Node
+from jacinthmount_node.peers import PeerLinks
+
+__all__ = ('Admission',)
+
+LOAN_ASK_TIMEOUT_S = 0.02
+LOAN_PAUSE_S = 0.25
+LEND_FRACTION = 0.5
+LEND_MIN_LEVEL = 0.5
+SHARE_RETRY_AFTER_S = 2.0
+
+
+class Admission:
+    """Admits requests of accounts and answers other hosts that ask."""
+
+    __slots__ = ('_asked_loans', '_links', '_node')
+
+    def __init__(self, *, node: Node, links: PeerLinks) -> None:
+        """Takes the shares that this host holds."""
+        self._node = node
+        self._links = links
+        self._asked_loans: dict[str, float] = {}
+
+    async def admit(self, account: str) -> None:
+        """Takes one token of an account or refuses its request.
+
+        :raises RateExceeded: the account is over its rate and burst.
+        :raises ShareUnconfirmed: nobody can say at this moment.
+        """
+        replies = []
+        for record in self._owners(account):
+            asked_at = self._node.now()
+            reply = await self._ask(record, account)
+            late = self._node.now() - asked_at >= TAKE_VALID_S
+            if reply is None or late:
+                continue
+            if reply.granted:
+                return
+            replies.append(reply)
+            if reply.owned:
+                break
+        owned = [reply for reply in replies if reply.owned]
+        if owned:
+            raise RateExceeded(
+                detail=f'account {account} is over its rate',
+                retry_after_s=owned[0].retry_after_s,
+            )
+        raise ShareUnconfirmed(
+            detail=f'the share of account {account} is changing hosts',
+            retry_after_s=SHARE_RETRY_AFTER_S,
+        )
+
+    async def on_take(self, take: Take) -> TakeReply:
+        """Takes tokens from a bucket held here."""
+        bucket = self._bucket(take.account)
+        if bucket is None:
+            return TakeReply(granted=False, owned=False, retry_after_s=0)
+        asked_at = self._node.now()
+        if bucket.take(take.tokens, asked_at):
+            return TakeReply(granted=True, owned=True, retry_after_s=0)
+        await self._borrow(take.account)
+        bucket = self._bucket(take.account)
+        now = self._node.now()
+        if bucket is None or now - asked_at >= TAKE_VALID_S:
+            return TakeReply(granted=False, owned=False, retry_after_s=0)
+        granted = bucket.take(take.tokens, now)
+        return TakeReply(
+            granted=granted,
+            owned=True,
+            retry_after_s=bucket.wait_s(take.tokens, now),
+        )
+
+    def on_loan_ask(self, ask: LoanAsk) -> LoanReply:
+        """Lends a part of a bucket that is mostly unused."""
+        bucket = self._bucket(ask.account)
+        now = self._node.now()
+        loan = None
+        if bucket is not None:
+            unused = bucket.own_level(now)
+            if unused >= LEND_MIN_LEVEL * bucket.own_capacity():
+                loan = bucket.lend(ask.loan_id, LEND_FRACTION, now)
+        if loan is None:
+            return LoanReply(
+                loan_id=ask.loan_id,
+                rate_per_s=0,
+                capacity=0,
+                level=0,
+                valid_s=0,
+            )
+        return LoanReply(
+            loan_id=loan.loan_id,
+            rate_per_s=loan.rate_per_s,
+            capacity=loan.capacity,
+            level=loan.level,
+            valid_s=loan.valid_s,
+        )
+
+    def _bucket(self, account: str):
+        if not self._node.confirmed():
+            return None
+        return self._node.keeper.bucket(account, self._node.now())
+
+    async def _ask(self, record: HostRecord, account: str) -> TakeReply | None:
+        take = Take(account=account, tokens=1)
+        if record.host == self._node.host:
+            return await self.on_take(take)
+        try:
+            reply = await self._links.request(record, take, TAKE_VALID_S)
+        except PeerUnavailable:
+            return None
+        return reply if isinstance(reply, TakeReply) else None
+
+    async def _borrow(self, account: str) -> None:
+        now = self._node.now()
+        if now - self._asked_loans.get(account, -LOAN_PAUSE_S) < LOAN_PAUSE_S:
+            return
+        self._asked_loans[account] = now
+        async with curio.ignore_after(LOAN_ASK_TIMEOUT_S):
+            async with curio.TaskGroup(wait=all) as group:
+                for record in self._remote_owners(account):
+                    await group.spawn(self._ask_loan, record, account)
+
+    async def _ask_loan(self, record: HostRecord, account: str) -> None:
+        asked_at = self._node.now()
+        ask = LoanAsk(account=account, loan_id=uuid.uuid4().hex)
+        try:
+            reply = await self._links.request(record, ask, LOAN_ASK_TIMEOUT_S)
+        except PeerUnavailable:
+            return
+        bucket = self._bucket(account)
+        if bucket is None or not isinstance(reply, LoanReply):
+            return
+        if reply.capacity > 0:
+            loan = Loan(
+                loan_id=reply.loan_id,
+                rate_per_s=reply.rate_per_s,
+                capacity=reply.capacity,
+                level=reply.level,
+                valid_s=reply.valid_s,
+            )
+            bucket.borrow(loan, asked_at, self._node.now())
+
+    def _owners(self, account: str) -> list[HostRecord]:
+        # The owner here comes first; others stand in while it is unknown.
+        owner = self._node.keeper.owner(account)
+        own = self._node.members.get(owner or '')
+        local = [own] if own else []
+        return [*local, *self._remote_owners(account)]
+
+    def _remote_owners(self, account: str) -> list[HostRecord]:
+        node = self._node
+        here = node.catalogue.find(DataCentre, node.data_centre)
+        owners = []
+        for stored in node.table.iter_prefix(SHARE_PREFIX):
+            table = parse_json(ShareTable, stored.body or '')
+            there = node.catalogue.find(DataCentre, table.data_centre)
+            if table.data_centre == node.data_centre or there is None:
+                continue
+            if here is None or there.region != here.region:
+                continue
+            hosts = [slot.host for slot in table.slots]
+            ranked = rank_hosts(account, hosts)
+            record = node.members.get(ranked[0]) if ranked else None
+            if record is not None:
+                owners.append(record)
+        return owners
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_items.py
@@ -0,0 +1,202 @@
+"""Runs one batch item on one endpoint."""
+
+import json
+import time
+from http import HTTPStatus
+from typing import Any
+
+import curio
+from jacinthmount.declarations import Endpoint, Profile
+from jacinthmount.dispatch import Stage
+from jacinthmount.errors import EndpointFailed, OutcomeUnknown
+from jacinthmount.results import DONE, FAILED, ResultRecord
+
+from jacinthmount_node.batch_chunks import BatchItem
+from jacinthmount_node.engine import EngineStream, send_call
+from jacinthmount_node.http_client import ATTEMPT_ERRORS, Exchange
+from jacinthmount_node.node import Node
+
+__all__ = ('ItemOutcome', 'run_item')
+
+STALL_TIMEOUT_S = 10.0
+# Answers to these can't be put together from the text of a stream.
+WHOLE_ANSWER_FIELDS = frozenset(('tools', 'logprobs', 'n', 'functions'))
+
+
+class ItemOutcome:
+    """What an attempt at an item came to.
+
+    ``record`` is None where the item should be tried again. ``died`` tells
+    that the endpoint was lost while the item was in flight.
+    """
+
+    __slots__ = ('died', 'record')
+
+    def __init__(self, *, record: ResultRecord | None, died: bool) -> None:
+        """Keeps the outcome."""
+        self.record = record
+        self.died = died
+
+
+async def run_item(
+    node: Node,
+    item: BatchItem,
+    endpoint: Endpoint,
+    profile: Profile,
+    kind: str,
+) -> ItemOutcome:
+    """Runs an item once; cancelling it keeps the text so far.
+
+    :param kind: model or plain.
+    """
+    exchange = None
+    stage = Stage.CONNECTING
+    try:
+        exchange = await node.pool.open(
+            endpoint.address,
+            fresh=not profile.idempotent,
+        )
+        if kind == 'model':
+            record = await _run_model(item, exchange)
+        else:
+            record = await _run_plain(item, exchange, profile)
+    except ATTEMPT_ERRORS as exc:
+        if exchange is not None:
+            stage = exchange.stage
+            await exchange.close()
+        return _failed_attempt(item, stage, profile, exc)
+    except BaseException:
+        if exchange is not None:
+            await exchange.close()
+        raise
+    await node.pool.release(exchange)
+    return ItemOutcome(record=record, died=False)
+
+
+def _failed_attempt(
+    item: BatchItem,
+    stage: Stage,
+    profile: Profile,
+    exc: Exception,
+) -> ItemOutcome:
+    if stage >= Stage.SENT and not profile.idempotent:
+        record = ResultRecord(
+            line=item.line,
+            state=FAILED,
+            status=0,
+            body='the item may have run and is not repeated',
+            code=OutcomeUnknown.code,
+        )
+        return ItemOutcome(record=record, died=False)
+    died = stage >= Stage.SENT and not isinstance(exc, EndpointFailed)
+    if stage >= Stage.SENT and not died:
+        item.attempts += 1
+    if item.attempts >= profile.max_attempts:
+        record = ResultRecord(
+            line=item.line,
+            state=FAILED,
+            status=0,
+            body=f'failed {item.attempts} times: {exc}',
+            code=EndpointFailed.code,
+        )
+        return ItemOutcome(record=record, died=False)
+    return ItemOutcome(record=None, died=died)
+
+
+async def _run_model(item: BatchItem, exchange: Exchange) -> ResultRecord:
+    body = json.loads(item.request.body)
+    streamed = not WHOLE_ANSWER_FIELDS & set(body)
+    body['stream'] = streamed
+    packed = json.dumps(body).encode()
+    await curio.timeout_after(
+        STALL_TIMEOUT_S,
+        send_call,
+        exchange,
+        item.request.url,
+        packed,
+        item.name,
+        len(item.text),
+    )
+    if exchange.status >= HTTPStatus.BAD_REQUEST or not streamed:
+        answer = await curio.timeout_after(
+            STALL_TIMEOUT_S,
+            exchange.read_body,
+        )
+        return _whole_record(item, exchange.status, answer)
+    stream = EngineStream(exchange=exchange)
+    events = stream.iter_events()
+    while True:
+        event = await curio.timeout_after(STALL_TIMEOUT_S, anext, events, None)
+        if event is None:
+            break
+        item.text += event.text
+    return ResultRecord(
+        line=item.line,
+        state=DONE,
+        status=HTTPStatus.OK.value,
+        body=json.dumps(_assemble(item, body, stream.usage)),
+        code=0,
+    )
+
+
+async def _run_plain(
+    item: BatchItem,
+    exchange: Exchange,
+    profile: Profile,
+) -> ResultRecord:
+    target = f'/{item.request.url.split("/", 3)[-1]}'
+    packed = item.request.body.encode()
+    headers = [
+        ('content-type', 'application/json'),
+        ('x-request-id', item.name),
+    ]
+    async with curio.timeout_after(profile.deadline_s):
+        await exchange.send('POST', target, headers, packed)
+        await exchange.read_head()
+        answer = await exchange.read_body()
+    if (
+        exchange.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        and profile.idempotent
+    ):
+        raise EndpointFailed(detail=f'status {exchange.status}')
+    return _whole_record(item, exchange.status, answer)
+
+
+def _whole_record(
+    item: BatchItem,
+    status: int,
+    answer: bytes,
+) -> ResultRecord:
+    try:
+        body = json.dumps(json.loads(answer))
+    except ValueError:
+        body = json.dumps(answer.decode('utf-8', 'replace'))
+    state = DONE if status < HTTPStatus.BAD_REQUEST else FAILED
+    return ResultRecord(
+        line=item.line,
+        state=state,
+        status=status,
+        body=body,
+        code=0,
+    )
+
+
+def _assemble(
+    item: BatchItem,
+    body: dict[str, Any],
+    usage: dict[str, Any] | None,
+) -> dict[str, Any]:
+    chat = 'chat' in item.request.url
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': 'stop'}
+    if chat:
+        choice['message'] = {'role': 'assistant', 'content': item.text}
+    else:
+        choice['text'] = item.text
+    return {
+        'id': item.name,
+        'object': 'chat.completion' if chat else 'text_completion',
+        'created': int(time.time()),
+        'model': body.get('model', ''),
+        'choices': [choice],
+        'usage': usage,
+    }
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/calls.py
@@ -0,0 +1,353 @@
+"""Calls to plain services, at most once where they may not be repeated."""
+
+import curio
+from jacinthmount.declarations import Profile
+from jacinthmount.dispatch import Attempt, Next, Stage, decide
+from jacinthmount.errors import (
+    CallInProgress,
+    DeadlineUnreachable,
+    EndpointFailed,
+    IdempotencyMismatch,
+    JacinthmountError,
+    OutcomeUnknown,
+    StoreConflict,
+    StoreUnavailable,
+)
+from jacinthmount.idempotency import (
+    CALL_ANSWERED,
+    CALL_NOT_RUN,
+    CALL_STARTED,
+    MAX_KEPT_ANSWER_BYTES,
+    CallRecord,
+    CallVerdict,
+    call_name,
+    hash_request,
+    judge,
+)
+from jacinthmount.ports import ABSENT
+from jacinthmount.records import parse_json, replaced, serialize_json
+from jacinthmount.routing import EndpointState
+from jacinthmount.stores import new_write_id, write_definitely
+
+from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.http_client import ATTEMPT_ERRORS, Exchange
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.node import Node
+
+__all__ = ('PlainAnswer', 'PlainCall', 'PlainRunner')
+
+SAFE_METHODS = frozenset(('GET', 'HEAD'))
+# What an endpoint may see of a request; keys can be anywhere else.
+REQUEST_HEADERS = ('content-type', 'accept', 'accept-language')
+ANSWER_HEADERS = ('content-type', 'cache-control', 'etag', 'last-modified')
+
+
+class PlainCall:
+    """A call to a plain service."""
+
+    __slots__ = (
+        'account',
+        'body',
+        'deadline',
+        'headers',
+        'idempotency_key',
+        'key_id',
+        'method',
+        'request_id',
+        'service',
+        'target',
+    )
+
+    def __init__(
+        self,
+        *,
+        account: str,
+        key_id: str,
+        service: str,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        request_id: str,
+        idempotency_key: str,
+        deadline: float,
+    ) -> None:
+        """Keeps the facts; the deadline is in monotonic seconds."""
+        self.account = account
+        self.key_id = key_id
+        self.service = service
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.request_id = request_id
+        self.idempotency_key = idempotency_key
+        self.deadline = deadline
+
+
+class PlainAnswer:
+    """A whole answer of a plain service."""
+
+    __slots__ = ('body', 'headers', 'status')
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Keeps the answer with the headers that may be relayed."""
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class PlainRunner:
+    """Runs calls to plain services."""
+
+    __slots__ = ('_node', '_rooms')
+
+    def __init__(self, *, node: Node, rooms: EngineRooms) -> None:
+        """Takes the shared state."""
+        self._node = node
+        self._rooms = rooms
+
+    async def run(self, call: PlainCall, profile: Profile) -> PlainAnswer:
+        """Runs a call; a keyed one that may not be repeated is recorded.
+
+        :raises IdempotencyMismatch: the key was used with another body.
+        :raises CallInProgress: the first call with the key has no answer yet.
+        :raises OutcomeUnknown: the call may have run.
+        :raises StoreUnavailable: the record could not be made; not run.
+        """
+        if self._repeatable(call, profile):
+            return await self._run_attempts(call, profile)
+        if call.idempotency_key and call.account:
+            return await self._run_recorded(call, profile)
+        return await self._run_attempts(call, profile)
+
+    def _repeatable(self, call: PlainCall, profile: Profile) -> bool:
+        return profile.idempotent or call.method in SAFE_METHODS
+
+    async def _run_recorded(
+        self,
+        call: PlainCall,
+        profile: Profile,
+    ) -> PlainAnswer:
+        name = call_name(call.account, call.idempotency_key)
+        request_hash = hash_request(call.method, call.target, call.body)
+        found = await self._node.store.read(name)
+        record = parse_json(CallRecord, found.body or '') if found else None
+        verdict = judge(record, request_hash)
+        if verdict is CallVerdict.REPLAY and record is not None:
+            return _replayed(record)
+        _raise_unless_run(verdict)
+        started = CallRecord(
+            request_hash=request_hash,
+            state=CALL_STARTED,
+            status=0,
+            content_type='',
+            body='',
+            holder=self._node.host,
+            write_id=new_write_id(),
+        )
+        try:
+            version = await write_definitely(
+                self._node.store,
+                name,
+                serialize_json(started),
+                found.version if found else ABSENT,
+            )
+        except StoreConflict:
+            raise CallInProgress(
+                detail='another call with this key is running',
+                retry_after_s=1,
+            ) from None
+        return await self._run_started(call, profile, name, started, version)
+
+    async def _run_started(
+        self,
+        call: PlainCall,
+        profile: Profile,
+        name: str,
+        started: CallRecord,
+        version: int,
+    ) -> PlainAnswer:
+        try:
+            answer = await self._run_attempts(call, profile)
+        except DeadlineUnreachable:
+            ended = replaced(
+                started,
+                state=CALL_NOT_RUN,
+                write_id=new_write_id(),
+            )
+            await self._record_end(name, ended, version)
+            raise
+        kept = answer.body[:MAX_KEPT_ANSWER_BYTES].decode('latin-1')
+        ended = replaced(
+            started,
+            state=CALL_ANSWERED,
+            status=answer.status,
+            content_type=dict(answer.headers).get('content-type', ''),
+            body=kept,
+            write_id=new_write_id(),
+        )
+        await self._record_end(name, ended, version)
+        return answer
+
+    async def _record_end(
+        self,
+        name: str,
+        ended: CallRecord,
+        version: int,
+    ) -> None:
+        try:
+            await write_definitely(
+                self._node.store,
+                name,
+                serialize_json(ended),
+                version,
+            )
+        except (StoreUnavailable, StoreConflict) as exc:
+            # The record stays as started, which never lets the call run again.
+            log_event('call_record', detail=exc.detail)
+
+    async def _run_attempts(
+        self,
+        call: PlainCall,
+        profile: Profile,
+    ) -> PlainAnswer:
+        repeatable = self._repeatable(call, profile)
+        limit = profile.max_attempts
+        tried: set[str] = set()
+        self._node.budget.on_request()
+        while True:
+            state = self._choose(call, tried)
+            result = await self._attempt(call, state, fresh=not repeatable)
+            if isinstance(result, PlainAnswer):
+                return result
+            tried.add(state.endpoint.name)
+            time_left = call.deadline > self._node.now()
+            may_retry = len(tried) < limit and self._node.budget.spend()
+            outcome = decide(
+                Attempt(
+                    stage=result,
+                    idempotent=repeatable,
+                    relayed=False,
+                    resumable=False,
+                    may_retry=may_retry,
+                    time_left=time_left,
+                )
+            )
+            if outcome is not Next.RETRY:
+                raise _failure(outcome)
+
+    def _choose(self, call: PlainCall, tried: set[str]) -> EndpointState:
+        node = self._node
+        if call.key_id:
+            node.keyring.recheck(call.key_id)
+        state = node.router(call.service).choose(
+            call.request_id,
+            tried,
+            node.now(),
+        )
+        if state is None:
+            raise DeadlineUnreachable(
+                detail='no endpoint is available',
+                retry_after_s=1,
+            )
+        return state
+
+    async def _attempt(
+        self,
+        call: PlainCall,
+        state: EndpointState,
+        *,
+        fresh: bool,
+    ) -> PlainAnswer | Stage:
+        node = self._node
+        started_at = node.now()
+        exchange = None
+        state.online += 1
+        await self._rooms.note_online(state)
+        try:
+            async with curio.timeout_after(call.deadline - started_at):
+                exchange = await node.pool.open(
+                    state.endpoint.address,
+                    fresh=fresh,
+                )
+                answer = await self._exchange(call, exchange)
+        except ATTEMPT_ERRORS:
+            state.on_failure(node.now())
+            stage = exchange.stage if exchange else Stage.CONNECTING
+            await _close(exchange)
+            return stage
+        except BaseException:
+            await _close(exchange)
+            raise
+        finally:
+            state.online -= 1
+            await self._rooms.note_online(state)
+        state.on_success(node.now() - started_at)
+        await node.pool.release(exchange)
+        return answer
+
+    async def _exchange(
+        self,
+        call: PlainCall,
+        exchange: Exchange,
+    ) -> PlainAnswer:
+        headers = [
+            (name, call.headers[name])
+            for name in REQUEST_HEADERS
+            if name in call.headers
+        ]
+        headers.append(('x-request-id', call.request_id))
+        headers.append(('x-client-account', call.account or '-'))
+        await exchange.send(call.method, call.target, headers, call.body)
+        await exchange.read_head()
+        echoed = exchange.headers.get('x-request-id', call.request_id)
+        if echoed != call.request_id:
+            raise EndpointFailed(detail='answer to another request')
+        body = await exchange.read_body()
+        relayed = [
+            (name, exchange.headers[name])
+            for name in ANSWER_HEADERS
+            if name in exchange.headers
+        ]
+        return PlainAnswer(status=exchange.status, headers=relayed, body=body)
+
+
+async def _close(exchange: Exchange | None) -> None:
+    if exchange is not None:
+        await exchange.close()
+
+
+def _replayed(record: CallRecord) -> PlainAnswer:
+    headers = [('x-replayed', 'yes')]
+    if record.content_type:
+        headers.append(('content-type', record.content_type))
+    return PlainAnswer(
+        status=record.status,
+        headers=headers,
+        body=record.body.encode('latin-1'),
+    )
+
+
+def _raise_unless_run(verdict: CallVerdict) -> None:
+    if verdict is CallVerdict.MISMATCH:
+        raise IdempotencyMismatch(detail='the key was used with another body')
+    if verdict is CallVerdict.UNKNOWN:
+        raise OutcomeUnknown(detail='the first call with this key may have run')
+
+
+def _failure(outcome: Next) -> JacinthmountError:
+    if outcome is Next.NOT_RUN:
+        return DeadlineUnreachable(
+            detail='no endpoint could be reached',
+            retry_after_s=1,
+        )
+    if outcome is Next.UNKNOWN:
+        return OutcomeUnknown(detail='the connection was lost')
+    return EndpointFailed(detail='endpoints failed', retry_after_s=1)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/config_sync.py
@@ -0,0 +1,250 @@
+"""Configuration: watched by a few hosts, pushed on and repaired by all."""
+
+import contextlib
+
+import curio
+from jacinthmount.errors import (
+    JacinthmountError,
+    PeerUnavailable,
+    StoreUnavailable,
+)
+from jacinthmount.members import HostRecord, rank_hosts
+from jacinthmount.ports import FLEET_PREFIX, Stored
+
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.messages import (
+    Digest,
+    DigestReply,
+    Fetch,
+    Push,
+    Withdraw,
+)
+from jacinthmount_node.node import Node
+from jacinthmount_node.peers import PeerLinks
+
+__all__ = ('ConfigSync',)
+
+WATCHERS_PER_DATA_CENTRE = 2
+WATCH_WAIT_S = 20.0
+WATCH_PAUSE_S = 0.5
+DIGEST_MIN_INTERVAL_S = 1.5
+DIGEST_MAX_INTERVAL_S = 2.5
+WATCH_RECHECK_S = 2.0
+REMOTE_DIGEST_EVERY = 3
+PEER_TIMEOUT_S = 2.0
+MAX_PUSH_OBJECTS = 500
+RANK_SUBJECT = 'watch'
+
+
+class ConfigSync:
+    """Keeps the configuration table of one host up to date."""
+
+    __slots__ = ('_links', '_node', '_on_change', '_outbox', '_rounds')
+
+    def __init__(self, *, node: Node, links: PeerLinks, on_change) -> None:
+        """Takes the state to keep.
+
+        :param on_change: coroutine called with the objects that changed.
+        """
+        self._node = node
+        self._links = links
+        self._on_change = on_change
+        self._outbox: curio.Queue = curio.Queue()
+        self._rounds = 0
+
+    async def run(self) -> None:
+        """Loads, then watches, pushes and compares until cancelled."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._run_watch)
+            await group.spawn(self._run_push)
+            await group.spawn(self._run_digest)
+
+    async def load(self) -> bool:
+        """Loads the whole configuration from the platform or from a peer.
+
+        :returns: whether either had it.
+        """
+        node = self._node
+        try:
+            node.metrics.platform_calls.labels('list').inc()
+            listing = await node.store.list_names(FLEET_PREFIX)
+        except StoreUnavailable:
+            return await self._load_from_peers()
+        await self._changed(node.table.load(listing), push=False)
+        node.loaded = True
+        return True
+
+    async def take(self, objects: list[Stored], *, push: bool) -> None:
+        """Merges objects from any source and puts them in force."""
+        changed = self._node.table.merge(objects)
+        if changed:
+            await self._changed(changed, push=push)
+
+    async def withdraw(self, key_ids: list[str]) -> None:
+        """Withdraws keys at once, here and on the other hosts."""
+        fresh = [
+            key_id for key_id in key_ids if self._node.keyring.withdraw(key_id)
+        ]
+        if fresh:
+            await self._outbox.put(Withdraw(key_ids=fresh))
+
+    def answer_digest(self, digest: Digest) -> DigestReply:
+        """Answers the summary of another host with what differs."""
+        for key_id in digest.withdrawn:
+            self._node.keyring.withdraw(key_id)
+        return DigestReply(
+            buckets=self._node.table.differing(digest.digest),
+            withdrawn=self._node.keyring.withdrawn_ids(),
+        )
+
+    def answer_fetch(self, fetch: Fetch) -> Push:
+        """Answers with the objects that are newer here."""
+        newer = self._node.table.newer_than(fetch.buckets)
+        return Push(objects=newer[:MAX_PUSH_OBJECTS])
+
+    async def _changed(self, changed: list[Stored], *, push: bool) -> None:
+        self._node.apply(changed)
+        await self._on_change(changed)
+        if push and changed:
+            for start in range(0, len(changed), MAX_PUSH_OBJECTS):
+                part = changed[start : start + MAX_PUSH_OBJECTS]
+                await self._outbox.put(Push(objects=part))
+
+    async def _load_from_peers(self) -> bool:
+        for address in self._node.settings.peers:
+            try:
+                await self._compare(address)
+            except PeerUnavailable:
+                continue
+            if self._node.table.revision:
+                self._node.loaded = True
+                return True
+        return False
+
+    async def _run_watch(self) -> None:
+        while True:
+            try:
+                await self._watch_once()
+            except StoreUnavailable as exc:
+                log_event('platform_unavailable', detail=exc.detail)
+                await curio.sleep(WATCH_PAUSE_S)
+
+    async def _watch_once(self) -> None:
+        node = self._node
+        if not node.loaded:
+            await self.load()
+            await curio.sleep(WATCH_PAUSE_S)
+            return
+        if not self._watches():
+            await curio.sleep(WATCH_RECHECK_S)
+            return
+        node.metrics.platform_calls.labels('watch').inc()
+        objects = await node.store.watch(
+            FLEET_PREFIX,
+            node.table.revision,
+            WATCH_WAIT_S,
+        )
+        await self.take(objects, push=True)
+
+    def _watches(self) -> bool:
+        hosts = self._node.local_hosts()
+        heard = self._node.hearing.unheard(hosts, self._node.now())
+        live = [
+            host
+            for host in hosts
+            if host not in heard or host == self._node.host
+        ]
+        ranked = rank_hosts(RANK_SUBJECT, live)
+        return self._node.host in ranked[:WATCHERS_PER_DATA_CENTRE] or (
+            self._node.host not in hosts
+        )
+
+    async def _run_push(self) -> None:
+        while True:
+            message = await self._outbox.get()
+            async with curio.TaskGroup(wait=all) as group:
+                for record in self._others(local=True):
+                    await group.spawn(self._push_to, record, message)
+                if isinstance(message, Withdraw):
+                    for record in self._others(local=False):
+                        await group.spawn(self._push_to, record, message)
+
+    async def _push_to(
+        self,
+        record: HostRecord,
+        message: Push | Withdraw,
+    ) -> None:
+        try:
+            await self._links.request(record, message, PEER_TIMEOUT_S)
+        except PeerUnavailable:
+            # The digest exchange repairs what was missed.
+            return
+
+    async def _run_digest(self) -> None:
+        while True:
+            pause = self._node.rng.uniform(
+                DIGEST_MIN_INTERVAL_S,
+                DIGEST_MAX_INTERVAL_S,
+            )
+            await curio.sleep(pause)
+            address = self._pick_address()
+            if address is None:
+                continue
+            with contextlib.suppress(JacinthmountError):
+                await self._compare(address)
+
+    def _pick_address(self) -> str | None:
+        self._rounds += 1
+        remote = self._rounds % REMOTE_DIGEST_EVERY == 0 and self._watches()
+        records = self._others(local=not remote)
+        if not records:
+            records = self._others(local=remote)
+        known = [record.peer_address for record in records]
+        if not known:
+            own = self._node.settings.peer_listen
+            known = [
+                address
+                for address in self._node.settings.peers
+                if address != own
+            ]
+        return self._node.rng.choice(known) if known else None
+
+    async def _compare(self, address: str) -> None:
+        table = self._node.table
+        digest = Digest(
+            digest=table.digest(),
+            withdrawn=self._node.keyring.withdrawn_ids(),
+        )
+        reply = await self._links.request_at(address, digest, PEER_TIMEOUT_S)
+        if not isinstance(reply, DigestReply):
+            return
+        await self.withdraw(reply.withdrawn)
+        newer = table.newer_than(reply.buckets)[:MAX_PUSH_OBJECTS]
+        if newer:
+            await self._links.request_at(
+                address,
+                Push(objects=newer),
+                PEER_TIMEOUT_S,
+            )
+        if table.behind(reply.buckets):
+            await self._fetch(
+                address, [bucket.bucket for bucket in reply.buckets]
+            )
+
+    async def _fetch(self, address: str, buckets: list[int]) -> None:
+        own = self._node.table.differing_at(buckets)
+        reply = await self._links.request_at(
+            address,
+            Fetch(buckets=own),
+            PEER_TIMEOUT_S,
+        )
+        if isinstance(reply, Push):
+            await self.take(reply.objects, push=False)
+
+    def _others(self, *, local: bool) -> list[HostRecord]:
+        return [
+            record
+            for record in self._node.members.values()
+            if record.host != self._node.host
+            and (record.data_centre == self._node.data_centre) is local
+        ]
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -0,0 +1,206 @@
+"""Start, run and graceful shutdown of a node."""
+
+import random
+import signal
+
+import curio
+from jacinthmount.ports import Stored
+from jacinthmount.settings import Settings
+from jacinthmount.shares import SHARE_PREFIX
+
+from jacinthmount_node.admin import Admin
+from jacinthmount_node.admission import Admission
+from jacinthmount_node.batch_runner import BatchRunner
+from jacinthmount_node.batches_api import BatchDesk
+from jacinthmount_node.calls import PlainRunner
+from jacinthmount_node.config_sync import ConfigSync
+from jacinthmount_node.engine import EngineLoadReports
+from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.files_api import FileDesk
+from jacinthmount_node.front import Front
+from jacinthmount_node.handlers import PeerDesk
+from jacinthmount_node.http_client import ClientPool
+from jacinthmount_node.http_server import HttpServer
+from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.membership import Membership
+from jacinthmount_node.messages import Hello
+from jacinthmount_node.node import Node
+from jacinthmount_node.object_api import HttpStore
+from jacinthmount_node.online import OnlineRunner
+from jacinthmount_node.peers import PeerLinks, PeerServer, make_contexts
+from jacinthmount_node.sockets import SystemClock, listen
+
+__all__ = ('Daemon', 'run_daemon')
+
+LOAD_PAUSE_S = 0.5
+RESTART_PAUSE_S = 1.0
+SIGNAL_POLL_S = 0.1
+
+
+class Daemon:
+    """All parts of one node."""
+
+    __slots__ = (
+        '_admin_server',
+        '_batch',
+        '_front',
+        '_front_server',
+        '_membership',
+        '_node',
+        '_online',
+        '_peer_server',
+        '_rooms',
+        '_stopping',
+        '_sync',
+    )
+
+    def __init__(self, *, settings: Settings, token: str) -> None:
+        """Opens the listeners and wires the parts together.
+
+        :raises OSError: an address is in use or a file can't be read.
+        """
+        pool = ClientPool()
+        node = Node(
+            settings=settings,
+            store=HttpStore(addresses=settings.platform, pool=pool),
+            clock=SystemClock(),
+            pool=pool,
+            rng=random.Random(),
+        )
+        self._node = node
+        self._stopping = False
+        server_context, client_context = make_contexts(
+            settings.tls_ca,
+            settings.tls_cert,
+            settings.tls_key,
+        )
+        links = PeerLinks(
+            context=client_context,
+            hello=Hello(
+                host=node.host,
+                incarnation=node.incarnation,
+                data_centre=node.data_centre,
+            ),
+            metrics=node.metrics,
+        )
+        self._sync = ConfigSync(
+            node=node,
+            links=links,
+            on_change=self._on_change,
+        )
+        self._membership = Membership(node=node, links=links, sync=self._sync)
+        self._rooms = EngineRooms(
+            node=node,
+            links=links,
+            reports=EngineLoadReports(pool=pool),
+        )
+        admission = Admission(node=node, links=links)
+        self._online = OnlineRunner(node=node, rooms=self._rooms)
+        files = FileDesk(node=node)
+        self._batch = BatchRunner(
+            node=node,
+            rooms=self._rooms,
+            files=files,
+            sync=self._sync,
+        )
+        self._front = Front(
+            node=node,
+            admission=admission,
+            online=self._online,
+            plain=PlainRunner(node=node, rooms=self._rooms),
+            files=files,
+            batches=BatchDesk(node=node, files=files, sync=self._sync),
+        )
+        admin = Admin(
+            node=node,
+            sync=self._sync,
+            batch=self._batch,
+            token=token,
+        )
+        desk = PeerDesk(
+            sync=self._sync,
+            membership=self._membership,
+            admission=admission,
+            rooms=self._rooms,
+        )
+        self._front_server = HttpServer(
+            sock=listen(settings.listen),
+            handler=self._front.handle,
+        )
+        self._admin_server = HttpServer(
+            sock=listen(settings.admin_listen),
+            handler=admin.handle,
+        )
+        self._peer_server = PeerServer(
+            sock=listen(settings.peer_listen),
+            context=server_context,
+            handler=desk.handle,
+            metrics=node.metrics,
+        )
+
+    async def run(self) -> None:
+        """Serves until SIGTERM or SIGINT, then leaves gracefully."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        tasks = [
+            await curio.spawn(self._keep_running, name, part, daemon=True)
+            for name, part in (
+                ('peers', self._peer_server.run),
+                ('admin', self._admin_server.run),
+                ('config', self._sync.run),
+                ('membership', self._membership.run),
+                ('rooms', self._rooms.run),
+                ('online', self._online.run),
+                ('batch', self._batch.run),
+                ('front', self._front_server.run),
+                ('load', self._load),
+            )
+        ]
+        log_event('started', host=self._node.host)
+        while not self._stopping:
+            await curio.sleep(SIGNAL_POLL_S)
+        await self._leave()
+        for task in tasks:
+            await task.cancel(blocking=False)
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self._stopping = True
+
+    async def _load(self) -> None:
+        while not await self._sync.load():
+            log_event('load_failed', host=self._node.host)
+            await curio.sleep(LOAD_PAUSE_S)
+        self._node.ready = True
+        log_event('ready', revision=self._node.table.revision)
+
+    async def _leave(self) -> None:
+        log_event('leaving', host=self._node.host)
+        self._node.ready = False
+        await curio.sleep(self._node.settings.drain_delay_s)
+        drain = await curio.spawn(self._front_server.drain)
+        await self._batch.leave()
+        await drain.join()
+        await self._membership.leave()
+        log_event('stopped', host=self._node.host)
+
+    async def _keep_running(self, name: str, part) -> None:
+        while True:
+            try:
+                await part()
+                return
+            except Exception as exc:
+                log_failure(name, exc)
+                await curio.sleep(RESTART_PAUSE_S)
+
+    async def _on_change(self, changed: list[Stored]) -> None:
+        own = f'{SHARE_PREFIX}{self._node.data_centre}'
+        for one in changed:
+            if one.name == own:
+                await self._membership.on_table(one)
+        await self._batch.on_config(changed)
+
+
+def run_daemon(settings: Settings, token: str) -> None:
+    """Runs a node until it is told to stop."""
+    daemon = Daemon(settings=settings, token=token)
+    curio.run(daemon.run)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
@@ -0,0 +1,230 @@
+"""Load of the engines: reported by hosts, known where batch is decided."""
+
+import curio
+from jacinthmount.declarations import Endpoint
+from jacinthmount.errors import PeerUnavailable
+from jacinthmount.members import rank_hosts
+from jacinthmount.permits import EngineRoom
+from jacinthmount.ports import EngineLoad, LoadReports
+from jacinthmount.routing import EndpointState
+
+from jacinthmount_node.messages import EngineReport, EngineReportReply
+from jacinthmount_node.node import Node
+from jacinthmount_node.peers import PeerLinks
+
+__all__ = ('EngineRooms',)
+
+FLUSH_INTERVAL_S = 0.005
+REFRESH_INTERVAL_S = 1.0
+REPORT_TIMEOUT_S = 0.5
+POLL_INTERVAL_S = 1.0
+
+
+class EngineRooms:
+    """Sends reports of this host and keeps the rooms it decides about."""
+
+    __slots__ = (
+        '_dirty',
+        '_links',
+        '_loads',
+        '_node',
+        '_reports',
+        '_rooms',
+        '_wake',
+        'on_room_change',
+    )
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        links: PeerLinks,
+        reports: LoadReports,
+    ) -> None:
+        """Takes the port to read load reports from."""
+        self._node = node
+        self._links = links
+        self._reports = reports
+        self._rooms: dict[str, EngineRoom] = {}
+        self._loads: dict[str, tuple[EngineLoad, float]] = {}
+        self._dirty: set[str] = set()
+        self._wake = curio.Event()
+        self.on_room_change = None
+
+    async def run(self) -> None:
+        """Reports and polls until cancelled."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._run_flush)
+            await group.spawn(self._run_refresh)
+            await group.spawn(self._run_polls)
+
+    def decider(self, engine: str) -> str:
+        """Names the host that runs the batch items of an engine."""
+        ranked = rank_hosts(engine, self._node.local_hosts())
+        return ranked[0] if ranked else self._node.host
+
+    def decided_here(self) -> list[Endpoint]:
+        """Lists the endpoints whose batch items run on this host."""
+        return [
+            endpoint
+            for endpoint in self._node.catalogue.every(Endpoint)
+            if endpoint.data_centre == self._node.data_centre
+            and self.decider(endpoint.name) == self._node.host
+        ]
+
+    def room(self, endpoint: Endpoint) -> int:
+        """Counts the batch items that an endpoint may run now."""
+        return self._room(endpoint).room(self._node.now())
+
+    async def note_online(self, state: EndpointState) -> None:
+        """Notes that the online requests in flight on an engine changed."""
+        engine = state.endpoint.name
+        if self.decider(engine) == self._node.host:
+            room = self._room(state.endpoint)
+            room.on_report(self._node.host, state.online, self._node.now())
+            await self._changed(engine)
+            return
+        self._dirty.add(engine)
+        await self._wake.set()
+
+    async def on_report(self, report: EngineReport) -> EngineReportReply:
+        """Takes the report of another host."""
+        endpoint = self._node.catalogue.find(Endpoint, report.engine)
+        now = self._node.now()
+        if endpoint is None:
+            return EngineReportReply(elsewhere=0, running=0, waiting=0, age_s=0)
+        room = self._room(endpoint)
+        room.on_report(report.host, report.online, now)
+        await self._changed(report.engine)
+        self._share_elsewhere(endpoint)
+        load, at = self._loads.get(report.engine, (None, now))
+        return EngineReportReply(
+            elsewhere=room.elsewhere(report.host, now),
+            running=load.running if load else 0,
+            waiting=load.waiting if load else 0,
+            age_s=load.age_s + now - at if load else 0,
+        )
+
+    def _room(self, endpoint: Endpoint) -> EngineRoom:
+        profile = self._node.catalogue.profile_of(endpoint.service)
+        batch_share = profile.batch_share if profile else 0
+        room = self._rooms.get(endpoint.name)
+        if room is None:
+            room = EngineRoom(
+                slots=endpoint.slots,
+                batch_share=batch_share,
+                now=self._node.now(),
+            )
+            self._rooms[endpoint.name] = room
+        room.resize(endpoint.slots, batch_share)
+        return room
+
+    async def _changed(self, engine: str) -> None:
+        if self.on_room_change is not None:
+            await self.on_room_change(engine)
+
+    def _share_elsewhere(self, endpoint: Endpoint) -> None:
+        state = self._node.router(endpoint.service).find(endpoint.name)
+        if state is not None:
+            state.elsewhere = self._rooms[endpoint.name].elsewhere(
+                self._node.host,
+                self._node.now(),
+            )
+
+    async def _run_flush(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            dirty = self._dirty
+            self._dirty = set()
+            for engine in sorted(dirty):
+                await curio.spawn(self._report, engine, daemon=True)
+            await curio.sleep(FLUSH_INTERVAL_S)
+
+    async def _run_refresh(self) -> None:
+        while True:
+            await curio.sleep(REFRESH_INTERVAL_S)
+            for state in self._states():
+                if state.online or state.elsewhere:
+                    await self.note_online(state)
+            for endpoint in self.decided_here():
+                self._share_elsewhere_if_known(endpoint)
+            self._forget_rooms()
+
+    def _share_elsewhere_if_known(self, endpoint: Endpoint) -> None:
+        if endpoint.name in self._rooms:
+            self._share_elsewhere(endpoint)
+
+    def _forget_rooms(self) -> None:
+        # A room decided elsewhere starts anew, with time to hear all hosts.
+        here = {endpoint.name for endpoint in self.decided_here()}
+        for engine in set(self._rooms) - here:
+            self._rooms.pop(engine)
+            self._loads.pop(engine, None)
+
+    async def _report(self, engine: str) -> None:
+        node = self._node
+        endpoint = node.catalogue.find(Endpoint, engine)
+        if endpoint is None:
+            return
+        state = node.router(endpoint.service).find(engine)
+        record = node.members.get(self.decider(engine))
+        if state is None or record is None or record.host == node.host:
+            return
+        report = EngineReport(
+            host=node.host,
+            engine=engine,
+            online=state.online,
+        )
+        try:
+            reply = await self._links.request(record, report, REPORT_TIMEOUT_S)
+        except PeerUnavailable:
+            state.elsewhere = 0
+            return
+        if isinstance(reply, EngineReportReply):
+            self._take_reply(state, reply)
+
+    def _take_reply(
+        self,
+        state: EndpointState,
+        reply: EngineReportReply,
+    ) -> None:
+        state.elsewhere = reply.elsewhere
+        self._set_load(
+            state,
+            EngineLoad(
+                running=reply.running,
+                waiting=reply.waiting,
+                slots=state.endpoint.slots,
+                age_s=reply.age_s,
+            ),
+        )
+
+    def _set_load(self, state: EndpointState, load: EngineLoad) -> None:
+        state.reported = load
+        state.reported_at = self._node.now()
+
+    async def _run_polls(self) -> None:
+        while True:
+            await curio.sleep(POLL_INTERVAL_S)
+            for endpoint in self.decided_here():
+                await curio.spawn(self._poll, endpoint, daemon=True)
+
+    async def _poll(self, endpoint: Endpoint) -> None:
+        if self._node.catalogue.kind_of(endpoint.service) != 'model':
+            return
+        try:
+            load = await self._reports.read_load(endpoint.address)
+        except PeerUnavailable:
+            return
+        self._loads[endpoint.name] = (load, self._node.now())
+        state = self._node.router(endpoint.service).find(endpoint.name)
+        if state is not None:
+            self._set_load(state, load)
+
+    def _states(self) -> list[EndpointState]:
+        return [
+            state
+            for router in self._node.routers.values()
+            for state in router.states()
+        ]
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/forms.py
@@ -0,0 +1,105 @@
+"""Multipart forms of uploads, parsed as a stream."""
+
+from typing import Any
+
+from python_multipart import MultipartParser
+from python_multipart.multipart import parse_options_header
+
+from jacinthmount.errors import MalformedRequest
+from jacinthmount_node.http_server import HttpRequest
+
+__all__ = ('UploadForm', 'make_parser')
+
+MAX_FIELD_BYTES = 1024
+
+
+class UploadForm:
+    """Fields and file pieces of a multipart form, as they are parsed."""
+
+    __slots__ = (
+        '_field',
+        '_header',
+        '_headers',
+        '_header_text',
+        'fields',
+        'filename',
+        'pieces',
+    )
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.fields: dict[str, str] = {}
+        self.filename = ''
+        self.pieces: list[bytes] = []
+        self._headers: dict[bytes, bytes] = {}
+        self._header = b''
+        self._header_text = b''
+        self._field = ''
+
+    def callbacks(self) -> dict[str, Any]:
+        """Lists the callbacks for the parser."""
+        return {
+            'on_part_begin': self._on_part_begin,
+            'on_header_field': self._on_header_field,
+            'on_header_value': self._on_header_value,
+            'on_header_end': self._on_header_end,
+            'on_headers_finished': self._on_headers_finished,
+            'on_part_data': self._on_part_data,
+        }
+
+    def take(self) -> list[bytes]:
+        """Takes the file pieces parsed since the last call."""
+        taken = self.pieces
+        self.pieces = []
+        return taken
+
+    def _on_part_begin(self) -> None:
+        self._headers = {}
+        self._header = b''
+        self._header_text = b''
+
+    def _on_header_field(self, received: bytes, start: int, end: int) -> None:
+        self._header += received[start:end]
+
+    def _on_header_value(
+        self, received: bytes, start: int, end: int
+    ) -> None:
+        self._header_text += received[start:end]
+
+    def _on_header_end(self) -> None:
+        self._headers[self._header.lower()] = self._header_text
+        self._header = b''
+        self._header_text = b''
+
+    def _on_headers_finished(self) -> None:
+        _, options = parse_options_header(
+            self._headers.get(b'content-disposition', b''),
+        )
+        self._field = options.get(b'name', b'').decode('utf-8', 'replace')
+        if self._field == 'file':
+            name = options.get(b'filename', b'batch.jsonl')
+            self.filename = name.decode('utf-8', 'replace')
+
+    def _on_part_data(self, received: bytes, start: int, end: int) -> None:
+        if self._field == 'file':
+            self.pieces.append(received[start:end])
+            return
+        grown = self.fields.get(self._field, '') + received[start:end].decode(
+            'utf-8',
+            'replace',
+        )
+        self.fields[self._field] = grown[:MAX_FIELD_BYTES]
+
+
+def make_parser(request: HttpRequest, form: UploadForm) -> MultipartParser:
+    """Makes the parser for an upload.
+
+    :raises MalformedRequest: the request is not a multipart form.
+    """
+    kind, options = parse_options_header(
+        request.headers.get('content-type', '').encode('latin-1'),
+    )
+    boundary = options.get(b'boundary', b'')
+    if kind != b'multipart/form-data' or not boundary:
+        raise MalformedRequest(detail='send multipart/form-data')
+    return MultipartParser(boundary, form.callbacks())
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/front.py
@@ -0,0 +1,389 @@
+"""Routes for callers."""
+
+import uuid
+from http import HTTPStatus
+from urllib.parse import quote, urlencode
+
+from jacinthmount.declarations import Account, Profile, Route, Service
+from jacinthmount.errors import (
+    JacinthmountError,
+    KeyMissing,
+    MalformedRequest,
+    NotFound,
+    ShuttingDown,
+    shorten,
+)
+from jacinthmount.files import ROUTE_URL_PREFIX
+from jacinthmount.keys import KeyRecord, holds_key, parse_bearer
+from jacinthmount.routing import prefix_key
+
+from jacinthmount_node.admission import Admission
+from jacinthmount_node.batches_api import BatchDesk, describe_batch
+from jacinthmount_node.calls import PlainCall, PlainRunner
+from jacinthmount_node.files_api import FileDesk, describe_file
+from jacinthmount_node.gate import OnlineCall
+from jacinthmount_node.http_server import HttpRequest, Responder, parse_object
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.node import Node
+from jacinthmount_node.online import OnlineRunner
+
+__all__ = ('Front',)
+
+DEFAULT_MAX_TOKENS = 256
+CHARS_PER_TOKEN = 4
+MODEL_PATHS = frozenset(('/v1/chat/completions', '/v1/completions'))
+MAX_IDEMPOTENCY_KEY_CHARS = 255
+NO_ACCOUNT = '-'
+PATH_SAFE = "/%:@!$&'()*+,;=~"
+
+
+class Front:
+    """Answers callers."""
+
+    __slots__ = (
+        '_admission',
+        '_batches',
+        '_files',
+        '_node',
+        '_online',
+        '_plain',
+        'leaving',
+    )
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        admission: Admission,
+        online: OnlineRunner,
+        plain: PlainRunner,
+        files: FileDesk,
+        batches: BatchDesk,
+    ) -> None:
+        """Takes the parts that do the work."""
+        self._node = node
+        self._admission = admission
+        self._online = online
+        self._plain = plain
+        self._files = files
+        self._batches = batches
+        self.leaving = False
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answers one request."""
+        if request.path in {'/healthz', '/readyz'}:
+            await self._health(request, responder)
+            return
+        started_at = self._node.now()
+        key = None
+        code = 0
+        try:
+            key = self._authenticate(request)
+            await self._dispatch(request, responder, key)
+        except JacinthmountError as exc:
+            code = exc.code
+            raise
+        finally:
+            self._note(request, responder, key, code, started_at)
+
+    def _note(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        key: KeyRecord | None,
+        code: int,
+        started_at: float,
+    ) -> None:
+        account = key.account if key else NO_ACCOUNT
+        elapsed = self._node.now() - started_at
+        metrics = self._node.metrics
+        metrics.request_s.labels(account, 'online').observe(elapsed)
+        if code:
+            metrics.refusals.labels(account, str(code)).inc()
+        log_event(
+            'request',
+            method=request.method,
+            path=shorten(request.path),
+            account=account,
+            status=responder.status,
+            code=code,
+            elapsed_s=round(elapsed, 4),
+        )
+
+    async def _health(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        ready = request.path == '/healthz' or self._node.ready
+        await responder.send_json(
+            HTTPStatus.OK if ready else 503, {'ready': ready}
+        )
+
+    def _authenticate(self, request: HttpRequest) -> KeyRecord | None:
+        header = request.headers.get('authorization')
+        if header is None and 'x-api-key' in request.headers:
+            header = f'Bearer {request.headers["x-api-key"]}'
+        if header is not None:
+            return self._node.keyring.check(parse_bearer(header))
+        route = self._route(request.path)
+        if route is not None and route.open:
+            return None
+        raise KeyMissing(detail='send Authorization: Bearer KEY')
+
+    async def _dispatch(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        key: KeyRecord | None,
+    ) -> None:
+        if not self._node.loaded:
+            raise ShuttingDown(detail='host is starting', retry_after_s=1)
+        if request.path.startswith(ROUTE_URL_PREFIX):
+            await self._call_service(request, responder, key)
+            return
+        if key is None:
+            raise KeyMissing(detail='send Authorization: Bearer KEY')
+        place = (request.method, request.path)
+        if request.method == 'POST' and request.path in MODEL_PATHS:
+            await self._complete(request, responder, key)
+        elif place == ('GET', '/v1/models'):
+            await self._list_models(responder)
+        elif request.path.startswith('/v1/files'):
+            await self._handle_files(request, responder, key.account)
+        elif request.path.startswith('/v1/batches'):
+            await self._handle_batches(request, responder, key.account)
+        else:
+            raise NotFound(detail=f'no route {shorten(request.path)}')
+
+    async def _complete(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        key: KeyRecord,
+    ) -> None:
+        arrived_at = self._node.now()
+        body = await request.read_body()
+        call, profile = self._parse_completion(request, key, body, arrived_at)
+        await self._admission.admit(key.account)
+        await self._online.answer(call, profile, responder)
+
+    def _parse_completion(
+        self,
+        request: HttpRequest,
+        key: KeyRecord,
+        packed: bytes,
+        arrived_at: float,
+    ) -> tuple[OnlineCall, Profile]:
+        body = parse_object(packed)
+        if holds_key(packed.decode('utf-8', 'replace')):
+            raise MalformedRequest(detail='the body holds a key')
+        model = body.get('model')
+        service = self._node.catalogue.find(Service, str(model))
+        if service is None or service.kind != 'model':
+            raise NotFound(detail=f'no model {shorten(str(model))}')
+        profile = self._node.catalogue.find(Profile, service.profile)
+        if profile is None or profile.lane != 'online':
+            raise MalformedRequest(detail='the model takes batches only')
+        account = self._node.catalogue.find(Account, key.account)
+        prompt = str(body.get('messages') or body.get('prompt') or '')
+        limit = body.get('max_tokens') or body.get('max_completion_tokens')
+        wanted = limit if isinstance(limit, int) else DEFAULT_MAX_TOKENS
+        call = OnlineCall(
+            account=key.account,
+            key_id=key.key_id,
+            service=service.name,
+            path=request.path,
+            body=packed,
+            stream=body.get('stream') is True,
+            prefix=prefix_key(prompt),
+            request_id=f'req-{uuid.uuid4().hex}',
+            tokens=wanted + len(prompt) / CHARS_PER_TOKEN,
+            weight=account.weight if account else 1.0,
+            arrived_at=arrived_at,
+            deadline=arrived_at + profile.deadline_s,
+        )
+        return call, profile
+
+    async def _list_models(self, responder: Responder) -> None:
+        models = [
+            {
+                'id': service.name,
+                'object': 'model',
+                'created': 0,
+                'owned_by': 'jacinthmount',
+            }
+            for service in self._node.catalogue.every(Service)
+            if service.kind == 'model'
+        ]
+        await responder.send_json(
+            HTTPStatus.OK, {'object': 'list', 'data': models}
+        )
+
+    async def _call_service(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        key: KeyRecord | None,
+    ) -> None:
+        arrived_at = self._node.now()
+        route = self._route(request.path)
+        profile = (
+            self._node.catalogue.profile_of(
+                route.service,
+            )
+            if route
+            else None
+        )
+        if route is None or profile is None:
+            raise NotFound(detail=f'no route {shorten(request.path)}')
+        call = PlainCall(
+            account=key.account if key else '',
+            key_id=key.key_id if key else '',
+            service=route.service,
+            method=request.method,
+            target=_service_target(request),
+            headers=request.headers,
+            body=await _read_keyless_body(request),
+            request_id=f'req-{uuid.uuid4().hex}',
+            idempotency_key=_idempotency_key(request),
+            deadline=arrived_at + profile.deadline_s,
+        )
+        if key is not None:
+            await self._admission.admit(key.account)
+        answer = await self._plain.run(call, profile)
+        await responder.send(answer.status, answer.body, answer.headers)
+
+    async def _handle_files(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        account: str,
+    ) -> None:
+        parts = request.path.split('/')[3:]
+        place = (request.method, len(parts))
+        if place == ('POST', 0):
+            await self._admission.admit(account)
+            manifest = await self._files.upload(account, request)
+            await responder.send_json(HTTPStatus.OK, describe_file(manifest))
+        elif place == ('GET', 0):
+            manifests = await self._files.list_files(account)
+            shown = [describe_file(manifest) for manifest in manifests]
+            await responder.send_json(HTTPStatus.OK, _page(shown))
+        elif place == ('GET', 1):
+            manifest = await self._files.find(account, parts[0])
+            await responder.send_json(HTTPStatus.OK, describe_file(manifest))
+        elif place == ('DELETE', 1):
+            await self._files.delete(account, parts[0])
+            await responder.send_json(
+                HTTPStatus.OK,
+                {'id': parts[0], 'object': 'file', 'deleted': True},
+            )
+        elif place == ('GET', 2) and parts[1] == 'content':
+            await self._send_content(responder, account, parts[0])
+        else:
+            raise NotFound(detail=f'no route {shorten(request.path)}')
+
+    async def _send_content(
+        self,
+        responder: Responder,
+        account: str,
+        file_id: str,
+    ) -> None:
+        lines = self._iter_lines(account, file_id)
+        first = await anext(lines, b'')
+        await responder.start(
+            HTTPStatus.OK, [('content-type', 'application/jsonl')]
+        )
+        await responder.write(first)
+        async for line in lines:
+            await responder.write(line)
+        await responder.finish()
+
+    async def _iter_lines(self, account: str, file_id: str):
+        if file_id.startswith('batch_'):
+            async for line in self._batches.iter_output(account, file_id):
+                yield line
+            return
+        manifest = await self._files.find(account, file_id)
+        for chunk in range(manifest.chunks):
+            for text in await self._files.read_chunk(file_id, chunk):
+                yield text.encode() + b'\n'
+
+    async def _handle_batches(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        account: str,
+    ) -> None:
+        parts = request.path.split('/')[3:]
+        place = (request.method, len(parts))
+        if place == ('POST', 0):
+            raw = await request.read_json()
+            await self._admission.admit(account)
+            manifest = await self._batches.create(
+                account,
+                raw,
+                _idempotency_key(request),
+            )
+        elif place == ('GET', 0):
+            await self._list_batches(responder, account)
+            return
+        elif place == ('GET', 1):
+            manifest = await self._batches.find(account, parts[0])
+        elif place == ('POST', 2) and parts[1] == 'cancel':
+            manifest = await self._batches.cancel(account, parts[0])
+        else:
+            raise NotFound(detail=f'no route {shorten(request.path)}')
+        completed, failed = await self._batches.count(manifest)
+        await responder.send_json(
+            HTTPStatus.OK,
+            describe_batch(manifest, completed, failed),
+        )
+
+    async def _list_batches(self, responder: Responder, account: str) -> None:
+        shown = [
+            describe_batch(manifest, manifest.completed, manifest.failed)
+            for manifest in await self._batches.list_batches(account)
+        ]
+        await responder.send_json(HTTPStatus.OK, _page(shown))
+
+    def _route(self, path: str) -> Route | None:
+        if not path.startswith(ROUTE_URL_PREFIX):
+            return None
+        return self._node.catalogue.find(Route, path.split('/')[2])
+
+
+def _service_target(request: HttpRequest) -> str:
+    # A caller may have put its key under any name of the query.
+    rest = quote('/'.join(request.path.split('/')[3:]), safe=PATH_SAFE)
+    passed = urlencode([
+        pair for pair in request.query.items() if not holds_key(pair[1])
+    ])
+    return f'/{rest}?{passed}' if passed else f'/{rest}'
+
+
+async def _read_keyless_body(request: HttpRequest) -> bytes:
+    body = await request.read_body()
+    if holds_key(body.decode('utf-8', 'replace')):
+        raise MalformedRequest(detail='the body holds a key')
+    return body
+
+
+def _idempotency_key(request: HttpRequest) -> str:
+    key = request.headers.get('idempotency-key', '')
+    if len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
+        raise MalformedRequest(
+            detail=f'Idempotency-Key exceeds {MAX_IDEMPOTENCY_KEY_CHARS}',
+        )
+    return key
+
+
+def _page(shown: list) -> dict:
+    return {
+        'object': 'list',
+        'data': shown,
+        'has_more': False,
+        'first_id': shown[0]['id'] if shown else None,
+        'last_id': shown[-1]['id'] if shown else None,
+    }
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/gate.py
@@ -0,0 +1,176 @@
+"""Waiting for an engine slot, fair over accounts, with early refusal."""
+
+import curio
+from jacinthmount.declarations import Profile
+from jacinthmount.errors import DeadlineUnreachable
+from jacinthmount.fairness import FairQueue
+from jacinthmount.routing import EndpointState, Router
+
+from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.node import Node
+
+__all__ = ('Gate', 'OnlineCall')
+
+MIN_RETRY_AFTER_S = 1.0
+MIN_WAIT_S = 0.01
+
+
+class OnlineCall:
+    """An admitted online request."""
+
+    __slots__ = (
+        'account',
+        'arrived_at',
+        'body',
+        'deadline',
+        'key_id',
+        'path',
+        'prefix',
+        'request_id',
+        'service',
+        'stream',
+        'tokens',
+        'weight',
+    )
+
+    def __init__(
+        self,
+        *,
+        account: str,
+        key_id: str,
+        service: str,
+        path: str,
+        body: bytes,
+        stream: bool,
+        prefix: str,
+        request_id: str,
+        tokens: float,
+        weight: float,
+        arrived_at: float,
+        deadline: float,
+    ) -> None:
+        """Keeps the facts; times are monotonic seconds."""
+        self.account = account
+        self.key_id = key_id
+        self.service = service
+        self.path = path
+        self.body = body
+        self.stream = stream
+        self.prefix = prefix
+        self.request_id = request_id
+        self.tokens = tokens
+        self.weight = weight
+        self.arrived_at = arrived_at
+        self.deadline = deadline
+
+
+class _Waiter:
+    __slots__ = ('granted', 'ready')
+
+    def __init__(self) -> None:
+        self.ready = curio.Event()
+        self.granted = False
+
+
+class Gate:
+    """Online requests of one service on this host."""
+
+    __slots__ = ('_node', '_queue', '_rooms', '_router', '_service')
+
+    def __init__(self, *, node: Node, rooms: EngineRooms, service: str) -> None:
+        """Starts with nobody waiting."""
+        self._node = node
+        self._rooms = rooms
+        self._service = service
+        self._router: Router = node.router(service)
+        self._queue: FairQueue[_Waiter] = FairQueue()
+
+    async def acquire(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        tried: set[str],
+    ) -> EndpointState:
+        """Waits for a slot and takes it.
+
+        :param tried: names of endpoints that failed this request.
+        :raises DeadlineUnreachable: the deadline can't be met; told at once.
+        """
+        now = self._node.now()
+        if len(self._queue) or not self._router.capacity_left(now):
+            self._refuse_hopeless(call, profile, now)
+            await self._wait(call)
+        self._node.keyring.recheck(call.key_id)
+        state = self._router.choose(call.prefix, tried, self._node.now())
+        if state is None:
+            raise DeadlineUnreachable(
+                detail='no endpoint is available',
+                retry_after_s=MIN_RETRY_AFTER_S,
+            )
+        state.online += 1
+        await self._rooms.note_online(state)
+        return state
+
+    async def release(self, state: EndpointState) -> None:
+        """Gives a slot back and lets the next request go."""
+        state.online -= 1
+        await self._rooms.note_online(state)
+        await self.pump()
+
+    async def pump(self) -> None:
+        """Lets waiting requests go while there are slots."""
+        free = sum(
+            max(0, state.free_slots())
+            for state in self._router.states()
+            if state.available(self._node.now())
+        )
+        while free > 0 and len(self._queue):
+            free -= 1
+            waiter = self._queue.pop()
+            if waiter is None:
+                return
+            waiter.granted = True
+            self._note_queue()
+            await waiter.ready.set()
+
+    def waiting(self) -> int:
+        """Counts the requests that wait."""
+        return len(self._queue)
+
+    def _refuse_hopeless(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        now: float,
+    ) -> None:
+        waiting = len(self._queue)
+        # Fair turns put at most as many of others ahead as of this account.
+        own = self._queue.waiting(call.account)
+        ahead = min(waiting, (own + 1) * (self._queue.accounts() + 1))
+        estimate = self._router.wait_estimate_s(ahead + 1, now)
+        late = now + estimate * 2 >= call.deadline
+        if waiting >= profile.queue_limit or late:
+            raise DeadlineUnreachable(
+                detail='the queue is too long for the deadline',
+                retry_after_s=max(MIN_RETRY_AFTER_S, estimate),
+            )
+
+    async def _wait(self, call: OnlineCall) -> None:
+        waiter = _Waiter()
+        self._queue.push(call.account, call.weight, call.tokens, waiter)
+        self._note_queue()
+        left = call.deadline - self._node.now()
+        try:
+            await curio.timeout_after(max(MIN_WAIT_S, left), waiter.ready.wait)
+        except curio.TaskTimeout:
+            raise DeadlineUnreachable(
+                detail='no slot came free before the deadline',
+                retry_after_s=MIN_RETRY_AFTER_S,
+            ) from None
+        finally:
+            if not waiter.granted:
+                self._queue.remove(call.account, waiter)
+                self._note_queue()
+
+    def _note_queue(self) -> None:
+        self._node.metrics.queued.labels(self._service).set(len(self._queue))
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/http_client.py
@@ -0,0 +1,217 @@
+"""HTTP/1.1 client on h11 that knows how far each exchange came."""
+
+import socket as std_socket
+from typing import Any
+
+import curio
+import h11
+from jacinthmount.dispatch import Stage
+from jacinthmount.errors import EndpointFailed
+
+from jacinthmount_node.sockets import connect
+
+__all__ = ('ATTEMPT_ERRORS', 'ClientPool', 'Exchange', 'TRANSPORT_ERRORS')
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_HEADER_BYTES = 32_768
+MAX_ANSWER_BYTES = 33_554_432
+READ_BYTES = 65_536
+MAX_IDLE_PER_ADDRESS = 32
+
+TRANSPORT_ERRORS = (OSError, h11.ProtocolError, curio.TaskTimeout)
+ATTEMPT_ERRORS = (*TRANSPORT_ERRORS, EndpointFailed)
+
+
+class Exchange:
+    """One request and its answer on one connection."""
+
+    __slots__ = ('_sock', '_wire', 'address', 'headers', 'stage', 'status')
+
+    def __init__(
+        self, *, address: str, sock: Any, wire: h11.Connection
+    ) -> None:
+        """Takes a connected socket."""
+        self.address = address
+        self._sock = sock
+        self._wire = wire
+        self.stage = Stage.CONNECTING
+        self.status = 0
+        self.headers: dict[str, str] = {}
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Sends the whole request."""
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                ('host', self.address),
+                ('content-length', str(len(body))),
+                *headers,
+            ],
+        )
+        events = [request, h11.Data(data=body), h11.EndOfMessage()]
+        packed = b''.join(self._wire.send(event) or b'' for event in events)
+        self.stage = Stage.SENT
+        await self._sock.sendall(packed)
+
+    async def read_head(self) -> None:
+        """Reads status and headers.
+
+        :raises EndpointFailed: the answer has no framing that shows its end.
+        """
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise EndpointFailed(detail='closed without an answer')
+        self.stage = Stage.ANSWERING
+        self.status = event.status_code
+        self.headers = {
+            name.decode('ascii'): content.decode('latin-1')
+            for name, content in event.headers
+        }
+        if not _is_framed(self.status, self.headers):
+            raise EndpointFailed(detail='answer without framing')
+
+    async def iter_body(self):
+        """Yields the body in pieces, up to its proper end."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                self.stage = Stage.ANSWERED
+                return
+            if not isinstance(event, h11.Data):
+                raise EndpointFailed(detail='answer ended short')
+            yield bytes(event.data)
+
+    async def read_body(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
+        """Reads the whole body.
+
+        :raises EndpointFailed: it exceeds the limit in bytes.
+        """
+        body = bytearray()
+        async for piece in self.iter_body():
+            body.extend(piece)
+            if len(body) > limit:
+                raise EndpointFailed(detail='answer too large')
+        return bytes(body)
+
+    def reusable(self) -> bool:
+        """Tells whether another exchange may follow on the connection."""
+        done = h11.DONE
+        return self._wire.our_state is done and self._wire.their_state is done
+
+    def is_stale(self) -> bool:
+        """Tells whether an idle connection was closed or has stray bytes."""
+        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+        try:
+            with self._sock.blocking() as raw:
+                raw.recv(1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def next_exchange(self) -> 'Exchange':
+        """Starts another exchange on the same connection."""
+        self._wire.start_next_cycle()
+        return Exchange(address=self.address, sock=self._sock, wire=self._wire)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        await self._sock.close()
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self._wire.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._wire.receive_data(await self._sock.recv(READ_BYTES))
+
+
+class ClientPool:
+    """Idle connections by address; only whole exchanges come back to it."""
+
+    __slots__ = ('_idle',)
+
+    def __init__(self) -> None:
+        """Starts without connections."""
+        self._idle: dict[str, list[Exchange]] = {}
+
+    async def open(self, address: str, *, fresh: bool) -> Exchange:
+        """Opens an exchange.
+
+        :param fresh: never reuse a connection, since an idle one may be lost
+            after the request has left.
+        :raises OSError: the endpoint can't be reached.
+        """
+        idle = self._idle.get(address, [])
+        while idle and not fresh:
+            exchange = idle.pop()
+            if not exchange.is_stale():
+                return exchange.next_exchange()
+            await exchange.close()
+        sock = await curio.timeout_after(CONNECT_TIMEOUT_S, connect, address)
+        wire = h11.Connection(
+            h11.CLIENT,
+            max_incomplete_event_size=MAX_HEADER_BYTES,
+        )
+        return Exchange(address=address, sock=sock, wire=wire)
+
+    async def release(self, exchange: Exchange) -> None:
+        """Takes an exchange back; closes one that did not end whole."""
+        idle = self._idle.setdefault(exchange.address, [])
+        if exchange.reusable() and len(idle) < MAX_IDLE_PER_ADDRESS:
+            idle.append(exchange)
+        else:
+            await exchange.close()
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        timeout_s: float,
+    ) -> Exchange:
+        """Sends a small request and reads the head of its answer."""
+        exchange = await self.open(address, fresh=False)
+        try:
+            await curio.timeout_after(
+                timeout_s,
+                _send_and_read,
+                exchange,
+                method,
+                target,
+                headers,
+                body,
+            )
+        except BaseException:
+            await exchange.close()
+            raise
+        return exchange
+
+
+async def _send_and_read(
+    exchange: Exchange,
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    body: bytes,
+) -> None:
+    await exchange.send(method, target, headers, body)
+    await exchange.read_head()
+
+
+def _is_framed(status: int, headers: dict[str, str]) -> bool:
+    if status in {204, 304}:
+        return True
+    return 'content-length' in headers or 'transfer-encoding' in headers
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/http_server.py
@@ -0,0 +1,428 @@
+"""HTTP/1.1 server on h11: one task a connection, bounded in size and time."""
+
+import json
+import math
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+import curio
+import h11
+from jacinthmount.errors import (
+    AmbiguousFraming,
+    BodyTooLarge,
+    HeadersTooLarge,
+    JacinthmountError,
+    MalformedRequest,
+    RequestTimeout,
+)
+
+from jacinthmount_node.logs import log_failure
+
+__all__ = ('HttpRequest', 'HttpServer', 'Responder', 'parse_object')
+
+MAX_HEADER_BYTES = 32_768
+MAX_BODY_BYTES = 2 * 1024 * 1024
+HEADER_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 75.0
+BODY_TIMEOUT_S = 30.0
+WRITE_TIMEOUT_S = 30.0
+READ_BYTES = 65_536
+POLL_S = 0.05
+
+
+class HttpRequest:
+    """A request whose body is read on demand."""
+
+    __slots__ = ('_conn', 'headers', 'method', 'path', 'query')
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        conn: '_Connection',
+    ) -> None:
+        """Splits the target into path and query."""
+        path, _, query = target.partition('?')
+        self.method = method
+        self.path = path
+        self.query = {
+            name: found[-1] for name, found in parse_qs(query).items()
+        }
+        self.headers = headers
+        self._conn = conn
+
+    async def iter_body(self, limit: int = MAX_BODY_BYTES):
+        """Yields the body in pieces.
+
+        :raises BodyTooLarge: the body exceeds the limit in bytes.
+        :raises RequestTimeout: the caller sends too slowly.
+        """
+        size = 0
+        while True:
+            event = await self._conn.next_body_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            size += len(event.data)
+            if size > limit:
+                raise BodyTooLarge(detail=f'body exceeds {limit} bytes')
+            yield bytes(event.data)
+
+    async def read_body(self, limit: int = MAX_BODY_BYTES) -> bytes:
+        """Reads the whole body."""
+        return b''.join([piece async for piece in self.iter_body(limit)])
+
+    async def read_json(self) -> dict[str, Any]:
+        """Reads the body as a JSON object.
+
+        :raises MalformedRequest: it is not one.
+        """
+        return parse_object(await self.read_body())
+
+
+class Responder:
+    """Sends one answer on a connection."""
+
+    __slots__ = ('_conn', 'started', 'status')
+
+    def __init__(self, *, conn: '_Connection') -> None:
+        """Starts with nothing sent."""
+        self._conn = conn
+        self.started = False
+        self.status = 0
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Sends status and headers; the body follows in chunks."""
+        self.started = True
+        self.status = status
+        await self._conn.send(
+            h11.Response(status_code=status, headers=headers),
+        )
+
+    async def write(self, piece: bytes) -> None:
+        """Sends a piece of the body."""
+        await self._conn.send(h11.Data(data=piece))
+
+    async def finish(self) -> None:
+        """Ends the answer."""
+        await self._conn.send(h11.EndOfMessage())
+
+    async def send(
+        self,
+        status: int,
+        body: bytes,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        """Sends a whole answer in one write."""
+        self.started = True
+        self.status = status
+        await self._conn.send(
+            h11.Response(
+                status_code=status,
+                headers=[*headers, ('content-length', str(len(body)))],
+            ),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    async def send_json(
+        self,
+        status: int,
+        body: Any,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        """Sends a JSON answer."""
+        await self.send(
+            status,
+            json.dumps(body, separators=(',', ':')).encode(),
+            [('content-type', 'application/json'), *(headers or [])],
+        )
+
+    async def send_error(self, exc: JacinthmountError) -> None:
+        """Sends an error in the shape that OpenAI clients know."""
+        headers = []
+        if exc.retry_after_s is not None:
+            seconds = max(1, math.ceil(exc.retry_after_s))
+            headers.append(('retry-after', str(seconds)))
+        await self.send_json(exc.http_status, error_body(exc), headers)
+
+    @property
+    def broken(self) -> bool:
+        """Tells whether the caller can't be reached any more."""
+        return self._conn.broken
+
+    def abort(self) -> None:
+        """Marks the connection for closing without a proper end."""
+        self._conn.broken = True
+
+
+def parse_object(packed: bytes) -> dict[str, Any]:
+    """Parses a JSON object.
+
+    :raises MalformedRequest: the bytes are not one.
+    """
+    try:
+        parsed = json.loads(packed)
+    except (ValueError, RecursionError) as exc:
+        raise MalformedRequest(detail='body is not JSON') from exc
+    if not isinstance(parsed, dict):
+        raise MalformedRequest(detail='body is not a JSON object')
+    return parsed
+
+
+def error_body(exc: JacinthmountError) -> dict[str, Any]:
+    """Shapes an error for callers."""
+    return {
+        'error': {
+            'message': exc.detail or type(exc).__name__,
+            'type': type(exc).__name__,
+            'code': str(exc.code),
+            'param': None,
+            'run_state': exc.run_state,
+        },
+    }
+
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+class HttpServer:
+    """Accepts connections and passes requests to a handler."""
+
+    __slots__ = ('_closing', '_connections', '_handler', '_sock')
+
+    def __init__(self, *, sock, handler: Handler) -> None:
+        """Takes a listening socket."""
+        self._sock = sock
+        self._handler = handler
+        self._closing = False
+        self._connections: set[_Connection] = set()
+
+    async def run(self) -> None:
+        """Accepts until cancelled."""
+        async with curio.TaskGroup(wait=None) as group:
+            while True:
+                sock, _ = await self._sock.accept()
+                conn = _Connection(
+                    sock=sock,
+                    handler=self._handler,
+                    server=self,
+                )
+                self._connections.add(conn)
+                await group.spawn(self._serve, conn, daemon=True)
+
+    async def drain(self) -> None:
+        """Closes the listener and waits for the requests in flight."""
+        self._closing = True
+        await self._sock.close()
+        while any(conn.busy for conn in self._connections):
+            await curio.sleep(POLL_S)
+
+    @property
+    def closing(self) -> bool:
+        """Tells whether connections close after their current answer."""
+        return self._closing
+
+    async def _serve(self, conn: '_Connection') -> None:
+        try:
+            await conn.run()
+        except (OSError, curio.TaskTimeout, h11.ProtocolError):
+            return
+        finally:
+            self._connections.discard(conn)
+            await conn.close()
+
+
+class _Connection:
+    __slots__ = (
+        '_handler',
+        '_server',
+        '_sock',
+        '_wire',
+        'broken',
+        'busy',
+    )
+
+    def __init__(self, *, sock, handler: Handler, server: HttpServer) -> None:
+        self._sock = sock
+        self._handler = handler
+        self._server = server
+        self._wire = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=MAX_HEADER_BYTES,
+        )
+        self.broken = False
+        self.busy = False
+
+    async def run(self) -> None:
+        while not self._server.closing:
+            request = await self._next_request()
+            if request is None:
+                return
+            self.busy = True
+            try:
+                await self._answer(request)
+            finally:
+                self.busy = False
+            if not self._reusable():
+                return
+            self._wire.start_next_cycle()
+
+    async def close(self) -> None:
+        await self._sock.close()
+
+    async def send(self, *events: h11.Event) -> None:
+        packed = b''.join(self._wire.send(event) or b'' for event in events)
+        try:
+            await curio.timeout_after(
+                WRITE_TIMEOUT_S,
+                self._sock.sendall,
+                packed,
+            )
+        except (curio.TaskTimeout, OSError):
+            self.broken = True
+            raise
+
+    async def next_body_event(self) -> h11.Event:
+        if self._wire.their_state is h11.DONE:
+            return h11.EndOfMessage()
+        try:
+            return await curio.timeout_after(
+                BODY_TIMEOUT_S,
+                self._next_event,
+            )
+        except curio.TaskTimeout:
+            raise RequestTimeout(detail='body too slow') from None
+        except h11.RemoteProtocolError as exc:
+            self.broken = True
+            raise MalformedRequest(detail=str(exc)) from exc
+
+    async def _next_request(self) -> HttpRequest | None:
+        # The first byte may take the idle time, the rest of the head may not.
+        idle = not self._wire.trailing_data[0]
+        if idle and not await self._await_first_byte():
+            return None
+        try:
+            event = await curio.timeout_after(
+                HEADER_TIMEOUT_S,
+                self._next_event,
+            )
+            return self._check_head(event)
+        except curio.TaskTimeout:
+            await self._reject(RequestTimeout(detail='headers too slow'))
+        except h11.RemoteProtocolError as exc:
+            await self._reject(_head_error(exc))
+        except MalformedRequest as exc:
+            await self._reject(exc)
+        return None
+
+    async def _await_first_byte(self) -> bool:
+        async with curio.ignore_after(IDLE_TIMEOUT_S):
+            received = await self._sock.recv(READ_BYTES)
+            self._wire.receive_data(received)
+            return bool(received)
+        return False
+
+    def _check_head(self, event: h11.Event) -> HttpRequest | None:
+        if not isinstance(event, h11.Request):
+            return None
+        names = [name for name, _ in event.headers]
+        if b'content-length' in names and b'transfer-encoding' in names:
+            raise AmbiguousFraming(
+                detail='both Content-Length and Transfer-Encoding',
+            )
+        headers = {
+            name.decode('ascii'): content.decode('latin-1')
+            for name, content in event.headers
+        }
+        if headers.get('content-length', '0') == '0' and (
+            'transfer-encoding' not in headers
+        ):
+            # The end of an empty body is known without reading.
+            self._wire.next_event()
+        return HttpRequest(
+            method=event.method.decode('ascii'),
+            target=event.target.decode('ascii'),
+            headers=headers,
+            conn=self,
+        )
+
+    async def _answer(self, request: HttpRequest) -> None:
+        responder = Responder(conn=self)
+        task = await curio.spawn(self._handle, request, responder)
+        watcher = await curio.spawn(self._cancel_on_close, task)
+        try:
+            await task.join()
+        except curio.TaskError:
+            self.broken = True
+        finally:
+            await watcher.cancel()
+
+    async def _handle(self, request: HttpRequest, responder: Responder) -> None:
+        if self._wire.they_are_waiting_for_100_continue:
+            await self.send(
+                h11.InformationalResponse(
+                    status_code=100,
+                    headers=[],
+                )
+            )
+        try:
+            await self._handler(request, responder)
+        except JacinthmountError as exc:
+            if responder.started:
+                self.broken = True
+                return
+            await responder.send_error(exc)
+        except (OSError, curio.TaskTimeout, h11.ProtocolError):
+            self.broken = True
+        except Exception as exc:
+            log_failure('request', exc)
+            self.broken = True
+            if not responder.started:
+                await responder.send_error(
+                    JacinthmountError(detail='internal error'),
+                )
+
+    async def _cancel_on_close(self, task: curio.Task) -> None:
+        # Reads only while the body is complete, so that a caller that goes
+        # away stops its request.
+        while self._wire.their_state not in {h11.DONE, h11.MUST_CLOSE}:
+            await curio.sleep(POLL_S)
+        try:
+            received = await self._sock.recv(READ_BYTES)
+        except OSError:
+            received = b''
+        if received:
+            self._wire.receive_data(received)
+            return
+        self.broken = True
+        await task.cancel(blocking=False)
+
+    def _reusable(self) -> bool:
+        if self.broken or self._server.closing:
+            return False
+        done = h11.DONE
+        return self._wire.our_state is done and self._wire.their_state is done
+
+    async def _reject(self, exc: JacinthmountError) -> None:
+        self.broken = True
+        if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            await Responder(conn=self).send_error(exc)
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            event = self._wire.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._wire.receive_data(await self._sock.recv(READ_BYTES))
+
+
+def _head_error(exc: h11.RemoteProtocolError) -> JacinthmountError:
+    if exc.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+        return HeadersTooLarge(
+            detail=f'headers exceed {MAX_HEADER_BYTES} bytes'
+        )
+    return MalformedRequest(detail=str(exc))
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/messages.py
@@ -0,0 +1,183 @@
+"""Messages between hosts."""
+
+from jacinthmount.ports import Stored
+from jacinthmount.records import Record
+from jacinthmount.shares import Handover
+from jacinthmount.table import BucketVersions
+
+__all__ = (
+    'Ack',
+    'Digest',
+    'DigestReply',
+    'EngineReport',
+    'EngineReportReply',
+    'Envelope',
+    'Fetch',
+    'Give',
+    'Hello',
+    'LoanAsk',
+    'LoanReply',
+    'Ping',
+    'Pong',
+    'Push',
+    'Take',
+    'TakeReply',
+    'Withdraw',
+)
+
+
+class Envelope(Record):
+    """A message on a peer stream; a reply repeats the number."""
+
+    __slots__ = ('number', 'reply', 'body')
+
+    number: int
+    reply: bool
+    body: Record
+
+
+class Hello(Record):
+    """First message of a stream: who speaks."""
+
+    __slots__ = ('host', 'incarnation', 'data_centre')
+
+    host: str
+    incarnation: str
+    data_centre: str
+
+
+class Ack(Record):
+    """Empty reply."""
+
+    __slots__ = ()
+
+
+class Ping(Record):
+    """Question to a host of the same data centre."""
+
+    __slots__ = ('host', 'share_version', 'revision')
+
+    host: str
+    share_version: int
+    revision: int
+
+
+class Pong(Record):
+    """Answer to a ping; ``unheard`` lists hosts that stopped asking."""
+
+    __slots__ = ('share_version', 'revision', 'unheard')
+
+    share_version: int
+    revision: int
+    unheard: list[str]
+
+
+class Push(Record):
+    """Changed configuration objects."""
+
+    __slots__ = ('objects',)
+
+    objects: list[Stored]
+
+
+class Digest(Record):
+    """Summary of the configuration held, and withdrawn key ids."""
+
+    __slots__ = ('digest', 'withdrawn')
+
+    digest: list[int]
+    withdrawn: list[str]
+
+
+class DigestReply(Record):
+    """Versions in the buckets that differ, and withdrawn key ids."""
+
+    __slots__ = ('buckets', 'withdrawn')
+
+    buckets: list[BucketVersions]
+    withdrawn: list[str]
+
+
+class Fetch(Record):
+    """Asks for objects newer than these versions."""
+
+    __slots__ = ('buckets',)
+
+    buckets: list[BucketVersions]
+
+
+class Withdraw(Record):
+    """Key ids that were withdrawn."""
+
+    __slots__ = ('key_ids',)
+
+    key_ids: list[str]
+
+
+class Take(Record):
+    """Asks the owner of an account's bucket for tokens."""
+
+    __slots__ = ('account', 'tokens')
+
+    account: str
+    tokens: float
+
+
+class TakeReply(Record):
+    """Whether tokens were taken; ``owned`` is no where the host can't say."""
+
+    __slots__ = ('granted', 'owned', 'retry_after_s')
+
+    granted: bool
+    owned: bool
+    retry_after_s: float
+
+
+class LoanAsk(Record):
+    """Asks another data centre for a part of its bucket."""
+
+    __slots__ = ('account', 'loan_id')
+
+    account: str
+    loan_id: str
+
+
+class LoanReply(Record):
+    """The part lent; its capacity is zero where nothing is lent."""
+
+    __slots__ = ('loan_id', 'rate_per_s', 'capacity', 'level', 'valid_s')
+
+    loan_id: str
+    rate_per_s: float
+    capacity: float
+    level: float
+    valid_s: float
+
+
+class Give(Record):
+    """Buckets handed to their new owner."""
+
+    __slots__ = ('handover',)
+
+    handover: Handover
+
+
+class EngineReport(Record):
+    """Online requests in flight of one host on one engine."""
+
+    __slots__ = ('host', 'engine', 'online')
+
+    host: str
+    engine: str
+    online: int
+
+
+class EngineReportReply(Record):
+    """What the host that runs the engine's batch knows of it."""
+
+    __slots__ = ('elsewhere', 'running', 'waiting', 'age_s')
+
+    elsewhere: int
+    running: int
+    waiting: int
+    age_s: float
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/metrics.py
@@ -0,0 +1,140 @@
+"""Metrics with histograms per account and lane."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+__all__ = ('Metrics',)
+
+LATENCY_BUCKETS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.41,
+    0.6,
+    1,
+    2.5,
+    5,
+    10,
+    30,
+    60,
+)
+TOKEN_GAP_BUCKETS_S = (
+    0.001,
+    0.005,
+    0.01,
+    0.02,
+    0.03,
+    0.041,
+    0.06,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    5,
+)
+
+
+class Metrics:
+    """All metrics of one node, in a registry of its own."""
+
+    __slots__ = (
+        '_registry',
+        'batch_items',
+        'batch_preempted',
+        'first_token_s',
+        'peer_bytes',
+        'platform_calls',
+        'queued',
+        'refusals',
+        'request_s',
+        'retries',
+        'table_revision',
+        'token_gap_s',
+    )
+
+    def __init__(self) -> None:
+        """Registers every metric."""
+        registry = CollectorRegistry()
+        self._registry = registry
+        self.request_s = Histogram(
+            'jacinthmount_request_seconds',
+            'Time to the whole answer.',
+            ['account', 'lane'],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.first_token_s = Histogram(
+            'jacinthmount_first_token_seconds',
+            'Time to the first token.',
+            ['account', 'lane'],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.token_gap_s = Histogram(
+            'jacinthmount_token_gap_seconds',
+            'Time between tokens.',
+            ['lane'],
+            buckets=TOKEN_GAP_BUCKETS_S,
+            registry=registry,
+        )
+        self.refusals = Counter(
+            'jacinthmount_refusals',
+            'Errors answered, by code.',
+            ['account', 'code'],
+            registry=registry,
+        )
+        self.retries = Counter(
+            'jacinthmount_retries',
+            'Repeated attempts.',
+            ['service'],
+            registry=registry,
+        )
+        self.batch_items = Counter(
+            'jacinthmount_batch_items',
+            'Batch items ended.',
+            ['account', 'state'],
+            registry=registry,
+        )
+        self.batch_preempted = Counter(
+            'jacinthmount_batch_preempted',
+            'Batch streams cancelled.',
+            ['service'],
+            registry=registry,
+        )
+        self.queued = Gauge(
+            'jacinthmount_queued',
+            'Online requests that wait.',
+            ['service'],
+            registry=registry,
+        )
+        self.platform_calls = Counter(
+            'jacinthmount_platform_calls',
+            'Calls to the object API.',
+            ['call'],
+            registry=registry,
+        )
+        self.peer_bytes = Counter(
+            'jacinthmount_peer_bytes',
+            'Bytes on peer streams.',
+            ['direction'],
+            registry=registry,
+        )
+        self.table_revision = Gauge(
+            'jacinthmount_config_revision',
+            'Newest configuration held.',
+            registry=registry,
+        )
+
+    def render(self) -> bytes:
+        """Renders all metrics in the text format."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -0,0 +1,193 @@
+"""State that the tasks of one node share."""
+
+import random
+import uuid
+
+from jacinthmount.declarations import (
+    CONFIG_PREFIX,
+    SCHEMAS,
+    Account,
+    Catalogue,
+    DataCentre,
+    Endpoint,
+    Service,
+)
+from jacinthmount.errors import MalformedRecord
+from jacinthmount.keys import KEY_PREFIX, KeyRecord, Keyring
+from jacinthmount.members import HOST_PREFIX, HostRecord, PeerHearing
+from jacinthmount.ports import Clock, ObjectStore, Stored
+from jacinthmount.records import parse_json
+from jacinthmount.retries import RetryBudget
+from jacinthmount.routing import Router
+from jacinthmount.settings import Settings
+from jacinthmount.shares import AccountLimit, ShareKeeper
+from jacinthmount.table import ConfigTable
+
+from jacinthmount_node.http_client import ClientPool
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.metrics import Metrics
+
+__all__ = ('Node',)
+
+
+class Node:
+    """Configuration in force, members and shares as this host knows them."""
+
+    __slots__ = (
+        'budget',
+        'catalogue',
+        'clock',
+        'hearing',
+        'incarnation',
+        'keeper',
+        'keyring',
+        'loaded',
+        'members',
+        'metrics',
+        'pool',
+        'ready',
+        'rng',
+        'routers',
+        'settings',
+        'store',
+        'table',
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        store: ObjectStore,
+        clock: Clock,
+        pool: ClientPool,
+        rng: random.Random,
+    ) -> None:
+        """Starts without configuration."""
+        self.settings = settings
+        self.store = store
+        self.clock = clock
+        self.pool = pool
+        self.rng = rng
+        self.incarnation = uuid.uuid4().hex
+        self.metrics = Metrics()
+        self.table = ConfigTable()
+        self.catalogue = Catalogue(records=[])
+        self.keyring = Keyring()
+        self.members: dict[str, HostRecord] = {}
+        self.hearing = PeerHearing(now=clock.now())
+        self.keeper = ShareKeeper(
+            host=settings.host,
+            incarnation=self.incarnation,
+        )
+        self.routers: dict[str, Router] = {}
+        self.budget = RetryBudget()
+        self.loaded = False
+        self.ready = False
+
+    @property
+    def host(self) -> str:
+        """Names this host."""
+        return self.settings.host
+
+    @property
+    def data_centre(self) -> str:
+        """Names the data centre of this host."""
+        return self.settings.data_centre
+
+    def now(self) -> float:
+        """Reads monotonic time in seconds."""
+        return self.clock.now()
+
+    def confirmed(self) -> bool:
+        """Tells whether this host may use its slot in the share table."""
+        return self.keeper.listed() and self.hearing.confirmed(
+            self.host,
+            self.keeper.slots(),
+            self.now(),
+        )
+
+    def local_hosts(self) -> list[str]:
+        """Lists the hosts of the data centre that are not leaving."""
+        return [
+            record.host
+            for record in self.members.values()
+            if record.data_centre == self.data_centre and not record.leaving
+        ]
+
+    def router(self, service: str) -> Router:
+        """Finds the router of a service."""
+        found = self.routers.get(service)
+        if found is None:
+            found = Router(rng=self.rng)
+            found.set_endpoints(
+                self.catalogue.endpoints(service, self.data_centre),
+            )
+            self.routers[service] = found
+        return found
+
+    def apply(self, changed: list[Stored]) -> None:
+        """Brings the state in line with changed configuration objects."""
+        for one in changed:
+            if one.name.startswith(KEY_PREFIX):
+                self._apply_key(one)
+        if any(one.name.startswith(CONFIG_PREFIX) for one in changed):
+            self._rebuild_catalogue()
+        if any(one.name.startswith(HOST_PREFIX) for one in changed):
+            self._rebuild_members()
+        self.metrics.table_revision.set(self.table.revision)
+
+    def endpoint_names(self) -> list[str]:
+        """Lists the endpoints of the data centre."""
+        return [
+            endpoint.name
+            for endpoint in self.catalogue.every(Endpoint)
+            if endpoint.data_centre == self.data_centre
+        ]
+
+    def _apply_key(self, one: Stored) -> None:
+        if one.body is None:
+            self.keyring.withdraw(one.name.removeprefix(KEY_PREFIX))
+            return
+        try:
+            self.keyring.put(parse_json(KeyRecord, one.body))
+        except MalformedRecord:
+            log_event('bad_object', name=one.name)
+
+    def _rebuild_catalogue(self) -> None:
+        records = []
+        for one in self.table.iter_prefix(CONFIG_PREFIX):
+            kind = one.name.removeprefix(CONFIG_PREFIX).partition('/')[0]
+            try:
+                record_type, _ = SCHEMAS[kind]
+                records.append(parse_json(record_type, one.body or ''))
+            except (MalformedRecord, KeyError):
+                log_event('bad_object', name=one.name)
+        self.catalogue = Catalogue(records=records)
+        for service in self.catalogue.every(Service):
+            self.router(service.name).set_endpoints(
+                self.catalogue.endpoints(service.name, self.data_centre),
+            )
+        self._rebuild_limits()
+
+    def _rebuild_limits(self) -> None:
+        own = self.catalogue.find(DataCentre, self.data_centre)
+        share = own.share if own else 0.0
+        limits = {
+            account.name: AccountLimit(
+                rate_per_s=account.rate_per_s * share,
+                burst=account.burst * share,
+            )
+            for account in self.catalogue.every(Account)
+        }
+        self.keeper.apply_limits(limits, self.now())
+
+    def _rebuild_members(self) -> None:
+        members = {}
+        for one in self.table.iter_prefix(HOST_PREFIX):
+            try:
+                record = parse_json(HostRecord, one.body or '')
+            except MalformedRecord:
+                log_event('bad_object', name=one.name)
+                continue
+            members[record.host] = record
+        self.members = members
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/object_api.py
@@ -0,0 +1,219 @@
+"""Adapter of the object API and the host list over HTTP and JSON."""
+
+import json
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote
+
+import curio
+from jacinthmount.errors import (
+    EndpointFailed,
+    StoreConflict,
+    StoreUnavailable,
+    ValueTooLarge,
+    shorten,
+)
+from jacinthmount.ports import (
+    ABSENT,
+    MAX_VALUE_BYTES,
+    HostList,
+    HostState,
+    Listing,
+    ObjectStore,
+    Stored,
+)
+
+from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
+
+__all__ = ('HttpHostList', 'HttpStore')
+
+CALL_ERRORS = (*TRANSPORT_ERRORS, EndpointFailed, ValueError)
+CALL_TIMEOUT_S = 3.0
+WATCH_MARGIN_S = 3.0
+
+
+class _PlatformClient:
+    __slots__ = ('_addresses', '_pool')
+
+    def __init__(self, *, addresses: list[str], pool: ClientPool) -> None:
+        self._addresses = addresses
+        self._pool = pool
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        timeout_s: float,
+    ) -> tuple[int, Any]:
+        try:
+            return await curio.timeout_after(
+                timeout_s,
+                self._call,
+                method,
+                target,
+                headers,
+                body,
+            )
+        except CALL_ERRORS as exc:
+            self._addresses.append(self._addresses.pop(0))
+            raise StoreUnavailable(
+                detail=f'{method} {shorten(target)}: {type(exc).__name__}',
+                retry_after_s=2,
+            ) from exc
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> tuple[int, Any]:
+        exchange = await self._pool.open(self._addresses[0], fresh=False)
+        try:
+            await exchange.send(method, target, headers, body)
+            await exchange.read_head()
+            answer = await exchange.read_body()
+        except BaseException:
+            await exchange.close()
+            raise
+        await self._pool.release(exchange)
+        return exchange.status, json.loads(answer) if answer else None
+
+
+class HttpStore(ObjectStore):
+    """Object API over HTTP."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self, *, addresses: list[str], pool: ClientPool) -> None:
+        """Takes the addresses of the platform; the first is tried first."""
+        self._client = _PlatformClient(addresses=list(addresses), pool=pool)
+
+    async def read(self, name: str) -> Stored | None:
+        """See the port."""
+        status, answer = await self._client.call(
+            'GET',
+            _target(name),
+            [],
+            b'',
+            CALL_TIMEOUT_S,
+        )
+        if status == HTTPStatus.NOT_FOUND:
+            return None
+        _expect(status, HTTPStatus.OK)
+        return _stored(answer)
+
+    async def write(self, name: str, body: str, expected: int) -> int:
+        """See the port."""
+        packed = body.encode()
+        if len(packed) > MAX_VALUE_BYTES:
+            raise ValueTooLarge(detail=f'{name}: {len(packed)} bytes')
+        return await self._change('PUT', name, packed, expected)
+
+    async def delete(self, name: str, expected: int) -> int:
+        """See the port."""
+        return await self._change('DELETE', name, b'', expected)
+
+    async def list_names(self, prefix: str) -> Listing:
+        """See the port."""
+        status, answer = await self._client.call(
+            'GET',
+            f'/list?prefix={quote(prefix, safe="")}',
+            [],
+            b'',
+            CALL_TIMEOUT_S,
+        )
+        _expect(status, HTTPStatus.OK)
+        return Listing(
+            objects=[_stored(one) for one in answer['objects']],
+            revision=answer['revision'],
+        )
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+    ) -> list[Stored]:
+        """See the port."""
+        target = (
+            f'/watch?prefix={quote(prefix, safe="")}'
+            f'&after={after}&wait={wait_s}'
+        )
+        status, answer = await self._client.call(
+            'GET',
+            target,
+            [],
+            b'',
+            wait_s + WATCH_MARGIN_S,
+        )
+        _expect(status, HTTPStatus.OK)
+        return [_stored(one) for one in answer['objects']]
+
+    async def _change(
+        self,
+        method: str,
+        name: str,
+        body: bytes,
+        expected: int,
+    ) -> int:
+        headers = [('if-match', str(expected))]
+        if expected == ABSENT:
+            headers = [('if-none-match', '*')]
+        status, answer = await self._client.call(
+            method,
+            _target(name),
+            headers,
+            body,
+            CALL_TIMEOUT_S,
+        )
+        if status == HTTPStatus.PRECONDITION_FAILED:
+            raise StoreConflict(detail=name, version=answer['version'])
+        if status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            raise ValueTooLarge(detail=name)
+        _expect(status, HTTPStatus.OK)
+        return answer['version']
+
+
+class HttpHostList(HostList):
+    """Host list over HTTP."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self, *, addresses: list[str], pool: ClientPool) -> None:
+        """Takes the addresses of the platform."""
+        self._client = _PlatformClient(addresses=list(addresses), pool=pool)
+
+    async def read_hosts(self) -> list[HostState]:
+        """See the port."""
+        status, answer = await self._client.call(
+            'GET',
+            '/host-list',
+            [],
+            b'',
+            CALL_TIMEOUT_S,
+        )
+        _expect(status, HTTPStatus.OK)
+        return [
+            HostState(
+                host=row['host'],
+                data_centre=row['data_centre'],
+                leaving=row['leaving'],
+            )
+            for row in answer['hosts']
+        ]
+
+
+def _target(name: str) -> str:
+    return f'/objects/{quote(name)}'
+
+
+def _stored(row: dict[str, Any]) -> Stored:
+    return Stored(name=row['name'], version=row['version'], body=row['body'])
+
+
+def _expect(status: int, wanted: int) -> None:
+    if status != wanted:
+        raise StoreUnavailable(detail=f'status {status}', retry_after_s=2)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/online.py
@@ -0,0 +1,258 @@
+"""Online requests to model engines: attempts, retries and relaying."""
+
+from http import HTTPStatus
+
+import curio
+from jacinthmount.declarations import Profile
+from jacinthmount.dispatch import Attempt, Next, Stage, decide
+from jacinthmount.errors import (
+    DeadlineExceeded,
+    DeadlineUnreachable,
+    EndpointFailed,
+    JacinthmountError,
+    OutcomeUnknown,
+)
+from jacinthmount.routing import EndpointState
+
+from jacinthmount_node.engine import EngineStream, send_call
+from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.gate import Gate, OnlineCall
+from jacinthmount_node.http_client import ATTEMPT_ERRORS, Exchange
+from jacinthmount_node.http_server import Responder
+from jacinthmount_node.node import Node
+
+__all__ = ('OnlineRunner',)
+
+STALL_TIMEOUT_S = 10.0
+PUMP_INTERVAL_S = 0.25
+LANE = 'online'
+FORWARDED_HEADERS = ('content-type',)
+SSE_HEADERS = (
+    ('content-type', 'text/event-stream'),
+    ('cache-control', 'no-store'),
+)
+
+
+class _Progress:
+    __slots__ = ('attempts', 'last_at', 'offset', 'tried')
+
+    def __init__(self, *, now: float) -> None:
+        self.offset = 0
+        self.attempts = 0
+        self.last_at = now
+        self.tried: set[str] = set()
+
+
+class OnlineRunner:
+    """Runs online requests of all models on this host."""
+
+    __slots__ = ('_gates', '_node', '_rooms')
+
+    def __init__(self, *, node: Node, rooms: EngineRooms) -> None:
+        """Starts without gates."""
+        self._node = node
+        self._rooms = rooms
+        self._gates: dict[str, Gate] = {}
+
+    async def run(self) -> None:
+        """Lets waiting requests go when endpoints come back."""
+        while True:
+            await curio.sleep(PUMP_INTERVAL_S)
+            for gate in self._gates.values():
+                await gate.pump()
+
+    async def answer(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        responder: Responder,
+    ) -> None:
+        """Runs a request and sends its whole answer.
+
+        :raises JacinthmountError: the request is refused or failed before
+            any part of an answer was sent.
+        """
+        gate = self._gate(call.service)
+        progress = _Progress(now=call.arrived_at)
+        self._node.budget.on_request()
+        while True:
+            try:
+                state = await gate.acquire(call, profile, progress.tried)
+            except JacinthmountError as exc:
+                self._abort_if_started(responder)
+                raise exc
+            progress.attempts += 1
+            try:
+                failed = await self._attempt(
+                    call,
+                    profile,
+                    state,
+                    responder,
+                    progress,
+                )
+            finally:
+                await gate.release(state)
+            if failed is None:
+                return
+            progress.tried.add(state.endpoint.name)
+            self._settle(call, profile, failed, responder, progress)
+            self._node.metrics.retries.labels(call.service).inc()
+
+    def _settle(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        stage: Stage,
+        responder: Responder,
+        progress: _Progress,
+    ) -> None:
+        time_left = call.deadline > self._node.now()
+        attempts_left = progress.attempts < profile.max_attempts
+        may_retry = time_left and attempts_left and self._node.budget.spend()
+        outcome = decide(
+            Attempt(
+                stage=stage,
+                idempotent=profile.idempotent,
+                relayed=responder.started,
+                resumable=call.stream,
+                may_retry=may_retry,
+                time_left=time_left,
+            )
+        )
+        if outcome in {Next.RETRY, Next.RESUME}:
+            return
+        self._abort_if_started(responder)
+        raise _failure(outcome, time_left=time_left)
+
+    async def _attempt(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        state: EndpointState,
+        responder: Responder,
+        progress: _Progress,
+    ) -> Stage | None:
+        started_at = self._node.now()
+        exchange = None
+        stage = Stage.CONNECTING
+        try:
+            async with curio.timeout_after(call.deadline - started_at):
+                exchange = await self._node.pool.open(
+                    state.endpoint.address,
+                    fresh=not profile.idempotent,
+                )
+                await self._relay(call, exchange, responder, progress)
+        except ATTEMPT_ERRORS:
+            if responder.started and responder.broken:
+                raise
+            state.on_failure(self._node.now())
+            if exchange is not None:
+                stage = exchange.stage
+                await exchange.close()
+            return stage
+        except BaseException:
+            if exchange is not None:
+                await exchange.close()
+            raise
+        state.on_success(self._node.now() - started_at)
+        await self._node.pool.release(exchange)
+        return None
+
+    async def _relay(
+        self,
+        call: OnlineCall,
+        exchange: Exchange,
+        responder: Responder,
+        progress: _Progress,
+    ) -> None:
+        await send_call(
+            exchange,
+            call.path,
+            call.body,
+            call.request_id,
+            progress.offset,
+        )
+        if call.stream and exchange.status < HTTPStatus.MULTIPLE_CHOICES:
+            await self._relay_stream(call, exchange, responder, progress)
+            return
+        answer = await exchange.read_body()
+        self._first_token(call, progress)
+        headers = [
+            (name, exchange.headers[name])
+            for name in FORWARDED_HEADERS
+            if name in exchange.headers
+        ]
+        headers.append(('x-request-id', call.request_id))
+        await responder.send(exchange.status, answer, headers)
+
+    async def _relay_stream(
+        self,
+        call: OnlineCall,
+        exchange: Exchange,
+        responder: Responder,
+        progress: _Progress,
+    ) -> None:
+        stream = EngineStream(exchange=exchange)
+        events = stream.iter_events()
+        while True:
+            event = await curio.timeout_after(
+                STALL_TIMEOUT_S,
+                _next_event,
+                events,
+            )
+            if event is None:
+                break
+            if not responder.started:
+                await responder.start(
+                    HTTPStatus.OK,
+                    [
+                        *SSE_HEADERS,
+                        ('x-request-id', call.request_id),
+                    ],
+                )
+                self._first_token(call, progress)
+            await responder.write(f'data: {event.payload}\n\n'.encode())
+            progress.offset += len(event.text)
+            self._token(progress)
+        await responder.write(b'data: [DONE]\n\n')
+        await responder.finish()
+
+    def _first_token(self, call: OnlineCall, progress: _Progress) -> None:
+        now = self._node.now()
+        metric = self._node.metrics.first_token_s
+        metric.labels(call.account, LANE).observe(now - call.arrived_at)
+        progress.last_at = now
+
+    def _token(self, progress: _Progress) -> None:
+        now = self._node.now()
+        metric = self._node.metrics.token_gap_s
+        metric.labels(LANE).observe(now - progress.last_at)
+        progress.last_at = now
+
+    def _gate(self, service: str) -> Gate:
+        gate = self._gates.get(service)
+        if gate is None:
+            gate = Gate(node=self._node, rooms=self._rooms, service=service)
+            self._gates[service] = gate
+        return gate
+
+    def _abort_if_started(self, responder: Responder) -> None:
+        if responder.started:
+            responder.abort()
+
+
+async def _next_event(events):
+    return await anext(events, None)
+
+
+def _failure(outcome: Next, *, time_left: bool) -> JacinthmountError:
+    if outcome is Next.NOT_RUN:
+        return DeadlineUnreachable(
+            detail='no endpoint could be reached',
+            retry_after_s=1,
+        )
+    if outcome is Next.UNKNOWN:
+        return OutcomeUnknown(detail='the connection was lost')
+    if not time_left:
+        return DeadlineExceeded(detail='no whole answer before the deadline')
+    return EndpointFailed(detail='endpoints failed', retry_after_s=1)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/options.py
@@ -0,0 +1,71 @@
+"""Command line arguments for plain record classes."""
+
+from collections.abc import Callable
+from typing import Any
+
+import cappa
+
+__all__ = ('choose', 'flag', 'option', 'word')
+
+
+def word(name: str, purpose: str) -> cappa.Arg[Any]:
+    """Makes a required argument without a dash."""
+    return cappa.Arg(
+        field_name=name,
+        value_name=name,
+        help=purpose,
+        required=True,
+        parse=str,
+        num_args=1,
+    )
+
+
+def option(
+    name: str,
+    purpose: str,
+    default: Any = None,
+    *,
+    parse: Callable[[str], Any] = str,
+    required: bool = False,
+) -> cappa.Arg[Any]:
+    """Makes an option with one value.
+
+    :param name: field name; the option has dashes in place of underscores.
+    """
+    return cappa.Arg(
+        field_name=name,
+        value_name=name,
+        long=_long(name),
+        help=purpose,
+        default=default,
+        parse=parse,
+        num_args=1,
+        required=required,
+    )
+
+
+def flag(name: str, purpose: str) -> cappa.Arg[Any]:
+    """Makes an option without a value."""
+    return cappa.Arg(
+        field_name=name,
+        long=_long(name),
+        help=purpose,
+        default=False,
+        action=cappa.ArgAction.store_true,
+        required=False,
+        num_args=0,
+    )
+
+
+def choose(*commands: cappa.Command[Any]) -> cappa.Subcommand:
+    """Makes a choice between commands."""
+    return cappa.Subcommand(
+        field_name='command',
+        required=True,
+        options={command.real_name(): command for command in commands},
+        types=[command.cmd_cls for command in commands],
+    )
+
+
+def _long(name: str) -> str:
+    return f'--{name.replace("_", "-")}'
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/peers.py
@@ -0,0 +1,365 @@
+"""Peer streams: msgpack records over TLS, both ends certified by the fleet."""
+
+import contextlib
+import socket as std_socket
+import ssl as std_ssl
+from collections.abc import Awaitable, Callable
+
+import curio
+from curio import ssl
+from jacinthmount.errors import MalformedRecord, PeerUnavailable
+from jacinthmount.members import HostRecord
+from jacinthmount.records import Record, make_unpacker, serialize_msgpack
+
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.messages import Envelope, Hello
+from jacinthmount_node.metrics import Metrics
+from jacinthmount_node.sockets import connect
+
+__all__ = ('PeerLink', 'PeerLinks', 'PeerServer', 'make_contexts')
+
+READ_BYTES = 65_536
+CONNECT_TIMEOUT_S = 2.0
+RECONNECT_PAUSE_S = 0.5
+MAX_PENDING = 2000
+
+PeerHandler = Callable[[Record, Hello], Awaitable[Record | None]]
+PEER_ERRORS = (OSError, curio.TaskTimeout, MalformedRecord, ValueError)
+
+
+def make_contexts(ca: str, cert: str, key: str) -> tuple[object, object]:
+    """Makes the TLS contexts of the server and the client side.
+
+    :param ca: path of the certificates that may sign hosts.
+    :param cert: path of the certificate of this host.
+    :param key: path of its private key.
+    """
+    server = ssl.SSLContext(std_ssl.PROTOCOL_TLS_SERVER)
+    client = ssl.SSLContext(std_ssl.PROTOCOL_TLS_CLIENT)
+    # Hosts are named by their certificate, addresses change.
+    client.check_hostname = False
+    for context in (server, client):
+        context.load_verify_locations(ca)
+        context.load_cert_chain(cert, key)
+        context.verify_mode = std_ssl.CERT_REQUIRED
+    return server, client
+
+
+class _Stream:
+    __slots__ = ('_metrics', '_sock', '_unpacker')
+
+    def __init__(self, *, sock, metrics: Metrics) -> None:
+        self._sock = sock
+        self._metrics = metrics
+        self._unpacker = make_unpacker()
+
+    async def send(self, envelope: Envelope) -> None:
+        packed = serialize_msgpack(envelope)
+        self._metrics.peer_bytes.labels('out').inc(len(packed))
+        await self._sock.sendall(packed)
+
+    async def iter_envelopes(self):
+        while True:
+            received = await self._sock.recv(READ_BYTES)
+            if not received:
+                return
+            self._metrics.peer_bytes.labels('in').inc(len(received))
+            self._unpacker.feed(received)
+            for envelope in self._unpacker:
+                if not isinstance(envelope, Envelope):
+                    raise MalformedRecord(detail='not an envelope')
+                yield envelope
+
+    async def close(self) -> None:
+        await self._sock.close()
+
+    def abort(self) -> None:
+        # The reading task sees the end of the stream and closes the socket.
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(std_socket.SHUT_RDWR)
+
+
+class PeerServer:
+    """Answers the messages of other hosts."""
+
+    __slots__ = ('_context', '_handler', '_metrics', '_sock')
+
+    def __init__(
+        self,
+        *,
+        sock,
+        context,
+        handler: PeerHandler,
+        metrics: Metrics,
+    ) -> None:
+        """Takes a listening socket and a handler for messages."""
+        self._sock = sock
+        self._context = context
+        self._handler = handler
+        self._metrics = metrics
+
+    async def run(self) -> None:
+        """Accepts until cancelled."""
+        async with curio.TaskGroup(wait=None) as group:
+            while True:
+                sock, _ = await self._sock.accept()
+                await group.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, raw) -> None:
+        async with curio.TaskGroup(wait=None) as group:
+            try:
+                await self._serve_stream(raw, group)
+            except PEER_ERRORS as exc:
+                log_event('peer_closed', error=type(exc).__name__)
+            finally:
+                await raw.close()
+
+    async def _serve_stream(self, raw, group: curio.TaskGroup) -> None:
+        sock = await self._context.wrap_socket(
+            raw,
+            server_side=True,
+            do_handshake_on_connect=False,
+        )
+        await curio.timeout_after(CONNECT_TIMEOUT_S, sock.do_handshake)
+        stream = _Stream(sock=sock, metrics=self._metrics)
+        outgoing = curio.Queue()
+        await group.spawn(_write_all, stream, outgoing, daemon=True)
+        hello = None
+        try:
+            async for envelope in stream.iter_envelopes():
+                if hello is None:
+                    hello = _check_hello(envelope, sock)
+                    continue
+                await group.spawn(
+                    self._answer,
+                    envelope,
+                    hello,
+                    outgoing,
+                    daemon=True,
+                )
+        finally:
+            await stream.close()
+
+    async def _answer(
+        self,
+        envelope: Envelope,
+        hello: Hello,
+        outgoing: curio.Queue,
+    ) -> None:
+        try:
+            reply = await self._handler(envelope.body, hello)
+        except Exception as exc:
+            log_event('peer_message', error=f'{type(exc).__name__}: {exc}')
+            return
+        if reply is not None:
+            await outgoing.put(
+                Envelope(number=envelope.number, reply=True, body=reply),
+            )
+
+
+class _Waiter:
+    __slots__ = ('done', 'reply')
+
+    def __init__(self) -> None:
+        self.done = curio.Event()
+        self.reply: Record | None = None
+
+
+class PeerLink:
+    """Requests of this host to one other host."""
+
+    __slots__ = (
+        '_address',
+        '_context',
+        '_hello',
+        '_metrics',
+        '_number',
+        '_outgoing',
+        '_waiting',
+        'connected',
+    )
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        context,
+        hello: Hello,
+        metrics: Metrics,
+    ) -> None:
+        """Takes the address of the other host."""
+        self._address = address
+        self._context = context
+        self._hello = hello
+        self._metrics = metrics
+        self._outgoing: curio.Queue = curio.Queue(maxsize=MAX_PENDING)
+        self._waiting: dict[int, _Waiter] = {}
+        self._number = 0
+        self.connected = False
+
+    async def run(self) -> None:
+        """Keeps one connection open until cancelled."""
+        while True:
+            try:
+                await self._run_connection()
+            except PEER_ERRORS:
+                await curio.sleep(RECONNECT_PAUSE_S)
+            finally:
+                self.connected = False
+
+    async def request(self, body: Record, timeout_s: float) -> Record:
+        """Sends a message and waits for its reply.
+
+        :raises PeerUnavailable: no reply in time.
+        """
+        self._number += 1
+        number = self._number
+        waiter = _Waiter()
+        if self._outgoing.full():
+            raise PeerUnavailable(detail=f'{self._address}: queue full')
+        self._waiting[number] = waiter
+        try:
+            await curio.timeout_after(
+                timeout_s,
+                self._exchange,
+                number,
+                body,
+                waiter,
+            )
+        except curio.TaskTimeout:
+            raise PeerUnavailable(detail=f'{self._address}: no reply') from None
+        finally:
+            self._waiting.pop(number, None)
+        if waiter.reply is None:
+            raise PeerUnavailable(detail=f'{self._address}: connection lost')
+        return waiter.reply
+
+    async def _exchange(
+        self,
+        number: int,
+        body: Record,
+        waiter: _Waiter,
+    ) -> None:
+        await self._outgoing.put(
+            Envelope(number=number, reply=False, body=body),
+        )
+        await waiter.done.wait()
+
+    async def _run_connection(self) -> None:
+        stream = await self._open()
+        await stream.send(Envelope(number=0, reply=False, body=self._hello))
+        self.connected = True
+        writer = await curio.spawn(
+            _write_all,
+            stream,
+            self._outgoing,
+            daemon=True,
+        )
+        try:
+            async for envelope in stream.iter_envelopes():
+                waiter = self._waiting.get(envelope.number)
+                if waiter is not None:
+                    waiter.reply = envelope.body
+                    await waiter.done.set()
+            raise ConnectionResetError(self._address)
+        finally:
+            await writer.cancel()
+            await stream.close()
+            await self._drop_waiting()
+
+    async def _open(self) -> _Stream:
+        raw = await curio.timeout_after(
+            CONNECT_TIMEOUT_S,
+            connect,
+            self._address,
+        )
+        try:
+            sock = await self._context.wrap_socket(
+                raw,
+                do_handshake_on_connect=False,
+            )
+            await curio.timeout_after(CONNECT_TIMEOUT_S, sock.do_handshake)
+        except BaseException:
+            await raw.close()
+            raise
+        return _Stream(sock=sock, metrics=self._metrics)
+
+    async def _drop_waiting(self) -> None:
+        # What was queued is stale, and its senders have been told.
+        while not self._outgoing.empty():
+            await self._outgoing.get()
+        for waiter in list(self._waiting.values()):
+            await waiter.done.set()
+
+
+class PeerLinks:
+    """Links to all other hosts, opened on demand."""
+
+    __slots__ = ('_context', '_hello', '_links', '_metrics', '_tasks')
+
+    def __init__(self, *, context, hello: Hello, metrics: Metrics) -> None:
+        """Takes the TLS context and who this host is."""
+        self._context = context
+        self._hello = hello
+        self._metrics = metrics
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: dict[str, curio.Task] = {}
+
+    async def request(
+        self,
+        record: HostRecord,
+        body: Record,
+        timeout_s: float,
+    ) -> Record:
+        """Sends a message to a host and waits for its reply.
+
+        :raises PeerUnavailable: no reply in time.
+        """
+        return await self.request_at(record.peer_address, body, timeout_s)
+
+    async def request_at(
+        self,
+        address: str,
+        body: Record,
+        timeout_s: float,
+    ) -> Record:
+        """Sends a message to an address and waits for its reply."""
+        link = self._links.get(address)
+        if link is None:
+            link = PeerLink(
+                address=address,
+                context=self._context,
+                hello=self._hello,
+                metrics=self._metrics,
+            )
+            self._links[address] = link
+            self._tasks[address] = await curio.spawn(link.run, daemon=True)
+        return await link.request(body, timeout_s)
+
+    async def keep_only(self, addresses: set[str]) -> None:
+        """Closes the links to addresses that are no longer of use."""
+        for address in set(self._links) - addresses:
+            self._links.pop(address)
+            await self._tasks.pop(address).cancel()
+
+
+async def _write_all(stream: _Stream, outgoing: curio.Queue) -> None:
+    while True:
+        envelope = await outgoing.get()
+        try:
+            await stream.send(envelope)
+        except OSError:
+            stream.abort()
+            return
+
+
+def _check_hello(envelope: Envelope, sock) -> Hello:
+    hello = envelope.body
+    if not isinstance(hello, Hello):
+        raise MalformedRecord(detail='stream does not start with a hello')
+    subject = dict(
+        pair for row in sock.getpeercert()['subject'] for pair in row
+    )
+    if subject.get('commonName') != hello.host:
+        raise MalformedRecord(detail='host is not the one certified')
+    return hello
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/sockets.py
@@ -0,0 +1,56 @@
+"""Sockets, addresses and monotonic time."""
+
+import socket as std_socket
+import time
+
+from curio import socket
+from jacinthmount.ports import Clock
+
+__all__ = ('SystemClock', 'connect', 'listen', 'parse_address')
+
+LISTEN_BACKLOG = 512
+
+
+class SystemClock(Clock):
+    """Monotonic time of the machine."""
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Reads the time in seconds."""
+        return time.monotonic()
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Splits ``IP:port``."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+async def connect(address: str):
+    """Opens a TCP connection without delayed sends.
+
+    :raises OSError: the connection was refused or lost.
+    """
+    sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+        await sock.connect(parse_address(address))
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
+def listen(address: str):
+    """Opens a listening TCP socket.
+
+    The address is not shared, so a running predecessor makes this fail.
+
+    :raises OSError: the address is in use.
+    """
+    sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_REUSEADDR, 1)
+    sock.bind(parse_address(address))
+    sock.listen(LISTEN_BACKLOG)
+    return sock
--- /dev/null
+++ b/packages/jacinthmount-standin/jacinthmount_standin/__main__.py
@@ -0,0 +1,139 @@
+"""Command line of the stand-ins."""
+
+from functools import singledispatch
+from pathlib import Path
+
+import attrs
+import cappa
+from jacinthmount_node.options import choose, flag, option
+
+from jacinthmount_standin.demo import run_demo, stop_demo
+from jacinthmount_standin.engine import run_engine
+from jacinthmount_standin.plain import run_plain
+from jacinthmount_standin.platform import run_platform
+
+__all__ = ()
+
+
+@attrs.define(kw_only=True)
+class PlatformCommand:
+    """Options of the platform."""
+
+    address: str
+
+
+@attrs.define(kw_only=True)
+class EngineCommand:
+    """Options of an engine."""
+
+    address: str
+    slots: int
+    token_s: float
+
+
+@attrs.define(kw_only=True)
+class PlainCommand:
+    """Options of a plain service."""
+
+    address: str
+
+
+@attrs.define(kw_only=True)
+class DemoCommand:
+    """Options of the demo."""
+
+    folder: str
+    keep: bool
+    stop: bool
+
+
+@attrs.define(kw_only=True)
+class StandinCommand:
+    """Chooses a stand-in."""
+
+    command: object
+
+
+DEFAULT_TOKEN_S = 0.005
+ADDRESS = option('address', 'IP:port to listen on.', required=True)
+
+COMMAND_LINE = cappa.Command(
+    StandinCommand,
+    name='jacinthmount_standin',
+    help='Stand-ins for tests.',
+    arguments=[
+        choose(
+            cappa.Command(
+                PlatformCommand,
+                name='platform',
+                help='Object API and host list.',
+                arguments=[ADDRESS],
+            ),
+            cappa.Command(
+                EngineCommand,
+                name='engine',
+                help='Model engine.',
+                arguments=[
+                    ADDRESS,
+                    option('slots', 'Requests at a time.', 8, parse=int),
+                    option(
+                        'token_s',
+                        'Seconds a token.',
+                        DEFAULT_TOKEN_S,
+                        parse=float,
+                    ),
+                ],
+            ),
+            cappa.Command(
+                PlainCommand,
+                name='plain',
+                help='Plain service.',
+                arguments=[ADDRESS],
+            ),
+            cappa.Command(
+                DemoCommand,
+                name='demo',
+                help='Fleet that answers a request and runs a batch.',
+                arguments=[
+                    option('folder', 'Folder for its files.', required=True),
+                    flag('keep', 'Leave it running.'),
+                    flag('stop', 'End one that was left running.'),
+                ],
+            ),
+        )
+    ],
+)
+
+
+@singledispatch
+def run(command: object) -> None:
+    """Runs a command."""
+    raise NotImplementedError(type(command).__name__)
+
+
+@run.register
+def _run_platform(command: PlatformCommand) -> None:
+    run_platform(command.address)
+
+
+@run.register
+def _run_engine(command: EngineCommand) -> None:
+    run_engine(command.address, command.slots, command.token_s)
+
+
+@run.register
+def _run_plain(command: PlainCommand) -> None:
+    run_plain(command.address)
+
+
+@run.register
+def _run_demo(command: DemoCommand) -> None:
+    folder = Path(command.folder).absolute()
+    if command.stop:
+        stop_demo(folder)
+    else:
+        run_demo(folder, keep=command.keep)
+
+
+if __name__ == '__main__':
+    run(cappa.parse(COMMAND_LINE).command)
--- /dev/null
+++ b/packages/jacinthmount-standin/jacinthmount_standin/declare.py
@@ -0,0 +1,100 @@
+"""Declarations for a fleet of stand-ins."""
+
+from pathlib import Path
+
+__all__ = ('Declared', 'write_declarations')
+
+PROFILES = """\
+[profile online]
+lane = online
+deadline_s = 20
+
+[profile meeting-brief]
+lane = online
+deadline_s = 10
+idempotent = no
+
+[profile lookup]
+lane = online
+deadline_s = 10
+
+[service provenance-llm]
+kind = model
+profile = online
+
+[service brief]
+kind = plain
+profile = meeting-brief
+
+[service glossary]
+kind = plain
+profile = lookup
+
+[route brief]
+service = brief
+
+[route glossary]
+service = glossary
+
+[route notices]
+service = glossary
+open = yes
+"""
+
+
+class Declared:
+    """What the declarations of a test fleet hold."""
+
+    __slots__ = ('accounts', 'engines', 'plain_port', 'shares')
+
+    def __init__(
+        self,
+        *,
+        shares: dict[str, float],
+        engines: dict[str, tuple[str, int, int]],
+        plain_port: int,
+        accounts: dict[str, tuple[float, float]],
+    ) -> None:
+        """Keeps the parts.
+
+        :param shares: part of the limits by data centre.
+        :param engines: data centre, port and slots by name.
+        :param accounts: rate a second and burst by name.
+        """
+        self.shares = shares
+        self.engines = engines
+        self.plain_port = plain_port
+        self.accounts = accounts
+
+
+def write_declarations(folder: Path, declared: Declared) -> None:
+    """Writes the declarations as INI files."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / 'services.ini').write_text(PROFILES)
+    (folder / 'fleet.ini').write_text(
+        ''.join([
+            *(
+                f'[data_centre {name}]\nregion = test\nshare = {share}\n\n'
+                for name, share in declared.shares.items()
+            ),
+            *(
+                f'[endpoint {name}]\nservice = provenance-llm\n'
+                f'data_centre = {data_centre}\n'
+                f'address = 127.0.0.1:{port}\nslots = {slots}\n\n'
+                for name, (data_centre, port, slots) in declared.engines.items()
+            ),
+            *(
+                f'[endpoint {service}-{data_centre}]\nservice = {service}\n'
+                f'data_centre = {data_centre}\n'
+                f'address = 127.0.0.1:{declared.plain_port}\nslots = 32\n\n'
+                for data_centre in declared.shares
+                for service in ('brief', 'glossary')
+            ),
+        ])
+    )
+    (folder / 'accounts.ini').write_text(
+        ''.join(
+            f'[account {name}]\nrate_per_s = {rate}\nburst = {burst}\n\n'
+            for name, (rate, burst) in declared.accounts.items()
+        )
+    )
--- /dev/null
+++ b/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
@@ -0,0 +1,350 @@
+"""Starts and ends the processes of a small fleet on loopback."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from http import HTTPStatus
+from http.client import HTTPConnection
+from pathlib import Path
+from typing import Any
+
+from jacinthmount_standin.certificates import CertificateAuthority
+
+__all__ = ('Fleet', 'HostPorts', 'call_http', 'free_ports')
+
+ADMIN_TOKEN = 'operator-token-of-a-test-fleet'
+START_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+SETTINGS = """\
+[node]
+host = {host}
+data_centre = {data_centre}
+log_file = {folder}/{host}.log
+drain_delay_s = 0.5
+
+[listen]
+listen = 127.0.0.1:{front}
+peer_listen = 127.0.0.1:{peer}
+admin_listen = 127.0.0.1:{admin}
+admin_token_file = {folder}/admin.token
+
+[platform]
+platform = {platform}
+
+[peers]
+peers = {peers}
+tls_ca = {ca}
+tls_cert = {cert}
+tls_key = {key}
+"""
+
+
+class HostPorts:
+    """A host of the fleet and its ports."""
+
+    __slots__ = ('admin', 'data_centre', 'front', 'host', 'peer')
+
+    def __init__(self, *, host: str, data_centre: str) -> None:
+        """Picks free ports."""
+        self.host = host
+        self.data_centre = data_centre
+        front, peer, admin = free_ports(3)
+        self.front = front
+        self.peer = peer
+        self.admin = admin
+
+
+class Fleet:
+    """Processes of one fleet; only these are ever signalled."""
+
+    __slots__ = (
+        '_engines',
+        '_folder',
+        '_processes',
+        'hosts',
+        'platform_port',
+        'plain_port',
+    )
+
+    def __init__(self, *, folder: Path, data_centres: dict[str, int]) -> None:
+        """Writes settings and certificates.
+
+        :param data_centres: number of hosts by data centre.
+        """
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._engines: dict[str, tuple[int, int, float]] = {}
+        platform_port, plain_port = free_ports(2)
+        self.platform_port = platform_port
+        self.plain_port = plain_port
+        self.hosts = {
+            f'{data_centre}-h{number}': HostPorts(
+                host=f'{data_centre}-h{number}',
+                data_centre=data_centre,
+            )
+            for data_centre, count in data_centres.items()
+            for number in range(1, count + 1)
+        }
+        self._write_settings()
+
+    @property
+    def admin_addresses(self) -> list[str]:
+        """Addresses for operators."""
+        return [f'127.0.0.1:{ports.admin}' for ports in self.hosts.values()]
+
+    @property
+    def token_path(self) -> Path:
+        """Path of the operator token."""
+        return self._folder / 'admin.token'
+
+    def start_platform(self) -> None:
+        """Starts the stand-in of the platform."""
+        self._start_standin(
+            'platform',
+            'platform',
+            '--address',
+            f'127.0.0.1:{self.platform_port}',
+        )
+        wait_for_port(self.platform_port)
+
+    def start_plain(self) -> None:
+        """Starts the stand-in of a plain service."""
+        self._start_standin(
+            'plain',
+            'plain',
+            '--address',
+            f'127.0.0.1:{self.plain_port}',
+        )
+        wait_for_port(self.plain_port)
+
+    def start_engine(
+        self,
+        name: str,
+        *,
+        slots: int = 8,
+        token_s: float = 0.005,
+    ) -> int:
+        """Starts, or starts again, an engine.
+
+        :returns: its port.
+        """
+        if name not in self._engines:
+            self._engines[name] = (free_ports(1)[0], slots, token_s)
+        port, slots, token_s = self._engines[name]
+        self._start_standin(
+            name,
+            'engine',
+            '--address',
+            f'127.0.0.1:{port}',
+            '--slots',
+            str(slots),
+            '--token-s',
+            str(token_s),
+        )
+        wait_for_port(port)
+        return port
+
+    def engine_port(self, name: str) -> int:
+        """Tells the port of an engine."""
+        return self._engines[name][0]
+
+    def start_host(self, host: str) -> None:
+        """Starts a node without waiting for it."""
+        self._start(
+            host,
+            [
+                sys.executable,
+                '-m',
+                'jacinthmount_node',
+                '--settings',
+                str(self._folder / f'{host}.ini'),
+            ],
+        )
+
+    def start_hosts(self) -> None:
+        """Starts every node and waits until all are ready."""
+        for host in self.hosts:
+            self.start_host(host)
+        for host in self.hosts:
+            self.wait_ready(host)
+
+    def wait_ready(self, host: str) -> None:
+        """Waits until a node is ready."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        port = self.hosts[host].front
+        while time.monotonic() < deadline:
+            with contextlib.suppress(OSError):
+                status, _ = call_http(port, 'GET', '/readyz')
+                if status == HTTPStatus.OK:
+                    return
+            time.sleep(POLL_S)
+        raise TimeoutError(f'{host} is not ready')
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one process of the fleet."""
+        self._processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kills one process of the fleet."""
+        process = self._processes[name]
+        process.kill()
+        process.wait()
+
+    def terminate(self, name: str, timeout_s: float = 30) -> int:
+        """Ends one process gracefully.
+
+        :returns: its exit code.
+        """
+        process = self._processes[name]
+        process.terminate()
+        return process.wait(timeout_s)
+
+    def alive(self, name: str) -> bool:
+        """Tells whether a process runs."""
+        return self._processes[name].poll() is None
+
+    def process_id(self, name: str) -> int:
+        """Tells the id of a process."""
+        return self._processes[name].pid
+
+    def switch(self, port: int, **changes: Any) -> None:
+        """Sets switches of a stand-in."""
+        status, _ = call_http(port, 'POST', '/switch', changes)
+        if status != HTTPStatus.OK:
+            raise ValueError(f'switches {sorted(changes)}')
+
+    def status(self, host: str) -> dict[str, Any]:
+        """Reads the status of a node."""
+        _, answer = call_http(
+            self.hosts[host].admin,
+            'GET',
+            '/admin/status',
+            headers={'authorization': f'Bearer {ADMIN_TOKEN}'},
+        )
+        return json.loads(answer)
+
+    def stop(self) -> None:
+        """Ends every process that was started."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
+
+    def save(self) -> None:
+        """Writes process ids and ports for other commands."""
+        (self._folder / 'fleet.json').write_text(
+            json.dumps(
+                {
+                    'process_ids': {
+                        name: process.pid
+                        for name, process in self._processes.items()
+                    },
+                    'platform': f'127.0.0.1:{self.platform_port}',
+                    'admin_token_file': str(self.token_path),
+                    'hosts': {
+                        host: f'127.0.0.1:{ports.front}'
+                        for host, ports in self.hosts.items()
+                    },
+                },
+                indent=2,
+            )
+        )
+
+    def _start_standin(self, name: str, *words: str) -> None:
+        self._start(
+            name,
+            [sys.executable, '-m', 'jacinthmount_standin', *words],
+        )
+
+    def _start(self, name: str, words: list[str]) -> None:
+        with (self._folder / f'{name}.out').open('ab') as output:
+            self._processes[name] = subprocess.Popen(
+                words,
+                stdout=output,
+                stderr=output,
+                env={
+                    **os.environ,
+                    'PYTHONUNBUFFERED': '1',
+                },
+            )
+
+    def _write_settings(self) -> None:
+        self.token_path.write_text(ADMIN_TOKEN)
+        authority = CertificateAuthority(folder=self._folder)
+        peers = ', '.join(
+            f'127.0.0.1:{ports.peer}' for ports in self.hosts.values()
+        )
+        for ports in self.hosts.values():
+            cert, key = authority.issue(ports.host)
+            (self._folder / f'{ports.host}.ini').write_text(
+                SETTINGS.format(
+                    host=ports.host,
+                    data_centre=ports.data_centre,
+                    folder=self._folder,
+                    front=ports.front,
+                    peer=ports.peer,
+                    admin=ports.admin,
+                    platform=f'127.0.0.1:{self.platform_port}',
+                    peers=peers,
+                    ca=authority.ca_path,
+                    cert=cert,
+                    key=key,
+                )
+            )
+
+
+def free_ports(count: int) -> list[int]:
+    """Finds free ports on loopback."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+def wait_for_port(port: int) -> None:
+    """Waits until a port accepts connections."""
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError):
+            socket.create_connection(('127.0.0.1', port), 1).close()
+            return
+        time.sleep(POLL_S)
+    raise TimeoutError(f'nothing listens on port {port}')
+
+
+def call_http(
+    port: int,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30,
+) -> tuple[int, bytes]:
+    """Sends one request to loopback.
+
+    :param body: sent as JSON unless it is bytes.
+    :returns: status and body of the answer.
+    """
+    conn = HTTPConnection('127.0.0.1', port, timeout=timeout_s)
+    try:
+        packed = body if isinstance(body, bytes) else json.dumps(body).encode()
+        conn.request(
+            method,
+            path,
+            packed if body is not None else None,
+            headers or {},
+        )
+        answer = conn.getresponse()
+        return answer.status, answer.read()
+    finally:
+        conn.close()
--- /dev/null
+++ b/packages/jacinthmount-standin/jacinthmount_standin/plain.py
@@ -0,0 +1,83 @@
+"""Stand-in of a plain service that counts its calls."""
+
+import json
+from collections import Counter
+from http import HTTPStatus
+
+import curio
+from jacinthmount_node.http_server import HttpRequest, HttpServer, Responder
+from jacinthmount_node.sockets import listen
+
+from jacinthmount_standin.switches import Switches
+
+__all__ = ('PlainService', 'run_plain')
+
+
+class PlainService:
+    """Counts each body it receives and says what it saw."""
+
+    __slots__ = ('_counts', '_seen', '_switches')
+
+    def __init__(self) -> None:
+        """Starts with nothing counted."""
+        self._counts: Counter[str] = Counter()
+        self._seen: list[str] = []
+        self._switches = Switches(
+            late_s=0.0,
+            cut_before_answer=0,
+            cut_mid_answer=0,
+            crossed=0,
+        )
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answers one request."""
+        if await self._switches.handle(request, responder):
+            return
+        if request.path == '/stats':
+            await responder.send_json(
+                HTTPStatus.OK,
+                {
+                    'counts': dict(self._counts),
+                    'seen': self._seen,
+                },
+            )
+            return
+        body = (await request.read_body()).decode('utf-8', 'replace')
+        self._counts[body] += 1
+        self._seen.append(
+            json.dumps([
+                request.method,
+                request.path,
+                request.query,
+                request.headers,
+                body,
+            ])
+        )
+        await self._switches.pause('late_s')
+        if self._switches.count_down('cut_before_answer'):
+            responder.abort()
+            return
+        request_id = request.headers.get('x-request-id', '')
+        if self._switches.count_down('crossed'):
+            request_id = 'req-of-another-caller'
+        answer = json.dumps({'echo': body, 'count': self._counts[body]})
+        if self._switches.count_down('cut_mid_answer'):
+            await responder.start(HTTPStatus.OK, [('content-length', '1000')])
+            await responder.write(answer[:5].encode())
+            responder.abort()
+            return
+        await responder.send(
+            HTTPStatus.OK,
+            answer.encode(),
+            [
+                ('content-type', 'application/json'),
+                ('x-request-id', request_id),
+            ],
+        )
+
+
+def run_plain(address: str) -> None:
+    """Runs the stand-in until it is ended."""
+    service = PlainService()
+    server = HttpServer(sock=listen(address), handler=service.handle)
+    curio.run(server.run)
--- /dev/null
+++ b/packages/jacinthmount-standin/jacinthmount_standin/platform.py
@@ -0,0 +1,174 @@
+"""Stand-in of the platform: object API and host list."""
+
+from collections import Counter
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import unquote
+
+import curio
+from jacinthmount.errors import StoreConflict, ValueTooLarge
+from jacinthmount.ports import ABSENT, Stored
+from jacinthmount.stores import MemoryStore
+from jacinthmount_node.http_server import (
+    HttpRequest,
+    HttpServer,
+    Responder,
+    parse_object,
+)
+from jacinthmount_node.sockets import listen
+
+from jacinthmount_standin.switches import Switches
+
+__all__ = ('Platform', 'run_platform')
+
+OBJECTS_PREFIX = '/objects/'
+MAX_BODY_BYTES = 1_100_000
+
+
+class Platform:
+    """Objects with versions, conditional updates and watches."""
+
+    __slots__ = ('_calls', '_changed', '_hosts', '_store', '_switches')
+
+    def __init__(self) -> None:
+        """Starts empty and without failures."""
+        self._store = MemoryStore()
+        self._changed = curio.Condition()
+        self._hosts: list[dict[str, Any]] = []
+        self._calls: Counter[str] = Counter()
+        self._switches = Switches(
+            outage=False,
+            slow_s=0.0,
+            lose_answers=0,
+            lose_requests=0,
+        )
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answers one call."""
+        if await self._switches.handle(request, responder):
+            return
+        if request.path == '/calls':
+            await responder.send_json(HTTPStatus.OK, dict(self._calls))
+            return
+        if request.path == '/host-list' and request.method == 'PUT':
+            self._hosts = parse_object(await request.read_body())['hosts']
+            await responder.send_json(HTTPStatus.OK, {})
+            return
+        if self._switches.read('outage'):
+            responder.abort()
+            return
+        self._calls[f'{request.method} {request.path.split("/")[1]}'] += 1
+        await self._switches.pause('slow_s')
+        await self._answer(request, responder)
+
+    async def _answer(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        if request.path.startswith(OBJECTS_PREFIX):
+            name = unquote(request.path.removeprefix(OBJECTS_PREFIX))
+            if request.method == 'GET':
+                await self._read(name, responder)
+            else:
+                await self._change(name, request, responder)
+        elif request.path == '/list':
+            listing = await self._store.list_names(request.query['prefix'])
+            await responder.send_json(
+                HTTPStatus.OK,
+                {
+                    'objects': [_shape(one) for one in listing.objects],
+                    'revision': listing.revision,
+                },
+            )
+        elif request.path == '/watch':
+            await self._watch(request, responder)
+        elif request.path == '/host-list':
+            await responder.send_json(HTTPStatus.OK, {'hosts': self._hosts})
+        else:
+            await responder.send_json(HTTPStatus.NOT_FOUND, {})
+
+    async def _read(self, name: str, responder: Responder) -> None:
+        found = await self._store.read(name)
+        if found is None:
+            await responder.send_json(HTTPStatus.NOT_FOUND, {})
+            return
+        await responder.send_json(HTTPStatus.OK, _shape(found))
+
+    async def _change(
+        self,
+        name: str,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        body = (await request.read_body(MAX_BODY_BYTES)).decode()
+        if self._switches.count_down('lose_requests'):
+            responder.abort()
+            return
+        expected = ABSENT
+        if request.headers.get('if-none-match') != '*':
+            expected = int(request.headers['if-match'])
+        try:
+            version = await self._write(request.method, name, body, expected)
+        except StoreConflict as exc:
+            await responder.send_json(
+                HTTPStatus.PRECONDITION_FAILED, {'version': exc.version}
+            )
+            return
+        except ValueTooLarge:
+            await responder.send_json(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {})
+            return
+        async with self._changed:
+            await self._changed.notify_all()
+        if self._switches.count_down('lose_answers'):
+            responder.abort()
+            return
+        await responder.send_json(HTTPStatus.OK, {'version': version})
+
+    async def _write(
+        self,
+        method: str,
+        name: str,
+        body: str,
+        expected: int,
+    ) -> int:
+        if method == 'DELETE':
+            return await self._store.delete(name, expected)
+        return await self._store.write(name, body, expected)
+
+    async def _watch(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        prefix = request.query['prefix']
+        after = int(request.query['after'])
+        changes: list[Stored] = []
+        async with curio.ignore_after(float(request.query['wait'])):
+            changes = await self._wait_changes(prefix, after)
+        if self._switches.read('outage'):
+            responder.abort()
+            return
+        await responder.send_json(
+            HTTPStatus.OK,
+            {'objects': [_shape(one) for one in changes]},
+        )
+
+    async def _wait_changes(self, prefix: str, after: int) -> list[Stored]:
+        while True:
+            changes = await self._store.watch(prefix, after, 0)
+            if changes:
+                return changes
+            async with self._changed:
+                await self._changed.wait()
+
+
+def run_platform(address: str) -> None:
+    """Runs the stand-in until it is ended."""
+    platform = Platform()
+    server = HttpServer(sock=listen(address), handler=platform.handle)
+    curio.run(server.run)
+
+
+def _shape(one: Stored) -> dict[str, Any]:
+    return {'name': one.name, 'version': one.version, 'body': one.body}
--- /dev/null
+++ b/packages/jacinthmount/jacinthmount/declarations.py
@@ -0,0 +1,449 @@
+"""Operator declarations: their records, INI schemas and validation."""
+
+import types
+from collections.abc import Mapping
+from typing import Any
+
+from jacinthmount.errors import InvalidDeclarations
+from jacinthmount.ini import Option, iter_sections, parse_section
+from jacinthmount.records import Record
+
+__all__ = (
+    'Account',
+    'Catalogue',
+    'DataCentre',
+    'Endpoint',
+    'Profile',
+    'Route',
+    'SCHEMAS',
+    'Service',
+    'check_catalogue',
+    'object_name',
+    'parse_declarations',
+)
+
+CONFIG_PREFIX = 'fleet/config/'
+MAX_NAME_LENGTH = 63
+ROUNDING = 1e-9
+NAME_ALPHABET = frozenset('abcdefghijklmnopqrstuvwxyz0123456789-_.')
+
+
+class DataCentre(Record):
+    """A data centre and its part of every account's rate and burst."""
+
+    __slots__ = ('name', 'region', 'share', 'write_id')
+
+    name: str
+    region: str
+    share: float
+    write_id: str
+
+
+class Profile(Record):
+    """How the requests of a service are run."""
+
+    __slots__ = (
+        'name',
+        'lane',
+        'deadline_s',
+        'queue_limit',
+        'idempotent',
+        'max_attempts',
+        'batch_share',
+        'write_id',
+    )
+
+    name: str
+    lane: str
+    deadline_s: float
+    queue_limit: int
+    idempotent: bool
+    max_attempts: int
+    batch_share: float
+    write_id: str
+
+
+class Service(Record):
+    """A model or a plain service that callers can address."""
+
+    __slots__ = ('name', 'kind', 'profile', 'write_id')
+
+    name: str
+    kind: str
+    profile: str
+    write_id: str
+
+
+class Endpoint(Record):
+    """One engine or one address of a plain service."""
+
+    __slots__ = (
+        'name',
+        'service',
+        'data_centre',
+        'address',
+        'slots',
+        'fenced',
+        'leaving',
+        'write_id',
+    )
+
+    name: str
+    service: str
+    data_centre: str
+    address: str
+    slots: int
+    fenced: bool
+    leaving: bool
+    write_id: str
+
+
+class Account(Record):
+    """A client account with its limits over the whole fleet."""
+
+    __slots__ = ('name', 'rate_per_s', 'burst', 'weight', 'write_id')
+
+    name: str
+    rate_per_s: float
+    burst: float
+    weight: float
+    write_id: str
+
+
+class Route(Record):
+    """A path of a plain service; an open one needs no key."""
+
+    __slots__ = ('name', 'service', 'open', 'write_id')
+
+    name: str
+    service: str
+    open: bool
+    write_id: str
+
+
+def _option(
+    name: str,
+    kind: str,
+    unit: str,
+    purpose: str,
+    **limits: Any,
+) -> Option:
+    return Option(
+        name=name,
+        kind=kind,
+        unit=unit,
+        purpose=purpose,
+        default=limits.get('default'),
+        low=limits.get('low'),
+        high=limits.get('high'),
+        choices=limits.get('choices', []),
+    )
+
+
+SCHEMAS: Mapping[str, tuple[type[Record], tuple[Option, ...]]] = (
+    types.MappingProxyType({
+        'data_centre': (
+            DataCentre,
+            (
+                _option('region', 'text', 'name', 'Region of the data centre.'),
+                _option(
+                    'share',
+                    'float',
+                    'fraction',
+                    'Part of every rate and burst; all parts sum to at most 1.',
+                    low=0,
+                    high=1,
+                ),
+            ),
+        ),
+        'profile': (
+            Profile,
+            (
+                _option(
+                    'lane',
+                    'text',
+                    'word',
+                    'Priority lane.',
+                    choices=['online', 'batch'],
+                    default='online',
+                ),
+                _option(
+                    'deadline_s',
+                    'float',
+                    'seconds',
+                    'Longest time from arrival to the last byte.',
+                    default='60',
+                    low=0.1,
+                    high=86400,
+                ),
+                _option(
+                    'queue_limit',
+                    'int',
+                    'requests',
+                    'Requests that may wait on one host.',
+                    default='200',
+                    low=0,
+                    high=100000,
+                ),
+                _option(
+                    'idempotent',
+                    'bool',
+                    'yes or no',
+                    'Whether a request may be repeated after an unknown outcome.',
+                    default='yes',
+                ),
+                _option(
+                    'max_attempts',
+                    'int',
+                    'attempts',
+                    'Attempts for one idempotent request.',
+                    default='3',
+                    low=1,
+                    high=10,
+                ),
+                _option(
+                    'batch_share',
+                    'float',
+                    'fraction',
+                    'Part of the slots of an engine that batch may fill.',
+                    default='1.0',
+                    low=0,
+                    high=1,
+                ),
+            ),
+        ),
+        'service': (
+            Service,
+            (
+                _option(
+                    'kind',
+                    'text',
+                    'word',
+                    'Model engine or plain HTTP service.',
+                    choices=['model', 'plain'],
+                    default='model',
+                ),
+                _option('profile', 'text', 'name', 'Profile of the service.'),
+            ),
+        ),
+        'endpoint': (
+            Endpoint,
+            (
+                _option('service', 'text', 'name', 'Service that it serves.'),
+                _option('data_centre', 'text', 'name', 'Where it runs.'),
+                _option('address', 'text', 'IP:port', 'Address for requests.'),
+                _option(
+                    'slots',
+                    'int',
+                    'requests',
+                    'Requests that run at a time.',
+                    default='8',
+                    low=1,
+                    high=4096,
+                ),
+                _option(
+                    'fenced',
+                    'bool',
+                    'yes or no',
+                    'Whether it refuses orders with an old fencing number.',
+                    default='no',
+                ),
+                _option(
+                    'leaving',
+                    'bool',
+                    'yes or no',
+                    'Whether it gets no new work.',
+                    default='no',
+                ),
+            ),
+        ),
+        'account': (
+            Account,
+            (
+                _option(
+                    'rate_per_s',
+                    'float',
+                    'requests per second',
+                    'Sustained rate over the fleet.',
+                    low=0.01,
+                    high=100000,
+                ),
+                _option(
+                    'burst',
+                    'float',
+                    'requests',
+                    'Requests above the rate that may come at once.',
+                    low=1,
+                    high=1000000,
+                ),
+                _option(
+                    'weight',
+                    'float',
+                    'ratio',
+                    'Part of a contended engine.',
+                    default='1',
+                    low=0.01,
+                    high=100,
+                ),
+            ),
+        ),
+        'route': (
+            Route,
+            (
+                _option(
+                    'service', 'text', 'name', 'Plain service behind the path.'
+                ),
+                _option(
+                    'open',
+                    'bool',
+                    'yes or no',
+                    'Whether anyone may call it.',
+                    default='no',
+                ),
+            ),
+        ),
+    })
+)
+
+
+class Catalogue:
+    """The declarations in force, by kind and name."""
+
+    __slots__ = ('_kinds', '_lanes')
+
+    def __init__(self, *, records: list[Record]) -> None:
+        """Indexes the records."""
+        self._kinds: dict[type[Record], dict[str, Any]] = {}
+        for record in records:
+            self._named(type(record))[record.name] = record  # type: ignore[attr-defined]
+        self._lanes: dict[tuple[str, str], list[Endpoint]] = {}
+        for endpoint in self._named(Endpoint).values():
+            place = (endpoint.service, endpoint.data_centre)
+            self._lanes.setdefault(place, []).append(endpoint)
+
+    def find(self, record_type: type, name: str) -> Any:
+        """Finds one record, or None."""
+        return self._named(record_type).get(name)
+
+    def every(self, record_type: type) -> list[Any]:
+        """Lists the records of one kind in name order."""
+        return [
+            record for _, record in sorted(self._named(record_type).items())
+        ]
+
+    def endpoints(self, service: str, data_centre: str) -> list[Endpoint]:
+        """Lists the endpoints of a service in one data centre."""
+        return self._lanes.get((service, data_centre), [])
+
+    def profile_of(self, service: str) -> Profile | None:
+        """Finds the profile of a service."""
+        found = self.find(Service, service)
+        return self.find(Profile, found.profile) if found else None
+
+    def kind_of(self, service: str) -> str:
+        """Tells the kind of a service, empty where it is unknown."""
+        found = self.find(Service, service)
+        return found.kind if found else ''
+
+    def _named(self, record_type: type) -> dict[str, Any]:
+        return self._kinds.setdefault(record_type, {})
+
+
+def object_name(kind: str, name: str) -> str:
+    """Names the object of a declaration in the object API."""
+    return f'{CONFIG_PREFIX}{kind}/{name}'
+
+
+def parse_declarations(sources: dict[str, str]) -> dict[str, Record]:
+    """Parses and validates a whole directory of declarations.
+
+    :param sources: INI text by file name.
+    :returns: records by object name.
+    :raises InvalidDeclarations: anything is wrong; lists every problem.
+    """
+    problems: list[str] = []
+    records: dict[str, Record] = {}
+    for source, text in sorted(sources.items()):
+        for section, raw in iter_sections(text, source, problems):
+            _parse_declaration(f'{source}: [{section}]', raw, records, problems)
+    problems.extend(check_catalogue(list(records.values())))
+    if problems:
+        raise InvalidDeclarations(problems=problems)
+    return records
+
+
+def check_catalogue(records: list[Record]) -> list[str]:
+    """Lists references between records that lead nowhere."""
+    catalogue = Catalogue(records=records)
+    problems = _check_shares(catalogue.every(DataCentre))
+    for service in catalogue.every(Service):
+        if catalogue.find(Profile, service.profile) is None:
+            problems.append(
+                f'[service {service.name}]: profile: '
+                f'no profile {service.profile!r}',
+            )
+    for endpoint in catalogue.every(Endpoint):
+        problems.extend(_check_endpoint(catalogue, endpoint))
+    for route in catalogue.every(Route):
+        found = catalogue.find(Service, route.service)
+        if found is None or found.kind != 'plain':
+            problems.append(
+                f'[route {route.name}]: service: '
+                f'no plain service {route.service!r}',
+            )
+    return problems
+
+
+def _parse_declaration(
+    place: str,
+    raw: dict[str, str],
+    records: dict[str, Record],
+    problems: list[str],
+) -> None:
+    kind, _, name = place.split('[', 1)[1].rstrip(']').partition(' ')
+    if kind not in SCHEMAS:
+        allowed = ', '.join(sorted(SCHEMAS))
+        problems.append(f'{place}: unknown kind; allowed: {allowed}')
+        return
+    if not _valid_name(name):
+        problems.append(
+            f'{place}: name: use 1 to {MAX_NAME_LENGTH} of a-z 0-9 - _ .',
+        )
+        return
+    if object_name(kind, name) in records:
+        problems.append(f'{place}: declared twice')
+        return
+    record_type, schema = SCHEMAS[kind]
+    before = len(problems)
+    fields = parse_section(schema, raw, place, problems)
+    if len(problems) == before:
+        record = record_type(name=name, write_id='', **fields)
+        records[object_name(kind, name)] = record
+
+
+def _valid_name(name: str) -> bool:
+    return 0 < len(name) <= MAX_NAME_LENGTH and set(name) <= NAME_ALPHABET
+
+
+def _check_shares(data_centres: list[DataCentre]) -> list[str]:
+    total = sum(data_centre.share for data_centre in data_centres)
+    if total > 1 + ROUNDING:
+        return [f'[data_centre]: share: the parts sum to {total:g}, above 1']
+    return []
+
+
+def _check_endpoint(catalogue: Catalogue, endpoint: Endpoint) -> list[str]:
+    place = f'[endpoint {endpoint.name}]'
+    problems = []
+    if catalogue.find(Service, endpoint.service) is None:
+        problems.append(f'{place}: service: no service {endpoint.service!r}')
+    if catalogue.find(DataCentre, endpoint.data_centre) is None:
+        problems.append(
+            f'{place}: data_centre: no data centre {endpoint.data_centre!r}',
+        )
+    host, _, port = endpoint.address.rpartition(':')
+    if not host or not port.isdecimal():
+        problems.append(
+            f'{place}: address: {endpoint.address!r} is not IP:port'
+        )
+    return problems
--- /dev/null
+++ b/packages/jacinthmount/jacinthmount/dispatch.py
@@ -0,0 +1,65 @@
+"""What may follow when an attempt at a request fails."""
+
+import enum
+
+from jacinthmount.records import Record
+
+__all__ = ('Attempt', 'Next', 'Stage', 'decide')
+
+
+class Stage(enum.IntEnum):
+    """How far an attempt came."""
+
+    QUEUED = 0
+    CONNECTING = 1
+    SENT = 2
+    ANSWERING = 3
+    ANSWERED = 4
+
+
+class Next(enum.Enum):
+    """What to do after an attempt ended."""
+
+    DONE = 'done'
+    RETRY = 'retry'
+    RESUME = 'resume'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+    FAILED = 'failed'
+
+
+class Attempt(Record):
+    """Facts about a failed attempt.
+
+    ``stage`` is ``SENT`` from the moment before the first byte is written.
+    ``relayed`` tells whether the caller has seen a part of the answer.
+    """
+
+    __slots__ = (
+        'stage',
+        'idempotent',
+        'relayed',
+        'resumable',
+        'may_retry',
+        'time_left',
+    )
+
+    stage: int
+    idempotent: bool
+    relayed: bool
+    resumable: bool
+    may_retry: bool
+    time_left: bool
+
+
+def decide(attempt: Attempt) -> Next:
+    """Decides what follows an attempt that ended without a whole answer."""
+    again = attempt.may_retry and attempt.time_left
+    if attempt.stage < Stage.SENT:
+        return Next.RETRY if again else Next.NOT_RUN
+    if not attempt.idempotent:
+        return Next.UNKNOWN
+    if attempt.relayed:
+        can_resume = again and attempt.resumable
+        return Next.RESUME if can_resume else Next.FAILED
+    return Next.RETRY if again else Next.FAILED
