--- a/packages/jacinthmount-ctl/jacinthmount_ctl/caller.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/caller.py
@@ -2,8 +2,8 @@
 
 import json
 import uuid
-from http.client import HTTPConnection
 from http import HTTPStatus
+from http.client import HTTPConnection
 from typing import Any
 
 from jacinthmount.errors import JacinthmountError, PeerUnavailable
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
@@ -158,7 +158,7 @@
                     word('key_id', 'Id of the key.'),
                     option(
                         'hosts',
-                        'Admin addresses to tell directly, with commas between.',
+                        'Admin addresses to tell directly, by commas.',
                         '',
                     ),
                 ],
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
@@ -63,7 +63,7 @@
         if not self.options.admin_token_file:
             raise InvalidDeclarations(
                 problems=[
-                    f'--admin-token-file: required, or set {commands.ENV_TOKEN}',
+                    f'--admin-token-file: or set {commands.ENV_TOKEN}',
                 ]
             )
         return Path(self.options.admin_token_file).read_text().strip()
@@ -94,15 +94,17 @@
     except InvalidDeclarations as exc:
         sys.stderr.write('\n'.join([*exc.problems, '']))
         sys.exit(EXIT_INVALID)
-    except StoreConflict as exc:
-        sys.stderr.write(f'conflict: {exc}; see diff\n')
-        sys.exit(EXIT_CONFLICT)
-    except StoreUnavailable as exc:
-        sys.stderr.write(f'{exc}\n')
-        sys.exit(EXIT_UNAVAILABLE)
     except (JacinthmountError, OSError) as exc:
         sys.stderr.write(f'{exc}\n')
-        sys.exit(EXIT_FAILED)
+        sys.exit(_exit_code(exc))
+
+
+def _exit_code(exc: Exception) -> int:
+    if isinstance(exc, StoreConflict):
+        return EXIT_CONFLICT
+    if isinstance(exc, StoreUnavailable):
+        return EXIT_UNAVAILABLE
+    return EXIT_FAILED
 
 
 @singledispatch
@@ -283,7 +285,7 @@
     if not command.front or not command.key_file:
         raise InvalidDeclarations(
             problems=[
-                f'--front and --key-file: required, or set {commands.ENV_FRONT} '
+                f'--front, --key-file: required, or set {commands.ENV_FRONT} '
                 f'and {commands.ENV_KEY}',
             ]
         )
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
@@ -271,7 +271,7 @@
     :raises PeerUnavailable: it did not answer, or refused.
     """
     pool = ClientPool()
-    packed = json.dumps(body).encode() if body is not None else b''
+    packed = b'' if body is None else json.dumps(body).encode()
     headers = [('authorization', f'Bearer {token}')]
     try:
         exchange = await pool.fetch(
--- a/packages/jacinthmount-node/jacinthmount_node/admin.py
+++ b/packages/jacinthmount-node/jacinthmount_node/admin.py
@@ -42,7 +42,8 @@
         elif place == ('GET', '/readyz'):
             ready = self._node.ready
             await responder.send_json(
-                HTTPStatus.OK if ready else 503, {'ready': ready}
+                HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE,
+                {'ready': ready},
             )
         elif place == ('GET', '/metrics'):
             await responder.send(
--- a/packages/jacinthmount-node/jacinthmount_node/admission.py
+++ b/packages/jacinthmount-node/jacinthmount_node/admission.py
@@ -166,18 +166,21 @@
 
     def _remote_owners(self, account: str) -> list[HostRecord]:
         node = self._node
-        here = node.catalogue.find(DataCentre, node.data_centre)
         owners = []
         for stored in node.table.iter_prefix(SHARE_PREFIX):
             table = parse_json(ShareTable, stored.body or '')
-            there = node.catalogue.find(DataCentre, table.data_centre)
-            if table.data_centre == node.data_centre or there is None:
-                continue
-            if here is None or there.region != here.region:
-                continue
             hosts = [slot.host for slot in table.slots]
-            ranked = rank_hosts(account, hosts)
-            record = node.members.get(ranked[0]) if ranked else None
+            if not hosts or not self._is_near(table.data_centre):
+                continue
+            record = node.members.get(rank_hosts(account, hosts)[0])
             if record is not None:
                 owners.append(record)
         return owners
+
+    def _is_near(self, data_centre: str) -> bool:
+        node = self._node
+        here = node.catalogue.find(DataCentre, node.data_centre)
+        there = node.catalogue.find(DataCentre, data_centre)
+        if here is None or there is None or here.name == there.name:
+            return False
+        return here.region == there.region
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_archive.py
@@ -0,0 +1,62 @@
+"""Batches that have ended leave the configuration of the fleet."""
+
+import contextlib
+import time
+
+import curio
+from jacinthmount.batches import BATCH_PREFIX, BatchManifest, ended_name
+from jacinthmount.errors import StoreConflict, StoreUnavailable
+from jacinthmount.members import rank_hosts
+from jacinthmount.ports import ABSENT, Stored
+from jacinthmount.records import parse_json
+from jacinthmount.stores import write_definitely
+
+from jacinthmount_node.config_sync import ConfigSync
+from jacinthmount_node.node import Node
+
+__all__ = ('BatchArchive',)
+
+ARCHIVE_AFTER_S = 30.0
+ARCHIVE_INTERVAL_S = 10.0
+
+
+class BatchArchive:
+    """Moves the manifests of ended batches out of what every host holds."""
+
+    __slots__ = ('_node', '_sync')
+
+    def __init__(self, *, node: Node, sync: ConfigSync) -> None:
+        """Takes the shared state."""
+        self._node = node
+        self._sync = sync
+
+    async def run(self) -> None:
+        """Archives until cancelled."""
+        while True:
+            await curio.sleep(ARCHIVE_INTERVAL_S)
+            for one in list(self._node.table.iter_prefix(BATCH_PREFIX)):
+                with contextlib.suppress(StoreUnavailable, StoreConflict):
+                    await self._archive(one)
+
+    async def _archive(self, one: Stored) -> None:
+        manifest = parse_json(BatchManifest, one.body or '')
+        ended_s = manifest.ended_s
+        if ended_s is None or time.time() - ended_s < ARCHIVE_AFTER_S:
+            return
+        hosts = self._node.local_hosts()
+        ranked = rank_hosts(manifest.batch_id, hosts)
+        if ranked[:1] != [self._node.host]:
+            return
+        name = ended_name(manifest.account, manifest.batch_id)
+        if await self._node.store.read(name) is None:
+            await write_definitely(
+                self._node.store,
+                name,
+                one.body or '',
+                ABSENT,
+            )
+        version = await self._node.store.delete(one.name, one.version)
+        await self._sync.take(
+            [Stored(name=one.name, version=version, body=None)],
+            push=True,
+        )
--- a/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
@@ -226,7 +226,7 @@
                     await self._check_claim()
 
     def _next_records(self) -> list[ResultRecord]:
-        records = []
+        records: list[ResultRecord] = []
         size = 0
         for record in self._buffer.values():
             size += len(record.body) + RECORD_OVERHEAD_BYTES
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_claims.py
@@ -0,0 +1,287 @@
+"""Claims on chunks, and the completion of batches."""
+
+import time
+
+import curio
+from jacinthmount.batches import (
+    BATCH_COMPLETED,
+    BATCH_OPEN,
+    BatchManifest,
+    batch_name,
+)
+from jacinthmount.claims import (
+    BeatWatch,
+    Claim,
+    beat_name,
+    claim_name,
+    may_claim,
+    next_claim,
+)
+from jacinthmount.errors import (
+    JacinthmountError,
+    NotFound,
+    StoreConflict,
+    StoreUnavailable,
+    shorten,
+)
+from jacinthmount.members import rank_hosts
+from jacinthmount.ports import ABSENT, Stored
+from jacinthmount.records import parse_json, replaced, serialize_json
+from jacinthmount.results import FAILED, ResultRecord
+from jacinthmount.stores import new_write_id, write_definitely
+
+from jacinthmount_node.batch_board import BatchBoard
+from jacinthmount_node.batch_chunks import ChunkRun
+from jacinthmount_node.config_sync import ConfigSync
+from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.files_api import FileDesk
+from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.node import Node
+
+__all__ = ('BatchClaims',)
+
+CLAIM_INTERVAL_S = 0.5
+MAX_CHUNKS = 8
+PENDING_PER_STREAM = 2
+PASSED_PAUSE_S = 10.0
+
+
+class BatchClaims:
+    """Claims chunks while this host has engines with room for them."""
+
+    __slots__ = (
+        '_beats',
+        '_board',
+        '_files',
+        '_node',
+        '_passed',
+        '_rooms',
+        '_sync',
+    )
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        rooms: EngineRooms,
+        files: FileDesk,
+        sync: ConfigSync,
+        board: BatchBoard,
+    ) -> None:
+        """Starts with nothing claimed."""
+        self._node = node
+        self._rooms = rooms
+        self._files = files
+        self._sync = sync
+        self._board = board
+        self._beats = BeatWatch()
+        self._passed: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Claims until cancelled."""
+        while True:
+            await curio.sleep(CLAIM_INTERVAL_S)
+            self._board.decay_served(CLAIM_INTERVAL_S)
+            try:
+                await self._claim_more()
+            except (StoreUnavailable, StoreConflict):
+                continue
+            except JacinthmountError as exc:
+                log_failure('claims', exc)
+
+    async def _claim_more(self) -> None:
+        await self._release_idle()
+        if self._board.stopping or not self._wants_chunks():
+            return
+        for batch in self._board.open_batches():
+            if not self._board.runs_here(batch.targets):
+                continue
+            await self._claim_from(batch)
+            if not self._wants_chunks():
+                return
+
+    async def _release_idle(self) -> None:
+        # The rest of these chunks is for engines that other hosts decide on.
+        for run in list(self._board.chunks.values()):
+            targets = [item.target for item in run.pending]
+            if (
+                targets
+                and not run.running
+                and not self._board.runs_here(targets)
+            ):
+                self._passed[run.name] = self._node.now()
+                await run.stop()
+                await self._release(run)
+
+    def _wants_chunks(self) -> bool:
+        pending = sum(
+            len(chunk.pending) for chunk in self._board.chunks.values()
+        )
+        streams = self._node.settings.batch_streams
+        slots = sum(one.slots for one in self._rooms.decided_here())
+        if not slots or len(self._board.chunks) >= MAX_CHUNKS:
+            return False
+        return pending < PENDING_PER_STREAM * min(streams, slots)
+
+    async def _claim_from(self, batch: BatchManifest) -> None:
+        node = self._node
+        node.metrics.platform_calls.labels('list').inc()
+        listing = await node.store.list_names(f'claims/{batch.batch_id}/')
+        found = {one.name: one for one in listing.objects}
+        claims = {
+            name: parse_json(Claim, one.body or '')
+            for name, one in found.items()
+        }
+        if sum(claim.done for claim in claims.values()) == batch.chunks:
+            await self._complete(batch, list(claims.values()))
+            return
+        for chunk in self._chunk_order(batch):
+            name = claim_name(batch.batch_id, chunk)
+            version = found[name].version if name in found else ABSENT
+            if await self._try_claim(batch, chunk, claims.get(name), version):
+                return
+
+    def _chunk_order(self, batch: BatchManifest) -> list[int]:
+        # Hosts start at different chunks, so that they rarely race.
+        hosts = sorted(self._node.members) or [self._node.host]
+        ranked = rank_hosts(batch.batch_id, hosts)
+        place = (
+            ranked.index(self._node.host) if (self._node.host in ranked) else 0
+        )
+        start = place * batch.chunks // len(ranked)
+        return [(start + step) % batch.chunks for step in range(batch.chunks)]
+
+    async def _try_claim(
+        self,
+        batch: BatchManifest,
+        chunk: int,
+        claim: Claim | None,
+        version: int,
+    ) -> bool:
+        node = self._node
+        run_name = f'{batch.batch_id}/{chunk}'
+        if run_name in self._board.chunks:
+            return False
+        passed_at = self._passed.get(run_name, -PASSED_PAUSE_S)
+        if node.now() - passed_at < PASSED_PAUSE_S:
+            return False
+        expired = await self._holder_expired(claim)
+        if not may_claim(claim, node.host, node.incarnation, expired=expired):
+            return False
+        fresh = next_claim(claim, node.host, node.incarnation, new_write_id())
+        name = claim_name(batch.batch_id, chunk)
+        written = await write_definitely(
+            node.store,
+            name,
+            serialize_json(fresh),
+            version,
+        )
+        run = ChunkRun(
+            node=node,
+            batch=batch,
+            chunk=chunk,
+            claim=fresh,
+            claim_version=written,
+        )
+        self._board.chunks[run.name] = run
+        await curio.spawn(self._run_chunk, run, daemon=True)
+        return True
+
+    async def _holder_expired(self, claim: Claim | None) -> bool:
+        if claim is None or claim.done or claim.holder == self._node.host:
+            return False
+        if not claim.holder:
+            return True
+        beat = await self._node.store.read(beat_name(claim.holder))
+        now = self._node.now()
+        version = beat.version if beat else ABSENT
+        self._beats.on_beat(claim.holder, version, now)
+        restarted = beat is not None and claim.incarnation not in (
+            beat.body or ''
+        )
+        return restarted or self._beats.expired(claim.holder, now)
+
+    async def _run_chunk(self, run: ChunkRun) -> None:
+        try:
+            lines = await self._files.read_chunk(
+                run.batch.input_file,
+                run.chunk,
+            )
+            await run.load(lines)
+            await self._fail_unknown(run)
+            done = await run.run()
+        except (StoreUnavailable, NotFound) as exc:
+            log_event('chunk_failed', chunk=run.name, detail=exc.detail)
+            done = False
+            await self._release(run)
+        finally:
+            self._board.chunks.pop(run.name, None)
+        if done:
+            await self._complete_if_done(run.batch)
+
+    async def _fail_unknown(self, run: ChunkRun) -> None:
+        for item in list(run.pending):
+            if not self._board.is_known(item.target):
+                run.pending.remove(item)
+                await run.add(
+                    ResultRecord(
+                        line=item.line,
+                        state=FAILED,
+                        status=0,
+                        body=f'no model or route {shorten(item.target)}',
+                        code=NotFound.code,
+                    ),
+                )
+
+    async def _release(self, run: ChunkRun) -> None:
+        run.lost = True
+        try:
+            await run.release()
+        except (StoreConflict, StoreUnavailable) as exc:
+            log_event('claim_kept', chunk=run.name, detail=exc.detail)
+
+    async def _complete_if_done(self, batch: BatchManifest) -> None:
+        try:
+            listing = await self._node.store.list_names(
+                f'claims/{batch.batch_id}/',
+            )
+            claims = [
+                parse_json(Claim, one.body or '') for one in listing.objects
+            ]
+            if sum(claim.done for claim in claims) == batch.chunks:
+                await self._complete(batch, claims)
+        except (StoreUnavailable, StoreConflict):
+            # The next look for claims finds the batch done and completes it.
+            return
+
+    async def _complete(
+        self,
+        batch: BatchManifest,
+        claims: list[Claim],
+    ) -> None:
+        name = batch_name(batch.account, batch.batch_id)
+        stored = await self._node.store.read(name)
+        if stored is None or stored.body is None:
+            return
+        manifest = parse_json(BatchManifest, stored.body)
+        if manifest.state != BATCH_OPEN:
+            return
+        completed = replaced(
+            manifest,
+            state=BATCH_COMPLETED,
+            ended_s=time.time(),
+            completed=sum(claim.completed for claim in claims),
+            failed=sum(claim.failed for claim in claims),
+            write_id=new_write_id(),
+        )
+        body = serialize_json(completed)
+        version = await write_definitely(
+            self._node.store,
+            name,
+            body,
+            stored.version,
+        )
+        await self._sync.take(
+            [Stored(name=name, version=version, body=body)],
+            push=True,
+        )
--- a/packages/jacinthmount-node/jacinthmount_node/batches_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches_api.py
@@ -142,8 +142,8 @@
         found = {}
         for prefix in (BATCH_PREFIX, ENDED_PREFIX):
             listing = await store.list_names(f'{prefix}{account}/')
-            for one in listing.objects:
-                manifest = parse_json(BatchManifest, one.body or '')
+            for stored in listing.objects:
+                manifest = parse_json(BatchManifest, stored.body or '')
                 found[manifest.batch_id] = manifest
         return sorted(
             found.values(),
@@ -324,7 +324,7 @@
         }
     else:
         row['error'] = {'code': str(record.code), 'message': record.body}
-    return json.dumps(row, separators=(',', ':')).encode() + b'\n'
+    return b'%s\n' % json.dumps(row, separators=(',', ':')).encode()
 
 
 def _parse_window(raw: Any) -> tuple[str, float]:
--- a/packages/jacinthmount-node/jacinthmount_node/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/config_sync.py
@@ -162,12 +162,13 @@
     async def _run_push(self) -> None:
         while True:
             message = await self._outbox.get()
+            # Only withdrawn keys can't wait for digests from elsewhere.
+            records = self._others(local=True)
+            if isinstance(message, Withdraw):
+                records.extend(self._others(local=False))
             async with curio.TaskGroup(wait=all) as group:
-                for record in self._others(local=True):
+                for record in records:
                     await group.spawn(self._push_to, record, message)
-                if isinstance(message, Withdraw):
-                    for record in self._others(local=False):
-                        await group.spawn(self._push_to, record, message)
 
     async def _push_to(
         self,
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -18,6 +18,8 @@
 from jacinthmount_node.engine_rooms import EngineRooms
 from jacinthmount_node.files_api import FileDesk
 from jacinthmount_node.front import Front
+from jacinthmount_node.front_batches import BatchRoutes
+from jacinthmount_node.front_files import FileRoutes
 from jacinthmount_node.handlers import PeerDesk
 from jacinthmount_node.http_client import ClientPool
 from jacinthmount_node.http_server import HttpServer
@@ -28,6 +30,7 @@
 from jacinthmount_node.object_api import HttpStore
 from jacinthmount_node.online import OnlineRunner
 from jacinthmount_node.peers import PeerLinks, PeerServer, make_contexts
+from jacinthmount_node.share_task import ShareTask
 from jacinthmount_node.sockets import SystemClock, listen
 
 __all__ = ('Daemon', 'run_daemon')
@@ -50,6 +53,7 @@
         '_online',
         '_peer_server',
         '_rooms',
+        '_shares',
         '_stopping',
         '_sync',
     )
@@ -88,7 +92,12 @@
             links=links,
             on_change=self._on_change,
         )
-        self._membership = Membership(node=node, links=links, sync=self._sync)
+        self._shares = ShareTask(node=node, links=links, sync=self._sync)
+        self._membership = Membership(
+            node=node,
+            shares=self._shares,
+            sync=self._sync,
+        )
         self._rooms = EngineRooms(
             node=node,
             links=links,
@@ -103,13 +112,18 @@
             files=files,
             sync=self._sync,
         )
+        batches = BatchDesk(node=node, files=files, sync=self._sync)
         self._front = Front(
             node=node,
             admission=admission,
             online=self._online,
             plain=PlainRunner(node=node, rooms=self._rooms),
-            files=files,
-            batches=BatchDesk(node=node, files=files, sync=self._sync),
+            files=FileRoutes(
+                admission=admission,
+                files=files,
+                batches=batches,
+            ),
+            batches=BatchRoutes(admission=admission, batches=batches),
         )
         admin = Admin(
             node=node,
@@ -119,7 +133,7 @@
         )
         desk = PeerDesk(
             sync=self._sync,
-            membership=self._membership,
+            shares=self._shares,
             admission=admission,
             rooms=self._rooms,
         )
@@ -196,7 +210,7 @@
         own = f'{SHARE_PREFIX}{self._node.data_centre}'
         for one in changed:
             if one.name == own:
-                await self._membership.on_table(one)
+                await self._shares.on_table(one)
         await self._batch.on_config(changed)
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine.py
@@ -71,8 +71,7 @@
     def _parse(self, payload: str) -> StreamEvent:
         try:
             parsed = json.loads(payload)
-            choices = parsed.get('choices') or [{}]
-            choice = choices[0]
+            choice = (parsed.get('choices') or [{}])[0]
             delta = choice.get('delta') or {}
             text = delta.get('content') or choice.get('text') or ''
         except (ValueError, AttributeError, LookupError) as exc:
--- a/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
@@ -1,5 +1,7 @@
 """Load of the engines: reported by hosts, known where batch is decided."""
 
+from collections.abc import Awaitable, Callable
+
 import curio
 from jacinthmount.declarations import Endpoint
 from jacinthmount.errors import PeerUnavailable
@@ -19,6 +21,8 @@
 REPORT_TIMEOUT_S = 0.5
 POLL_INTERVAL_S = 1.0
 
+RoomChange = Callable[[str], Awaitable[None]]
+
 
 class EngineRooms:
     """Sends reports of this host and keeps the rooms it decides about."""
@@ -49,7 +53,7 @@
         self._loads: dict[str, tuple[EngineLoad, float]] = {}
         self._dirty: set[str] = set()
         self._wake = curio.Event()
-        self.on_room_change = None
+        self.on_room_change: RoomChange | None = None
 
     async def run(self) -> None:
         """Reports and polls until cancelled."""
--- a/packages/jacinthmount-node/jacinthmount_node/forms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/forms.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
+from jacinthmount.errors import MalformedRequest
 from python_multipart import MultipartParser
 from python_multipart.multipart import parse_options_header
 
-from jacinthmount.errors import MalformedRequest
 from jacinthmount_node.http_server import HttpRequest
 
 __all__ = ('UploadForm', 'make_parser')
@@ -36,7 +36,7 @@
         self._header_text = b''
         self._field = ''
 
-    def callbacks(self) -> dict[str, Any]:
+    def callbacks(self) -> Any:
         """Lists the callbacks for the parser."""
         return {
             'on_part_begin': self._on_part_begin,
@@ -61,9 +61,7 @@
     def _on_header_field(self, received: bytes, start: int, end: int) -> None:
         self._header += received[start:end]
 
-    def _on_header_value(
-        self, received: bytes, start: int, end: int
-    ) -> None:
+    def _on_header_value(self, received: bytes, start: int, end: int) -> None:
         self._header_text += received[start:end]
 
     def _on_header_end(self) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/front.py
@@ -18,9 +18,13 @@
 from jacinthmount.routing import prefix_key
 
 from jacinthmount_node.admission import Admission
-from jacinthmount_node.batches_api import BatchDesk, describe_batch
 from jacinthmount_node.calls import PlainCall, PlainRunner
-from jacinthmount_node.files_api import FileDesk, describe_file
+from jacinthmount_node.front_batches import (
+    BATCHES_PATH,
+    BatchRoutes,
+    read_idempotency_key,
+)
+from jacinthmount_node.front_files import FILES_PATH, FileRoutes
 from jacinthmount_node.gate import OnlineCall
 from jacinthmount_node.http_server import HttpRequest, Responder, parse_object
 from jacinthmount_node.logs import log_event
@@ -32,7 +36,6 @@
 DEFAULT_MAX_TOKENS = 256
 CHARS_PER_TOKEN = 4
 MODEL_PATHS = frozenset(('/v1/chat/completions', '/v1/completions'))
-MAX_IDEMPOTENCY_KEY_CHARS = 255
 NO_ACCOUNT = '-'
 PATH_SAFE = "/%:@!$&'()*+,;=~"
 
@@ -57,8 +60,8 @@
         admission: Admission,
         online: OnlineRunner,
         plain: PlainRunner,
-        files: FileDesk,
-        batches: BatchDesk,
+        files: FileRoutes,
+        batches: BatchRoutes,
     ) -> None:
         """Takes the parts that do the work."""
         self._node = node
@@ -117,7 +120,8 @@
     ) -> None:
         ready = request.path == '/healthz' or self._node.ready
         await responder.send_json(
-            HTTPStatus.OK if ready else 503, {'ready': ready}
+            HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE,
+            {'ready': ready},
         )
 
     def _authenticate(self, request: HttpRequest) -> KeyRecord | None:
@@ -144,15 +148,22 @@
             return
         if key is None:
             raise KeyMissing(detail='send Authorization: Bearer KEY')
-        place = (request.method, request.path)
+        await self._dispatch_keyed(request, responder, key)
+
+    async def _dispatch_keyed(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        key: KeyRecord,
+    ) -> None:
         if request.method == 'POST' and request.path in MODEL_PATHS:
             await self._complete(request, responder, key)
-        elif place == ('GET', '/v1/models'):
+        elif request.path.startswith(FILES_PATH):
+            await self._files.handle(request, responder, key.account)
+        elif request.path.startswith(BATCHES_PATH):
+            await self._batches.handle(request, responder, key.account)
+        elif (request.method, request.path) == ('GET', '/v1/models'):
             await self._list_models(responder)
-        elif request.path.startswith('/v1/files'):
-            await self._handle_files(request, responder, key.account)
-        elif request.path.startswith('/v1/batches'):
-            await self._handle_batches(request, responder, key.account)
         else:
             raise NotFound(detail=f'no route {shorten(request.path)}')
 
@@ -246,7 +257,7 @@
             headers=request.headers,
             body=await _read_keyless_body(request),
             request_id=f'req-{uuid.uuid4().hex}',
-            idempotency_key=_idempotency_key(request),
+            idempotency_key=read_idempotency_key(request),
             deadline=arrived_at + profile.deadline_s,
         )
         if key is not None:
@@ -254,100 +265,6 @@
         answer = await self._plain.run(call, profile)
         await responder.send(answer.status, answer.body, answer.headers)
 
-    async def _handle_files(
-        self,
-        request: HttpRequest,
-        responder: Responder,
-        account: str,
-    ) -> None:
-        parts = request.path.split('/')[3:]
-        place = (request.method, len(parts))
-        if place == ('POST', 0):
-            await self._admission.admit(account)
-            manifest = await self._files.upload(account, request)
-            await responder.send_json(HTTPStatus.OK, describe_file(manifest))
-        elif place == ('GET', 0):
-            manifests = await self._files.list_files(account)
-            shown = [describe_file(manifest) for manifest in manifests]
-            await responder.send_json(HTTPStatus.OK, _page(shown))
-        elif place == ('GET', 1):
-            manifest = await self._files.find(account, parts[0])
-            await responder.send_json(HTTPStatus.OK, describe_file(manifest))
-        elif place == ('DELETE', 1):
-            await self._files.delete(account, parts[0])
-            await responder.send_json(
-                HTTPStatus.OK,
-                {'id': parts[0], 'object': 'file', 'deleted': True},
-            )
-        elif place == ('GET', 2) and parts[1] == 'content':
-            await self._send_content(responder, account, parts[0])
-        else:
-            raise NotFound(detail=f'no route {shorten(request.path)}')
-
-    async def _send_content(
-        self,
-        responder: Responder,
-        account: str,
-        file_id: str,
-    ) -> None:
-        lines = self._iter_lines(account, file_id)
-        first = await anext(lines, b'')
-        await responder.start(
-            HTTPStatus.OK, [('content-type', 'application/jsonl')]
-        )
-        await responder.write(first)
-        async for line in lines:
-            await responder.write(line)
-        await responder.finish()
-
-    async def _iter_lines(self, account: str, file_id: str):
-        if file_id.startswith('batch_'):
-            async for line in self._batches.iter_output(account, file_id):
-                yield line
-            return
-        manifest = await self._files.find(account, file_id)
-        for chunk in range(manifest.chunks):
-            for text in await self._files.read_chunk(file_id, chunk):
-                yield text.encode() + b'\n'
-
-    async def _handle_batches(
-        self,
-        request: HttpRequest,
-        responder: Responder,
-        account: str,
-    ) -> None:
-        parts = request.path.split('/')[3:]
-        place = (request.method, len(parts))
-        if place == ('POST', 0):
-            raw = await request.read_json()
-            await self._admission.admit(account)
-            manifest = await self._batches.create(
-                account,
-                raw,
-                _idempotency_key(request),
-            )
-        elif place == ('GET', 0):
-            await self._list_batches(responder, account)
-            return
-        elif place == ('GET', 1):
-            manifest = await self._batches.find(account, parts[0])
-        elif place == ('POST', 2) and parts[1] == 'cancel':
-            manifest = await self._batches.cancel(account, parts[0])
-        else:
-            raise NotFound(detail=f'no route {shorten(request.path)}')
-        completed, failed = await self._batches.count(manifest)
-        await responder.send_json(
-            HTTPStatus.OK,
-            describe_batch(manifest, completed, failed),
-        )
-
-    async def _list_batches(self, responder: Responder, account: str) -> None:
-        shown = [
-            describe_batch(manifest, manifest.completed, manifest.failed)
-            for manifest in await self._batches.list_batches(account)
-        ]
-        await responder.send_json(HTTPStatus.OK, _page(shown))
-
     def _route(self, path: str) -> Route | None:
         if not path.startswith(ROUTE_URL_PREFIX):
             return None
@@ -368,22 +285,3 @@
     if holds_key(body.decode('utf-8', 'replace')):
         raise MalformedRequest(detail='the body holds a key')
     return body
-
-
-def _idempotency_key(request: HttpRequest) -> str:
-    key = request.headers.get('idempotency-key', '')
-    if len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
-        raise MalformedRequest(
-            detail=f'Idempotency-Key exceeds {MAX_IDEMPOTENCY_KEY_CHARS}',
-        )
-    return key
-
-
-def _page(shown: list) -> dict:
-    return {
-        'object': 'list',
-        'data': shown,
-        'has_more': False,
-        'first_id': shown[0]['id'] if shown else None,
-        'last_id': shown[-1]['id'] if shown else None,
-    }
--- a/packages/jacinthmount-node/jacinthmount_node/handlers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/handlers.py
@@ -2,12 +2,12 @@
 
 from functools import singledispatch
 
+from jacinthmount.errors import MalformedRecord
 from jacinthmount.records import Record
 
 from jacinthmount_node.admission import Admission
 from jacinthmount_node.config_sync import ConfigSync
 from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.membership import Membership
 from jacinthmount_node.messages import (
     Ack,
     Digest,
@@ -21,6 +21,7 @@
     Take,
     Withdraw,
 )
+from jacinthmount_node.share_task import ShareTask
 
 __all__ = ('PeerDesk', 'answer')
 
@@ -28,19 +29,19 @@
 class PeerDesk:
     """The parts of a node that answer other hosts."""
 
-    __slots__ = ('admission', 'membership', 'rooms', 'sync')
+    __slots__ = ('admission', 'rooms', 'shares', 'sync')
 
     def __init__(
         self,
         *,
         sync: ConfigSync,
-        membership: Membership,
+        shares: ShareTask,
         admission: Admission,
         rooms: EngineRooms,
     ) -> None:
         """Takes the parts."""
         self.sync = sync
-        self.membership = membership
+        self.shares = shares
         self.admission = admission
         self.rooms = rooms
 
@@ -51,13 +52,16 @@
 
 @singledispatch
 async def answer(message: Record, desk: PeerDesk) -> Record | None:
-    """Answers a message; unknown types get no answer."""
-    return None
+    """Answers a message.
+
+    :raises MalformedRecord: hosts don't ask with this type.
+    """
+    raise MalformedRecord(detail=type(message).__name__)
 
 
 @answer.register
 async def _answer_ping(message: Ping, desk: PeerDesk) -> Record | None:
-    return desk.membership.on_ping(message)
+    return desk.shares.on_ping(message)
 
 
 @answer.register
@@ -94,7 +98,7 @@
 
 @answer.register
 async def _answer_give(message: Give, desk: PeerDesk) -> Record | None:
-    await desk.membership.on_give(message.handover)
+    await desk.shares.on_give(message.handover)
     return Ack()
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_server.py
@@ -20,7 +20,13 @@
 
 from jacinthmount_node.logs import log_failure
 
-__all__ = ('HttpRequest', 'HttpServer', 'Responder', 'parse_object')
+__all__ = (
+    'HttpRequest',
+    'HttpServer',
+    'Responder',
+    'list_page',
+    'parse_object',
+)
 
 MAX_HEADER_BYTES = 32_768
 MAX_BODY_BYTES = 2 * 1024 * 1024
@@ -173,6 +179,17 @@
     return parsed
 
 
+def list_page(shown: list[dict[str, Any]]) -> dict[str, Any]:
+    """Shapes a whole listing for callers."""
+    return {
+        'object': 'list',
+        'data': shown,
+        'has_more': False,
+        'first_id': shown[0]['id'] if shown else None,
+        'last_id': shown[-1]['id'] if shown else None,
+    }
+
+
 def error_body(exc: JacinthmountError) -> dict[str, Any]:
     """Shapes an error for callers."""
     return {
@@ -286,7 +303,7 @@
             self.broken = True
             raise
 
-    async def next_body_event(self) -> h11.Event:
+    async def next_body_event(self) -> h11.Data | h11.EndOfMessage:
         if self._wire.their_state is h11.DONE:
             return h11.EndOfMessage()
         try:
@@ -329,6 +346,14 @@
     def _check_head(self, event: h11.Event) -> HttpRequest | None:
         if not isinstance(event, h11.Request):
             return None
+        size = len(event.target) + sum(
+            len(name) + len(text) for name, text in event.headers
+        )
+        if size > MAX_HEADER_BYTES:
+            # The parser limits only heads that are still incomplete.
+            raise HeadersTooLarge(
+                detail=f'headers exceed {MAX_HEADER_BYTES} bytes',
+            )
         names = [name for name, _ in event.headers]
         if b'content-length' in names and b'transfer-encoding' in names:
             raise AmbiguousFraming(
@@ -412,7 +437,7 @@
         if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await Responder(conn=self).send_error(exc)
 
-    async def _next_event(self) -> h11.Event:
+    async def _next_event(self) -> Any:
         while True:
             event = self._wire.next_event()
             if event is not h11.NEED_DATA:
--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -127,12 +127,13 @@
 
     def apply(self, changed: list[Stored]) -> None:
         """Brings the state in line with changed configuration objects."""
-        for one in changed:
-            if one.name.startswith(KEY_PREFIX):
-                self._apply_key(one)
-        if any(one.name.startswith(CONFIG_PREFIX) for one in changed):
+        for changed_key in changed:
+            if changed_key.name.startswith(KEY_PREFIX):
+                self._apply_key(changed_key)
+        names = [one.name for one in changed]
+        if any(name.startswith(CONFIG_PREFIX) for name in names):
             self._rebuild_catalogue()
-        if any(one.name.startswith(HOST_PREFIX) for one in changed):
+        if any(name.startswith(HOST_PREFIX) for name in names):
             self._rebuild_members()
         self.metrics.table_revision.set(self.table.revision)
 
--- a/packages/jacinthmount-node/jacinthmount_node/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/peers.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import curio
-from curio import ssl
+from curio import ssl as curio_ssl
 from jacinthmount.errors import MalformedRecord, PeerUnavailable
 from jacinthmount.members import HostRecord
 from jacinthmount.records import Record, make_unpacker, serialize_msgpack
@@ -34,8 +34,8 @@
     :param cert: path of the certificate of this host.
     :param key: path of its private key.
     """
-    server = ssl.SSLContext(std_ssl.PROTOCOL_TLS_SERVER)
-    client = ssl.SSLContext(std_ssl.PROTOCOL_TLS_CLIENT)
+    server = curio_ssl.SSLContext(std_ssl.PROTOCOL_TLS_SERVER)
+    client = curio_ssl.SSLContext(std_ssl.PROTOCOL_TLS_CLIENT)
     # Hosts are named by their certificate, addresses change.
     client.check_hostname = False
     for context in (server, client):
@@ -264,8 +264,7 @@
             raise ConnectionResetError(self._address)
         finally:
             await writer.cancel()
-            await stream.close()
-            await self._drop_waiting()
+            await self._drop(stream)
 
     async def _open(self) -> _Stream:
         raw = await curio.timeout_after(
@@ -284,7 +283,8 @@
             raise
         return _Stream(sock=sock, metrics=self._metrics)
 
-    async def _drop_waiting(self) -> None:
+    async def _drop(self, stream: _Stream) -> None:
+        await stream.close()
         # What was queued is stale, and its senders have been told.
         while not self._outgoing.empty():
             await self._outgoing.get()
--- a/packages/jacinthmount-standin/jacinthmount_standin/demo.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/demo.py
@@ -39,12 +39,7 @@
     shutil.rmtree(folder, ignore_errors=True)
     fleet = Fleet(folder=folder, data_centres=dict(DATA_CENTRES))
     try:
-        _start(fleet, folder)
-        key = _operate(fleet, folder)
-        port = fleet.hosts['east-h1'].front
-        _ask(port, key)
-        _run_batch(fleet, folder)
-        _show_histogram(fleet)
+        _show_all(fleet, folder)
     except BaseException:
         fleet.stop()
         raise
@@ -56,6 +51,14 @@
     _say(f'logs are in {folder}; next: README.md, docs/OPERATIONS.md')
 
 
+def _show_all(fleet: Fleet, folder: Path) -> None:
+    _start(fleet, folder)
+    key = _operate(fleet, folder)
+    _ask(fleet.hosts['east-h1'].front, key)
+    _run_batch(fleet, folder)
+    _show_histogram(fleet)
+
+
 def stop_demo(folder: Path) -> None:
     """Ends the processes of a fleet that was left running."""
     saved = json.loads((folder / 'fleet.json').read_text())
--- a/packages/jacinthmount-standin/jacinthmount_standin/engine.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/engine.py
@@ -113,6 +113,29 @@
             }
             await curio.sleep(REPORT_LAG_S)
 
+    async def enter(self) -> None:
+        """Waits for a slot."""
+        if self._running < self._slots:
+            self._running += 1
+            return
+        turn = curio.Event()
+        self._waiting.append(turn)
+        try:
+            await turn.wait()
+        except BaseException:
+            if turn.is_set():
+                await self.leave()
+            else:
+                self._waiting.remove(turn)
+            raise
+
+    async def leave(self) -> None:
+        """Gives a slot to the next request."""
+        if self._waiting:
+            await self._waiting.popleft().set()
+        else:
+            self._running -= 1
+
     def _load(self) -> dict[str, Any]:
         return {
             'running': self._report['running'],
@@ -237,29 +260,6 @@
             if name in request.headers:
                 self._seen_keys.append(f'{name}')
 
-    async def enter(self) -> None:
-        """Waits for a slot."""
-        if self._running < self._slots:
-            self._running += 1
-            return
-        turn = curio.Event()
-        self._waiting.append(turn)
-        try:
-            await turn.wait()
-        except BaseException:
-            if turn.is_set():
-                await self.leave()
-            else:
-                self._waiting.remove(turn)
-            raise
-
-    async def leave(self) -> None:
-        """Gives a slot to the next request."""
-        if self._waiting:
-            await self._waiting.popleft().set()
-        else:
-            self._running -= 1
-
 
 class _Slot:
     __slots__ = ('_engine',)
--- a/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
@@ -306,8 +306,8 @@
     """Finds free ports on loopback."""
     with contextlib.ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(('127.0.0.1', 0))
+        for opened in sockets:
+            opened.bind(('127.0.0.1', 0))
         return [sock.getsockname()[1] for sock in sockets]
 
 
@@ -335,16 +335,11 @@
     :param body: sent as JSON unless it is bytes.
     :returns: status and body of the answer.
     """
+    packed = body
+    if body is not None and not isinstance(body, bytes):
+        packed = json.dumps(body).encode()
     conn = HTTPConnection('127.0.0.1', port, timeout=timeout_s)
-    try:
-        packed = body if isinstance(body, bytes) else json.dumps(body).encode()
-        conn.request(
-            method,
-            path,
-            packed if body is not None else None,
-            headers or {},
-        )
+    with contextlib.closing(conn):
+        conn.request(method, path, packed, headers or {})
         answer = conn.getresponse()
         return answer.status, answer.read()
-    finally:
-        conn.close()
--- a/packages/jacinthmount/jacinthmount/buckets.py
+++ b/packages/jacinthmount/jacinthmount/buckets.py
@@ -198,8 +198,8 @@
             part.refill(now)
         over = [
             loan_id
-            for loan_id, part in self._lent.items()
-            if (part.until or 0) <= now
+            for loan_id, lent in self._lent.items()
+            if (lent.until or 0) <= now
         ]
         for loan_id in over:
             self._lent.pop(loan_id)
--- a/packages/jacinthmount/jacinthmount/declarations.py
+++ b/packages/jacinthmount/jacinthmount/declarations.py
@@ -189,7 +189,7 @@
                     'idempotent',
                     'bool',
                     'yes or no',
-                    'Whether a request may be repeated after an unknown outcome.',
+                    'Whether an unknown outcome may be tried again.',
                     default='yes',
                 ),
                 _option(
@@ -315,7 +315,8 @@
         """Indexes the records."""
         self._kinds: dict[type[Record], dict[str, Any]] = {}
         for record in records:
-            self._named(type(record))[record.name] = record  # type: ignore[attr-defined]
+            name = getattr(record, 'name', '')
+            self._named(type(record))[name] = record
         self._lanes: dict[tuple[str, str], list[Endpoint]] = {}
         for endpoint in self._named(Endpoint).values():
             place = (endpoint.service, endpoint.data_centre)
--- a/packages/jacinthmount/jacinthmount/records.py
+++ b/packages/jacinthmount/jacinthmount/records.py
@@ -1,7 +1,7 @@
 """Typed records and their JSON and msgpack codecs."""
 
 import json
-import types
+from types import NoneType, UnionType
 from typing import (
     Any,
     TypeVar,
@@ -213,7 +213,7 @@
 
 def _checked(hint: Any, raw: Any) -> Any:
     origin = get_origin(hint)
-    if origin is Union or origin is types.UnionType:
+    if origin is Union or origin is UnionType:
         return _checked_union(hint, raw)
     if origin is list:
         _require(isinstance(raw, list), hint)
@@ -229,9 +229,9 @@
 
 def _checked_union(hint: Any, raw: Any) -> Any:
     if raw is None:
-        _require(type(None) in get_args(hint), hint)
+        _require(NoneType in get_args(hint), hint)
         return None
-    options = [arg for arg in get_args(hint) if arg is not type(None)]
+    options = [arg for arg in get_args(hint) if arg is not NoneType]
     return _checked(options[0], raw)
 
 
@@ -254,4 +254,5 @@
 
 
 def _mismatch(record_type: type[Record], fields: dict[str, Any]) -> str:
-    return f'{record_type.__name__} takes {record_type.__slots__}, got {sorted(fields)}'
+    names = ', '.join(record_type.__slots__)
+    return f'{record_type.__name__} takes {names}; got {sorted(fields)}'
--- a/packages/jacinthmount/jacinthmount/stores.py
+++ b/packages/jacinthmount/jacinthmount/stores.py
@@ -108,19 +108,16 @@
     :raises StoreConflict: another writer's body is in place.
     :raises StoreUnavailable: still no answer; the write may take effect.
     """
-    unsure = False
     for attempt in range(WRITE_TRIES):
         try:
             return await store.write(name, body, expected)
-        except StoreUnavailable:
-            unsure = True
-            if attempt == WRITE_TRIES - 1:
-                raise
         except StoreConflict:
-            if not unsure:
+            if attempt == 0:
                 raise
             return await _settle(store, name, body)
-    raise StoreUnavailable(detail=name)
+        except StoreUnavailable as exc:
+            lost = exc
+    raise lost
 
 
 async def _settle(store: ObjectStore, name: str, body: str) -> int:
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,3 @@
+"""Specifications of the core protocols, for exhaustive exploration."""
+
+__all__ = ()
--- /dev/null
+++ b/spec/share_table.py
@@ -0,0 +1,277 @@
+"""Buckets that change hosts: never two hosts that may use one bucket.
+
+Two hosts of one data centre; the account belongs to the first while it is in
+the table and to the second otherwise. Any step may be left out, which stands
+for cut links and a paused host; answers are read late, handovers get lost.
+Keepers and hearing are the project's own code; time moves in steps of six
+seconds.
+"""
+
+from jacinthmount.members import PeerHearing, attesters_needed, rank_hosts
+from jacinthmount.shares import (
+    AccountLimit,
+    ShareKeeper,
+    ShareSlot,
+    ShareTable,
+)
+from minicheck import Protocol
+
+from spec.checking import freeze, thaw
+
+__all__ = ('Rules', 'build')
+
+STEP_S = 6.0
+LAST_STEP = 5
+MAX_VERSION = 3
+ACCOUNT = 'account-b'
+HOSTS = tuple(rank_hosts(ACCOUNT, ['a', 'b']))
+OWNER, OTHER = HOSTS
+
+
+class MintsAtOnce(ShareKeeper):
+    """Broken variant: a new owner does not wait for the old one."""
+
+    __slots__ = ()
+
+    def _settled(self, now: float) -> bool:
+        return True
+
+
+class Rules:
+    """What a broken variant leaves out."""
+
+    __slots__ = ('answers_count_when_read', 'keeper', 'newer_table_confirms')
+
+    def __init__(
+        self,
+        *,
+        keeper: type[ShareKeeper] = ShareKeeper,
+        answers_count_when_read: bool = False,
+        newer_table_confirms: bool = False,
+    ) -> None:
+        """Keeps every rule by default."""
+        self.keeper = keeper
+        self.answers_count_when_read = answers_count_when_read
+        self.newer_table_confirms = newer_table_confirms
+
+
+class _Host:
+    __slots__ = ('hearing', 'keeper')
+
+    def __init__(self, *, name: str, rules: Rules) -> None:
+        self.keeper = rules.keeper(host=name, incarnation='1')
+        self.hearing = PeerHearing(now=0.0)
+
+    def usable(self, name: str, now: float) -> bool:
+        """Tells whether the host would admit a request now."""
+        slots = self.keeper.slots()
+        if not self.hearing.confirmed(name, slots, now):
+            return False
+        return self.keeper.bucket(ACCOUNT, now) is not None
+
+
+class _State:
+    __slots__ = ('hosts', 'pong', 'step', 'table', 'version')
+
+    def __init__(self, fields: tuple) -> None:
+        self.step, self.version, self.table, frozen, self.pong = fields
+        self.hosts = dict(zip(HOSTS, thaw(frozen), strict=True))
+
+    @property
+    def now(self) -> float:
+        """Time in seconds."""
+        return self.step * STEP_S
+
+    def key(self) -> tuple:
+        """Makes the fields again."""
+        return (
+            self.step,
+            self.version,
+            self.table,
+            freeze([self.hosts[name] for name in HOSTS]),
+            self.pong,
+        )
+
+    def learn(self, name: str, *, keep: bool) -> None:
+        """Brings the newest table to a host; handovers go through or not."""
+        host = self.hosts[name]
+        confirmed = host.hearing.confirmed(name, host.keeper.slots(), self.now)
+        transfers = host.keeper.on_table(
+            _table(self.table),
+            self.version,
+            self.now,
+            confirmed=confirmed,
+        )
+        for transfer in transfers:
+            receiver = self.hosts[transfer.host]
+            may_take = receiver.hearing.confirmed(
+                transfer.host,
+                receiver.keeper.slots(),
+                self.now,
+            )
+            if keep and may_take:
+                receiver.keeper.on_handover(transfer.handover, self.now)
+
+
+def build(rules: Rules) -> Protocol:
+    """Builds the specification."""
+    hosts = [_Host(name=name, rules=rules) for name in HOSTS]
+    limits = {ACCOUNT: AccountLimit(rate_per_s=1.0, burst=4.0)}
+    for host in hosts:
+        host.keeper.apply_limits(limits, 0.0)
+        host.keeper.on_table(_table((OWNER, OTHER)), 1, 0.0, confirmed=False)
+    hosts[0].keeper.on_created(_table((OWNER, OTHER)), 1, 0.0)
+    for host, other in zip(hosts, reversed(HOSTS), strict=True):
+        host.hearing.on_answer(other, 0.0)
+        host.hearing.on_question(other, 0.0)
+        host.keeper.on_ack(other, 1, 0.0)
+    return Protocol(
+        name='share table',
+        candidate=False,
+        fields=('step', 'version', 'table', 'hosts', 'pong'),
+        initial=(0, 1, (OWNER, OTHER), freeze(hosts), None),
+        transitions=lambda fields: _transitions(fields, rules),
+        invariants={'one_user': _one_user},
+    )
+
+
+def _one_user(named: dict) -> bool:
+    state = _State(tuple(named.values()))
+    usable = [state.hosts[name].usable(name, state.now) for name in HOSTS]
+    return usable.count(True) <= 1
+
+
+def _transitions(fields: tuple, rules: Rules) -> list[tuple[str, tuple]]:
+    found = []
+    for step in _STEPS:
+        state = _State(fields)
+        if step(state, rules):
+            found.append((step.__name__.strip('_'), state.key()))
+    return found
+
+
+def _time_passes(state: _State, rules: Rules) -> bool:
+    state.step += 1
+    return state.step <= LAST_STEP
+
+
+def _owner_asks(state: _State, rules: Rules) -> bool:
+    # The answer waits in a socket until the owner reads it.
+    if state.pong is not None:
+        return False
+    owner = state.hosts[OWNER]
+    other = state.hosts[OTHER]
+    other.hearing.on_question(OWNER, state.now)
+    other.keeper.on_ack(OWNER, owner.keeper.version, state.now)
+    state.pong = (state.now, other.keeper.version)
+    return True
+
+
+def _owner_reads_answer(state: _State, rules: Rules) -> bool:
+    if state.pong is None:
+        return False
+    asked_at, version = state.pong
+    state.pong = None
+    owner = state.hosts[OWNER]
+    owner.keeper.on_ack(OTHER, version, state.now)
+    if version <= owner.keeper.version or rules.newer_table_confirms:
+        read_at = state.now if rules.answers_count_when_read else asked_at
+        owner.hearing.on_answer(OTHER, read_at)
+    return True
+
+
+def _other_asks(state: _State, rules: Rules) -> bool:
+    owner = state.hosts[OWNER]
+    other = state.hosts[OTHER]
+    owner.hearing.on_question(OTHER, state.now)
+    owner.keeper.on_ack(OTHER, other.keeper.version, state.now)
+    other.keeper.on_ack(OWNER, owner.keeper.version, state.now)
+    if owner.keeper.version <= other.keeper.version:
+        other.hearing.on_answer(OWNER, state.now)
+    return True
+
+
+def _other_removes_owner(state: _State, rules: Rules) -> bool:
+    other = state.hosts[OTHER]
+    missed = other.hearing.unheard([OWNER], state.now)
+    alone = attesters_needed(len(state.table)) == 1
+    if not (missed and alone) or state.version >= MAX_VERSION:
+        return False
+    if OWNER not in state.table:
+        return False
+    state.version += 1
+    state.table = (OTHER,)
+    state.learn(OTHER, keep=False)
+    return True
+
+
+def _owner_joins(state: _State, rules: Rules) -> bool:
+    owner = state.hosts[OWNER]
+    listed = owner.keeper.listed()
+    if listed or state.version >= MAX_VERSION:
+        return False
+    if OWNER in state.table:
+        return False
+    state.version += 1
+    state.table = (OWNER, OTHER)
+    state.learn(OWNER, keep=True)
+    return True
+
+
+def _owner_learns(state: _State, rules: Rules) -> bool:
+    if state.hosts[OWNER].keeper.version == state.version:
+        return False
+    state.learn(OWNER, keep=True)
+    return True
+
+
+def _owner_learns_handover_lost(state: _State, rules: Rules) -> bool:
+    if state.hosts[OWNER].keeper.version == state.version:
+        return False
+    state.learn(OWNER, keep=False)
+    return True
+
+
+def _other_learns(state: _State, rules: Rules) -> bool:
+    if state.hosts[OTHER].keeper.version == state.version:
+        return False
+    state.learn(OTHER, keep=True)
+    return True
+
+
+def _other_learns_handover_lost(state: _State, rules: Rules) -> bool:
+    if state.hosts[OTHER].keeper.version == state.version:
+        return False
+    state.learn(OTHER, keep=False)
+    return True
+
+
+def _platform_confirms(state: _State, rules: Rules) -> bool:
+    # The other host reads the platform, which is out of the owner's reach.
+    if OTHER not in state.table:
+        return False
+    state.hosts[OTHER].hearing.on_platform(state.now)
+    return True
+
+
+_STEPS = (
+    _time_passes,
+    _owner_asks,
+    _owner_reads_answer,
+    _other_asks,
+    _other_removes_owner,
+    _owner_joins,
+    _owner_learns,
+    _owner_learns_handover_lost,
+    _other_learns,
+    _other_learns_handover_lost,
+    _platform_confirms,
+)
+
+
+def _table(hosts: tuple[str, ...]) -> ShareTable:
+    return ShareTable(
+        data_centre='dc',
+        slots=[ShareSlot(host=host, incarnation='1') for host in hosts],
+        write_id='',
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests; one module for each module or promise."""
+
+__all__ = ()
--- /dev/null
+++ b/tests/site.py
@@ -0,0 +1,319 @@
+"""A running fleet with callers, for tests of whole processes."""
+
+import json
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from http.client import HTTPException
+from pathlib import Path
+from typing import Any
+
+import curio
+from jacinthmount.errors import StoreUnavailable
+from jacinthmount_ctl import porcelain
+from jacinthmount_ctl.caller import Caller
+from jacinthmount_node.http_client import ClientPool
+from jacinthmount_node.object_api import HttpStore
+from jacinthmount_standin.declare import Declared, write_declarations
+from jacinthmount_standin.fleet import ADMIN_TOKEN, Fleet, call_http
+
+__all__ = ('Answer', 'Load', 'Site', 'eventually', 'make_lines')
+
+POLL_S = 0.05
+MODEL = 'provenance-llm'
+
+
+class Answer:
+    """Status and body of an answer, and when it was asked and read."""
+
+    __slots__ = ('asked_at', 'body', 'read_at', 'status')
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        body: bytes,
+        asked_at: float,
+        read_at: float,
+    ) -> None:
+        """Keeps the answer; status 0 stands for a lost connection."""
+        self.status = status
+        self.body = body
+        self.asked_at = asked_at
+        self.read_at = read_at
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """The error that the body holds."""
+        return json.loads(self.body)['error']
+
+
+class Site:
+    """A fleet of stand-ins and nodes with declared accounts."""
+
+    __slots__ = ('declared', 'fleet', 'folder')
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        data_centres: dict[str, int],
+        engines: dict[str, str],
+        accounts: dict[str, tuple[float, float]],
+        slots: int = 8,
+        token_s: float = 0.005,
+    ) -> None:
+        """Starts everything and applies the declarations.
+
+        :param engines: data centre by engine.
+        :param accounts: rate and burst by account.
+        """
+        self.folder = folder
+        self.fleet = Fleet(folder=folder, data_centres=data_centres)
+        try:
+            self._start(engines, accounts, slots, token_s)
+        except BaseException:
+            self.fleet.stop()
+            raise
+
+    @property
+    def hosts(self) -> list[str]:
+        """Names of the hosts."""
+        return list(self.fleet.hosts)
+
+    def store(self) -> HttpStore:
+        """Opens the object API."""
+        address = f'127.0.0.1:{self.fleet.platform_port}'
+        return HttpStore(addresses=[address], pool=ClientPool())
+
+    def apply(self) -> int:
+        """Applies the declarations and returns the version written."""
+        folder = self.folder / 'declarations'
+        write_declarations(folder, self.declared)
+        records = porcelain.read_declarations(str(folder))
+        plan = curio.run(porcelain.plan_changes, self.store(), records)
+        return curio.run(porcelain.apply_changes, self.store(), plan)
+
+    def grant(self, account: str) -> tuple[str, str]:
+        """Grants a key and waits until every host knows it."""
+        key_id, key = curio.run(porcelain.grant_key, self.store(), account)
+        for host in self.hosts:
+            eventually(lambda: self.get(host, '/v1/models', key).status == 200)
+        return key_id, key
+
+    def withdraw(self, key_id: str, *hosts: str) -> None:
+        """Withdraws a key; the hosts named are told directly."""
+        addresses = [
+            f'127.0.0.1:{self.fleet.hosts[host].admin}' for host in hosts
+        ]
+        try:
+            curio.run(
+                porcelain.withdraw_key,
+                self.store(),
+                key_id,
+                addresses,
+                ADMIN_TOKEN,
+            )
+        except StoreUnavailable:
+            assert addresses
+
+    def call(
+        self,
+        host: str,
+        method: str,
+        path: str,
+        body: Any,
+        key: str,
+        **headers: str,
+    ) -> Answer:
+        """Sends one request to a host; a lost connection gives status 0."""
+        sent = {name.replace('_', '-'): text for name, text in headers.items()}
+        if key:
+            sent['authorization'] = f'Bearer {key}'
+        asked_at = time.monotonic()
+        try:
+            status, answer = call_http(
+                self.fleet.hosts[host].front,
+                method,
+                path,
+                body,
+                sent,
+            )
+        except (OSError, HTTPException):
+            status, answer = 0, b''
+        return Answer(
+            status=status,
+            body=answer,
+            asked_at=asked_at,
+            read_at=time.monotonic(),
+        )
+
+    def get(self, host: str, path: str, key: str) -> Answer:
+        """Reads a path of a host."""
+        return self.call(host, 'GET', path, None, key)
+
+    def chat(
+        self,
+        host: str,
+        key: str,
+        prompt: str,
+        **fields: Any,
+    ) -> Answer:
+        """Asks a model."""
+        body = {
+            'model': MODEL,
+            'max_tokens': 8,
+            'messages': [{'role': 'user', 'content': prompt}],
+            **fields,
+        }
+        return self.call(host, 'POST', '/v1/chat/completions', body, key)
+
+    def caller(self, host: str, key: str) -> Caller:
+        """Makes a caller for batches."""
+        return Caller(
+            front=f'127.0.0.1:{self.fleet.hosts[host].front}',
+            key=key,
+        )
+
+    def wait_batch(
+        self,
+        host: str,
+        key: str,
+        batch_id: str,
+        timeout_s: float = 60,
+    ) -> dict[str, Any]:
+        """Waits until a batch has ended."""
+
+        def ended() -> bool:
+            answer = self.get(host, f'/v1/batches/{batch_id}', key)
+            return answer.status == 200 and (
+                json.loads(answer.body)['status'] != 'in_progress'
+            )
+
+        eventually(ended, timeout_s)
+        return json.loads(self.get(host, f'/v1/batches/{batch_id}', key).body)
+
+    def results(self, host: str, key: str, batch_id: str) -> list[dict]:
+        """Reads all results of a batch through a host."""
+        caller = self.caller(host, key)
+        packed = b''.join(caller.iter_results(batch_id))
+        return [json.loads(line) for line in packed.splitlines()]
+
+    def stats(self, port: int) -> dict[str, Any]:
+        """Reads what a stand-in counted."""
+        return json.loads(call_http(port, 'GET', '/stats')[1])
+
+    def engine_runs(self, *engines: str) -> Counter[str]:
+        """Counts the requests that engines got, by request id."""
+        counted: Counter[str] = Counter()
+        for engine in engines:
+            counted.update(
+                self.stats(self.fleet.engine_port(engine))['counts'],
+            )
+        return counted
+
+    def _start(
+        self,
+        engines: dict[str, str],
+        accounts: dict[str, tuple[float, float]],
+        slots: int,
+        token_s: float,
+    ) -> None:
+        fleet = self.fleet
+        fleet.start_platform()
+        fleet.start_plain()
+        data_centres = {ports.data_centre for ports in fleet.hosts.values()}
+        share = 1 / len(data_centres)
+        self.declared = Declared(
+            shares={name: share for name in sorted(data_centres)},
+            engines={
+                name: (
+                    data_centre,
+                    fleet.start_engine(name, slots=slots, token_s=token_s),
+                    slots,
+                )
+                for name, data_centre in engines.items()
+            },
+            plain_port=fleet.plain_port,
+            accounts=accounts,
+        )
+        fleet.start_hosts()
+        version = self.apply()
+        for host in self.hosts:
+            eventually(
+                lambda: self.fleet.status(host)['revision'] >= version,
+            )
+            eventually(lambda: self.fleet.status(host)['shares_confirmed'])
+
+
+class Load:
+    """Calls from several threads until stopped."""
+
+    __slots__ = ('_call', '_stop', '_threads', 'answers')
+
+    def __init__(
+        self,
+        *,
+        call: Callable[[int], Answer],
+        threads: int,
+    ) -> None:
+        """Starts the threads.
+
+        :param call: gets the number of the thread.
+        """
+        self.answers: list[Answer] = []
+        self._call = call
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,))
+            for number in range(threads)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> list[Answer]:
+        """Ends the load and returns every answer."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        return self.answers
+
+    def _run(self, number: int) -> None:
+        while not self._stop.is_set():
+            self.answers.append(self._call(number))
+
+
+def eventually(
+    holds: Callable[[], bool],
+    timeout_s: float = 30,
+) -> float:
+    """Waits for a condition.
+
+    :returns: seconds until it held.
+    :raises AssertionError: it did not hold in time.
+    """
+    started = time.monotonic()
+    while not holds():
+        assert time.monotonic() - started < timeout_s, 'not in time'
+        time.sleep(POLL_S)
+    return time.monotonic() - started
+
+
+def make_lines(count: int, **fields: Any) -> bytes:
+    """Builds a batch file for the model."""
+    return b''.join(
+        json.dumps({
+            'custom_id': f'item-{number}',
+            'method': 'POST',
+            'url': '/v1/chat/completions',
+            'body': {
+                'model': MODEL,
+                'max_tokens': 8,
+                'messages': [{'role': 'user', 'content': f'bale {number}'}],
+                **fields,
+            },
+        }).encode()
+        + b'\n'
+        for number in range(count)
+    )
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,157 @@
+"""Tests of declarations, settings, keys and errors."""
+
+import re
+from pathlib import Path
+
+import pytest
+from jacinthmount import errors
+from jacinthmount.declarations import SCHEMAS, parse_declarations
+from jacinthmount.errors import InvalidDeclarations, KeyMissing, KeyUnknown
+from jacinthmount.keys import Keyring, holds_key, parse_bearer
+from jacinthmount.records import replaced
+from jacinthmount.settings import NODE_SCHEMA, parse_settings
+from jacinthmount_ctl.changes import check_shares, compare
+from jacinthmount_ctl.porcelain import read_declarations
+
+from tests.utils import DECLARATIONS, make_key_record
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_declarations_parse():
+    """A valid directory gives one record a section."""
+    records = parse_declarations({'all.ini': DECLARATIONS})
+    assert len(records) == 5
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'expected'),
+    [
+        ('share = 0.5', 'share = 1.5', 'above 1 fraction'),
+        ('share = 0.5', 'shares = 0.5', 'unknown option'),
+        ('rate_per_s = 5', 'rate_per_s = fast', 'not a number'),
+        ('rate_per_s = 5', 'rate_per_s = nan', 'below'),
+        ('profile = online', 'profile = offline', "no profile 'offline'"),
+        ('address = 127.0.0.1:1000', 'address = here', 'is not IP:port'),
+        ('[account gin]', '[acount gin]', 'unknown kind'),
+        ('[account gin]', '[account Gin!]', 'use 1 to 63'),
+        ('region = test', 'region =', 'must not be empty'),
+    ],
+)
+def test_problem_names_file_section_and_option(old, new, expected):
+    """Every problem says where it is and what is allowed."""
+    with pytest.raises(InvalidDeclarations) as caught:
+        parse_declarations({'all.ini': DECLARATIONS.replace(old, new)})
+    assert any(expected in problem for problem in caught.value.problems)
+
+
+def test_shares_above_one_are_refused():
+    """Parts of the limits must not sum to more than the whole."""
+    more = '[data_centre west]\nregion = test\nshare = 0.6\n'
+    with pytest.raises(InvalidDeclarations):
+        parse_declarations({'all.ini': DECLARATIONS + more})
+
+
+@pytest.mark.parametrize('name', ['baleward', 'ansah'])
+def test_examples_are_valid(name):
+    """The examples that we ship can be applied."""
+    assert read_declarations(str(ROOT / 'examples' / name))
+
+
+def test_unchanged_declarations_need_no_write(stored_declarations):
+    """What is in force already is not written again."""
+    records = parse_declarations({'all.ini': DECLARATIONS})
+    assert not compare(records, stored_declarations)
+
+
+def test_share_is_lowered_before_another_is_raised(stored_declarations):
+    """Old and new parts are in force side by side for a while."""
+    moved = DECLARATIONS.replace('share = 0.5', 'share = 0.4')
+    more = '[data_centre west]\nregion = test\nshare = 0.6\n'
+    records = parse_declarations({'all.ini': moved + more})
+    assert check_shares(records, stored_declarations)
+
+
+def test_settings_problems_are_listed():
+    """Settings are checked in the same manner."""
+    with pytest.raises(InvalidDeclarations) as caught:
+        parse_settings('[node]\nhost = a\ncolour = red\n[extra]\n', 'x.ini')
+    shown = '\n'.join(caught.value.problems)
+    assert 'colour: unknown option' in shown
+    assert '[extra]: unknown section' in shown
+    assert 'data_centre: required' in shown
+
+
+def test_key_is_checked_and_withdrawn_for_good():
+    """A withdrawn key id never comes back."""
+    record, key = make_key_record('gin')
+    keyring = Keyring()
+    keyring.put(record)
+    assert keyring.check(key).account == 'gin'
+    keyring.withdraw(record.key_id)
+    keyring.put(record)
+    with pytest.raises(KeyUnknown):
+        keyring.check(key)
+    with pytest.raises(KeyUnknown):
+        keyring.recheck(record.key_id)
+
+
+def test_withdrawn_record_withdraws():
+    """A record marked as withdrawn works like the list of ids."""
+    record, key = make_key_record('gin')
+    keyring = Keyring()
+    keyring.put(record)
+    keyring.put(replaced(record, withdrawn=True))
+    with pytest.raises(KeyUnknown):
+        keyring.check(key)
+
+
+@pytest.mark.parametrize('damage', ['x', '-extra', ''])
+def test_damaged_key_is_unknown(damage):
+    """Only the whole key fits."""
+    record, key = make_key_record('gin')
+    keyring = Keyring()
+    keyring.put(record)
+    with pytest.raises(KeyUnknown):
+        keyring.check(f'{key[:-1]}{damage}')
+
+
+def test_key_is_found_in_any_text():
+    """A key inside other text is seen."""
+    _, key = make_key_record('gin')
+    assert holds_key(f'a{key}b')
+    assert not holds_key('jm-abc-def')
+
+
+@pytest.mark.parametrize('header', ['', 'Basic abc', 'Bearer', 'Bearer  '])
+def test_header_without_key(header):
+    """Anything but a bearer key is refused."""
+    with pytest.raises(KeyMissing):
+        parse_bearer(header)
+
+
+def test_error_table_is_complete():
+    """docs/ERRORS.md lists each code once, with status and run state."""
+    text = (ROOT / 'docs' / 'ERRORS.md').read_text()
+    rows = re.findall(r'^\| (\d+) \| (\w+) \| (\d+) \| (\w+) \|', text, re.M)
+    classes = [
+        one
+        for one in vars(errors).values()
+        if isinstance(one, type) and issubclass(one, Exception)
+    ]
+    expected = sorted(
+        (str(one.code), one.__name__, str(one.http_status), one.run_state)
+        for one in classes
+    )
+    assert sorted(rows) == expected
+    assert len({one.code for one in classes}) == len(classes)
+
+
+def test_every_option_is_documented():
+    """docs/CONFIGURATION.md names each option of both schemas."""
+    text = (ROOT / 'docs' / 'CONFIGURATION.md').read_text()
+    schemas = [schema for _, schema in SCHEMAS.values()]
+    schemas.extend(NODE_SCHEMA.values())
+    for schema in schemas:
+        for option in schema:
+            assert f'| `{option.name}` | {option.unit} |' in text
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,259 @@
+"""Tests of fairness, permits, dispatch, retries, suspects and orders."""
+
+import itertools
+import random
+
+import pytest
+from jacinthmount.dispatch import Attempt, Next, Stage, decide
+from jacinthmount.fairness import FairQueue
+from jacinthmount.idempotency import (
+    CALL_ANSWERED,
+    CALL_NOT_RUN,
+    CALL_STARTED,
+    CallRecord,
+    CallVerdict,
+    judge,
+)
+from jacinthmount.orders import (
+    ORDER_LEASE_S,
+    ORDER_MAX_S,
+    ORDER_STOP_S,
+    may_order,
+    next_lease,
+    ready_after_s,
+)
+from jacinthmount.permits import SETTLE_S, EngineRoom
+from jacinthmount.ports import EngineLoad
+from jacinthmount.retries import RetryBudget
+from jacinthmount.routing import Router
+from jacinthmount.suspects import SuspectBook
+
+from tests.utils import make_endpoint
+
+
+def test_fair_queue_shares_tokens_by_weight():
+    """An account with ten times the entries gets no more than its weight."""
+    queue = FairQueue()
+    for number in range(1000):
+        queue.push('large', 1, 100, ('large', number))
+    for number in range(100):
+        queue.push('small', 1, 100, ('small', number))
+    served = [queue.pop()[0] for _ in range(200)]
+    assert 90 <= served.count('small') <= 110
+
+
+def test_fair_queue_counts_tokens_not_entries():
+    """Few very long requests get the same tokens as many short ones."""
+    queue = FairQueue()
+    for number in range(50):
+        queue.push('long', 1, 2000, ('long', number))
+    for number in range(1000):
+        queue.push('short', 1, 100, ('short', number))
+    served = [queue.pop()[0] for _ in range(210)]
+    assert 8 <= served.count('long') <= 12
+
+
+def test_fair_queue_removes_a_waiting_entry():
+    """A caller that went away leaves the queue."""
+    queue = FairQueue()
+    entry = object()
+    queue.push('a', 1, 1, entry)
+    assert queue.remove('a', entry)
+    assert not queue.remove('a', entry)
+    assert queue.pop() is None
+
+
+def test_room_yields_to_online_and_keeps_one_slot():
+    """Batch fills what online leaves, less one slot for its next request."""
+    room = EngineRoom(slots=8, batch_share=1, now=0)
+    assert room.room(SETTLE_S) == 8
+    room.on_report('a', 2, SETTLE_S)
+    room.on_report('b', 1, SETTLE_S)
+    assert room.room(SETTLE_S) == 4
+    assert room.elsewhere('a', SETTLE_S) == 1
+
+
+def test_room_opens_only_after_reports_can_have_come():
+    """A host that takes an engine over hears all hosts first."""
+    assert not EngineRoom(slots=8, batch_share=1, now=10).room(10.1)
+
+
+@pytest.mark.parametrize(
+    ('stage', 'idempotent', 'relayed', 'expected'),
+    [
+        (Stage.QUEUED, False, False, Next.NOT_RUN),
+        (Stage.CONNECTING, False, False, Next.NOT_RUN),
+        (Stage.SENT, False, False, Next.UNKNOWN),
+        (Stage.ANSWERING, False, False, Next.UNKNOWN),
+        (Stage.SENT, True, False, Next.FAILED),
+        (Stage.ANSWERING, True, True, Next.FAILED),
+    ],
+)
+def test_failed_attempt_without_retries(stage, idempotent, relayed, expected):
+    """Not run is said only before the first byte could have left."""
+    assert (
+        decide(
+            Attempt(
+                stage=stage,
+                idempotent=idempotent,
+                relayed=relayed,
+                resumable=True,
+                may_retry=False,
+                time_left=True,
+            )
+        )
+        is expected
+    )
+
+
+def test_sent_call_is_never_retried_unless_idempotent():
+    """No combination of the other facts allows it."""
+    for stage, relayed, resumable, may_retry, time_left in itertools.product(
+        (Stage.SENT, Stage.ANSWERING),
+        *([(False, True)] * 4),
+    ):
+        outcome = decide(
+            Attempt(
+                stage=stage,
+                idempotent=False,
+                relayed=relayed,
+                resumable=resumable,
+                may_retry=may_retry,
+                time_left=time_left,
+            )
+        )
+        assert outcome is Next.UNKNOWN
+
+
+def test_retry_budget_bounds_retries():
+    """With every request failing, retries stay a part of requests."""
+    budget = RetryBudget(reserve=5)
+    retries = 0
+    for _ in range(1000):
+        budget.on_request()
+        retries += budget.spend()
+    assert retries <= 205
+
+
+def test_poison_item_fails_and_innocent_ones_do_not():
+    """Only the item that kills endpoints alone is blamed."""
+    book = SuspectBook()
+    endpoints = ['e1', 'e2']
+    for item in ('poison', 'good-1', 'good-2'):
+        book.on_start(item, 'e1')
+    assert not book.on_death('e1')
+    assert book.may_start('poison', 'e1', endpoints)
+    book.on_start('poison', 'e1')
+    assert not book.may_start('good-1', 'e1', endpoints)
+    book.on_start('fresh', 'e1')
+    assert not book.on_death('e1')
+    assert not book.may_start('poison', 'e1', endpoints)
+    book.on_start('poison', 'e2')
+    assert book.on_death('e2') == ['poison']
+    assert not book.on_death('e2')
+
+
+def test_single_endpoint_still_tries_a_suspect_again():
+    """Without another endpoint, a charged suspect is not stuck."""
+    book = SuspectBook()
+    book.on_start('item', 'e1')
+    book.on_death('e1')
+    book.on_start('item', 'e1')
+    assert not book.on_death('e1')
+    assert book.may_start('item', 'e1', ['e1'])
+
+
+def make_call(state):
+    """Builds a call record."""
+    return CallRecord(
+        request_hash='hash',
+        state=state,
+        status=200,
+        content_type='',
+        body='',
+        holder='',
+        write_id='',
+    )
+
+
+@pytest.mark.parametrize(
+    ('found', 'expected'),
+    [
+        (None, CallVerdict.RUN),
+        (make_call(CALL_STARTED), CallVerdict.UNKNOWN),
+        (make_call(CALL_ANSWERED), CallVerdict.REPLAY),
+        (make_call(CALL_NOT_RUN), CallVerdict.RUN),
+    ],
+)
+def test_keyed_call_verdicts(found, expected):
+    """Only a call that surely did not run may run."""
+    assert judge(found, 'hash') is expected
+
+
+def test_same_key_with_another_body_is_a_mismatch():
+    """The key names one request."""
+    found = make_call(CALL_NOT_RUN)
+    assert judge(found, 'other') is CallVerdict.MISMATCH
+
+
+def test_order_lease_of_a_new_holder_has_a_higher_number():
+    """Renewals keep the fencing number, new starts raise it."""
+    first = next_lease(None, 'a', '1', '')
+    assert next_lease(first, 'a', '1', '').fencing == first.fencing
+    assert next_lease(first, 'a', '2', '').fencing > first.fencing
+    assert next_lease(first, 'b', '1', '').fencing > first.fencing
+
+
+def test_orders_of_two_holders_never_overlap():
+    """The old holder's last order has ended before the new one's first."""
+    assert not may_order(0, ORDER_STOP_S)
+    last_order_ends = ORDER_STOP_S + ORDER_MAX_S
+    assert last_order_ends <= ORDER_LEASE_S
+    assert ready_after_s(fenced=False, first=False) >= last_order_ends
+    assert not ready_after_s(fenced=True, first=False)
+
+
+@pytest.fixture
+def router():
+    """Three endpoints with four slots each."""
+    made = Router(rng=random.Random(7))
+    made.set_endpoints([make_endpoint(f'e{number}') for number in range(3)])
+    return made
+
+
+def test_prefix_sticks_while_load_is_even(router):
+    """The same prefix goes to the same endpoint."""
+    chosen = {router.choose('prefix', set(), 0).endpoint.name for _ in range(9)}
+    assert len(chosen) == 1
+
+
+def test_prefix_yields_to_load(router):
+    """A full endpoint does not attract its prefix."""
+    first = router.choose('prefix', set(), 0)
+    first.online = first.endpoint.slots
+    assert router.choose('prefix', set(), 0) is not first
+
+
+def test_leaving_endpoint_gets_nothing(router):
+    """An endpoint that leaves is not chosen, also not as the last one."""
+    router.set_endpoints([make_endpoint('e0', leaving=True)])
+    assert router.choose('prefix', set(), 0) is None
+
+
+def test_failing_endpoint_is_avoided_and_comes_back(router):
+    """Failures keep work away for a growing, bounded time."""
+    for state in router.states()[1:]:
+        state.on_failure(0)
+    chosen = {router.choose(str(n), set(), 0).endpoint.name for n in range(20)}
+    assert len(chosen) == 1
+    chosen = {router.choose(str(n), set(), 1).endpoint.name for n in range(50)}
+    assert len(chosen) == 3
+
+
+def test_old_report_is_not_trusted(router):
+    """A lagging report counts only while it is fresh."""
+    state = router.states()[0]
+    state.reported = EngineLoad(running=4, waiting=4, slots=4, age_s=1)
+    state.reported_at = 0
+    assert state.load(1) == 2
+    assert not state.load(10)
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,109 @@
+"""Tests of records and their codecs."""
+
+import json
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from jacinthmount.errors import MalformedRecord
+from jacinthmount.records import (
+    parse_json,
+    parse_msgpack,
+    replaced,
+    serialize_json,
+    serialize_msgpack,
+)
+from jacinthmount_node.messages import Envelope, Ping, Push, Take
+
+from tests.utils import make_batch, make_endpoint, make_table
+
+
+@pytest.mark.parametrize(
+    'record',
+    [make_batch('batch_1'), make_endpoint('e'), make_table('a')],
+)
+def test_json_round_trip(record):
+    """A record survives its JSON form."""
+    assert parse_json(type(record), serialize_json(record)) == record
+
+
+def test_msgpack_round_trip():
+    """A nested record survives its msgpack form."""
+    envelope = Envelope(
+        number=1,
+        reply=False,
+        body=Take(account='gin', tokens=1),
+    )
+    assert parse_msgpack(serialize_msgpack(envelope)) == envelope
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'slots': '4'},
+        {'slots': True},
+        {'leaving': 1},
+        {'name': None},
+        {'unknown': 1},
+    ],
+)
+def test_wrong_field_is_refused(change):
+    """A field of another type, or an unknown one, is an error."""
+    raw = {
+        'name': 'e',
+        'service': 's',
+        'data_centre': 'd',
+        'address': 'a',
+        'slots': 4,
+        'fenced': False,
+        'leaving': False,
+        'write_id': '',
+    }
+    text = json.dumps({**raw, **change})
+    with pytest.raises(MalformedRecord):
+        parse_json(type(make_endpoint('e')), text)
+
+
+def test_missing_field_is_refused():
+    """A constructor takes every field."""
+    with pytest.raises(TypeError):
+        Take(account='gin')  # type: ignore[call-arg]
+
+
+def test_replaced_keeps_the_original():
+    """A changed copy leaves its original alone."""
+    record = make_endpoint('e')
+    assert replaced(record, slots=9).slots == 9
+    assert record.slots == 4
+
+
+@seed(20261204)
+@settings(max_examples=300, deadline=None)
+@given(st.binary(max_size=200))
+def test_any_bytes_are_refused_with_a_code(packed):
+    """Bad bytes from a peer give a coded error and nothing else."""
+    with pytest.raises(MalformedRecord):
+        parse_msgpack(packed)
+
+
+@seed(20261204)
+@settings(max_examples=300, deadline=None)
+@given(st.data())
+def test_damaged_message_is_refused_or_well_typed(data):
+    """A flipped byte gives an error or another well-typed message."""
+    packed = bytearray(
+        serialize_msgpack(
+            Envelope(
+                number=7,
+                reply=False,
+                body=Ping(host='east-h1', share_version=3, revision=12),
+            )
+        )
+    )
+    place = data.draw(st.integers(0, len(packed) - 1))
+    packed[place] = data.draw(st.integers(0, 255))
+    try:
+        parsed = parse_msgpack(bytes(packed))
+    except MalformedRecord:
+        return
+    assert isinstance(parsed, (Envelope, Ping, Push))
--- /dev/null
+++ b/tests/test_results.py
@@ -0,0 +1,137 @@
+"""Tests of the result log, claims, batch order and files."""
+
+import json
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from jacinthmount.batches import derive_batch_id, order_batches
+from jacinthmount.claims import LEASE_S, BeatWatch, may_claim, next_claim
+from jacinthmount.errors import BatchFileInvalid
+from jacinthmount.files import MAX_CHUNK_LINES, MAX_LINE_BYTES, ChunkBuilder
+from jacinthmount.records import replaced
+from jacinthmount.results import STARTED, ChunkResults
+
+from tests.utils import make_batch, make_segment
+
+
+def make_line(custom_id):
+    """Builds one line of a batch file."""
+    return json.dumps({
+        'custom_id': custom_id,
+        'method': 'POST',
+        'url': '/v1/chat/completions',
+        'body': {'model': 'model-a'},
+    }).encode()
+
+
+def test_first_terminal_record_wins():
+    """A result that was readable once never changes."""
+    results = ChunkResults(lines=2)
+    results.fold(make_segment('a', 0))
+    results.fold(make_segment('b', 0, 1))
+    assert [record.body for record in results.records()] == ['a', 'b']
+    assert results.complete()
+
+
+def test_started_item_is_pending_with_its_holder():
+    """A start without a result shows who started it."""
+    results = ChunkResults(lines=1)
+    results.fold(make_segment('a', 0, state=STARTED))
+    assert results.pending() == [0]
+    assert results.started_by(0) == 'a'
+
+
+def test_record_of_an_unknown_line_is_ignored():
+    """A bad line number can't complete a chunk."""
+    results = ChunkResults(lines=1)
+    results.fold(make_segment('a', 5, -1))
+    assert not results.complete()
+
+
+def test_claim_waits_for_the_lease():
+    """Another holder's claim is free once its beat stood still."""
+    beats = BeatWatch()
+    beats.on_beat('a', 1, 0)
+    assert not beats.expired('a', LEASE_S - 1)
+    beats.on_beat('a', 2, LEASE_S - 1)
+    assert not beats.expired('a', LEASE_S)
+    assert beats.expired('a', 2 * LEASE_S)
+    claim = next_claim(None, 'a', '1', '')
+    assert not may_claim(claim, 'b', '1', expired=False)
+    assert may_claim(claim, 'b', '1', expired=True)
+    assert may_claim(claim, 'a', '2', expired=False)
+    done = replaced(claim, done=True)
+    assert not may_claim(done, 'b', '1', expired=True)
+    assert next_claim(claim, 'b', '1', '').epoch == claim.epoch + 1
+
+
+def test_urgent_batches_come_by_slack():
+    """Near their deadline, the least slack goes first."""
+    batches = [
+        make_batch('late', deadline_s=10_000),
+        make_batch('soon', deadline_s=500, account='busy'),
+        make_batch('sooner', deadline_s=400, account='busy'),
+    ]
+    ordered = order_batches(batches, {'busy': 100}, 0)
+    assert [batch.batch_id for batch in ordered] == ['sooner', 'soon', 'late']
+
+
+def test_other_batches_are_fair_over_accounts():
+    """With time left, the account that was served least goes first."""
+    batches = [
+        make_batch('one', account='busy', deadline_s=9_000),
+        make_batch('two', account='idle', deadline_s=10_000),
+    ]
+    ordered = order_batches(batches, {'busy': 5}, 0)
+    assert ordered[0].batch_id == 'two'
+
+
+def test_resent_batch_has_the_same_id_per_account():
+    """The id follows from account and idempotency key."""
+    assert derive_batch_id('a', 'k') == derive_batch_id('a', 'k')
+    assert derive_batch_id('a', 'k') != derive_batch_id('b', 'k')
+
+
+@seed(20261204)
+@settings(max_examples=50, deadline=None)
+@given(st.integers(1, 3 * MAX_CHUNK_LINES), st.integers(1, 5000))
+def test_chunks_hold_every_line_in_order(count, piece_size):
+    """However the bytes arrive, no line is lost or moved."""
+    packed = b'\n'.join(make_line(str(n)) for n in range(count))
+    builder = ChunkBuilder()
+    chunks = []
+    for start in range(0, len(packed), piece_size):
+        chunks.extend(builder.feed(packed[start : start + piece_size]))
+    chunks.extend(builder.finish())
+    lines = [json.loads(line) for chunk in chunks for line in chunk.lines]
+    assert [line['custom_id'] for line in lines] == [
+        str(n) for n in range(count)
+    ]
+    assert builder.targets == {'model-a'}
+
+
+@pytest.mark.parametrize(
+    'bad',
+    [
+        b'not json',
+        b'[]',
+        b'{"custom_id": "x"}',
+        make_line('0'),
+        b'\xff\xfe',
+    ],
+)
+def test_bad_lines_are_named(bad):
+    """The error lists the numbers of the lines."""
+    builder = ChunkBuilder()
+    builder.feed(b'\n'.join([make_line('0'), bad, make_line('1'), bad]))
+    with pytest.raises(BatchFileInvalid) as caught:
+        builder.finish()
+    assert caught.value.lines == [2, 4]
+
+
+def test_endless_line_is_refused_in_bounded_memory():
+    """A line without an end does not fill the memory."""
+    builder = ChunkBuilder()
+    with pytest.raises(BatchFileInvalid):
+        builder.feed(b'x' * (MAX_LINE_BYTES + 1))
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,107 @@
+"""Tests of buckets that change hosts."""
+
+import pytest
+from jacinthmount.members import rank_hosts
+from jacinthmount.shares import (
+    HANDOVER_WAIT_S,
+    AccountLimit,
+    ShareKeeper,
+)
+
+from tests.utils import make_table
+
+ACCOUNT = 'gin'
+FIRST, SECOND = rank_hosts(ACCOUNT, ['a', 'b'])
+
+
+@pytest.fixture
+def keepers():
+    """Two hosts; the table of the data centre names only the second."""
+    made = {}
+    for name in (FIRST, SECOND):
+        made[name] = ShareKeeper(host=name, incarnation='1')
+        made[name].apply_limits(
+            {ACCOUNT: AccountLimit(rate_per_s=1, burst=10)},
+            0,
+        )
+    made[SECOND].on_created(make_table(SECOND), 1, 0)
+    return made
+
+
+def test_creator_of_the_table_serves_at_once(keepers):
+    """Nobody can have held a bucket before."""
+    assert keepers[SECOND].bucket(ACCOUNT, 0) is not None
+
+
+def test_bucket_moves_with_its_level(keepers):
+    """A host that joins gets its buckets from their old owner."""
+    keepers[SECOND].bucket(ACCOUNT, 0)
+    table = make_table(FIRST, SECOND)
+    keepers[FIRST].on_table(table, 2, 5, confirmed=True)
+    assert keepers[FIRST].bucket(ACCOUNT, 5) is None
+    transfers = keepers[SECOND].on_table(table, 2, 5, confirmed=True)
+    assert keepers[SECOND].bucket(ACCOUNT, 5) is None
+    assert [transfer.host for transfer in transfers] == [FIRST]
+    keepers[FIRST].on_handover(transfers[0].handover, 5)
+    assert keepers[FIRST].bucket(ACCOUNT, 5).level(5) == pytest.approx(5)
+
+
+def test_unconfirmed_host_hands_nothing_over(keepers):
+    """Its bucket may have been made anew elsewhere."""
+    keepers[SECOND].bucket(ACCOUNT, 0)
+    table = make_table(FIRST, SECOND)
+    assert not keepers[SECOND].on_table(table, 2, 5, confirmed=False)
+    assert keepers[SECOND].bucket(ACCOUNT, 5) is None
+
+
+def test_lost_handover_is_replaced_after_the_wait(keepers):
+    """The new owner starts empty once every host has acknowledged."""
+    keepers[FIRST].on_table(make_table(FIRST, SECOND), 2, 0, confirmed=True)
+    assert keepers[FIRST].bucket(ACCOUNT, 100) is None
+    keepers[FIRST].on_ack(SECOND, 2, 100)
+    assert keepers[FIRST].bucket(ACCOUNT, 100 + HANDOVER_WAIT_S - 1) is None
+    bucket = keepers[FIRST].bucket(ACCOUNT, 100 + HANDOVER_WAIT_S)
+    assert bucket is not None
+    assert not bucket.level(100 + HANDOVER_WAIT_S)
+
+
+def test_new_start_of_a_host_is_not_listed(keepers):
+    """A restarted process can't use the slot of its predecessor."""
+    restarted = ShareKeeper(host=SECOND, incarnation='2')
+    restarted.apply_limits(
+        {ACCOUNT: AccountLimit(rate_per_s=1, burst=10)},
+        0,
+    )
+    restarted.on_table(make_table(SECOND), 1, 0, confirmed=True)
+    assert restarted.bucket(ACCOUNT, 1000) is None
+
+
+def test_handover_waits_for_parts_still_lent(keepers):
+    """Lent parts and the moved bucket never count twice."""
+    bucket = keepers[SECOND].bucket(ACCOUNT, 0)
+    bucket.level(8)
+    assert bucket.lend('loan', 0.5, 8)
+    transfers = keepers[SECOND].on_table(
+        make_table(FIRST, SECOND),
+        2,
+        9,
+        confirmed=True,
+    )
+    wait_s = transfers[0].handover.wait_s
+    assert wait_s == pytest.approx(4.5)
+    keepers[FIRST].on_table(make_table(FIRST, SECOND), 2, 9, confirmed=True)
+    keepers[FIRST].on_handover(transfers[0].handover, 9)
+    assert keepers[FIRST].bucket(ACCOUNT, 9 + wait_s - 0.1) is None
+    assert keepers[FIRST].bucket(ACCOUNT, 9 + wait_s) is not None
+
+
+def test_duplicate_handover_is_ignored(keepers):
+    """A bucket held here is not replaced by an old copy."""
+    keepers[SECOND].bucket(ACCOUNT, 0)
+    table = make_table(FIRST, SECOND)
+    keepers[FIRST].on_table(table, 2, 8, confirmed=True)
+    transfers = keepers[SECOND].on_table(table, 2, 8, confirmed=True)
+    keepers[FIRST].on_handover(transfers[0].handover, 8)
+    assert keepers[FIRST].bucket(ACCOUNT, 8).take(5, 8)
+    keepers[FIRST].on_handover(transfers[0].handover, 8)
+    assert not keepers[FIRST].bucket(ACCOUNT, 8).take(5, 8)
--- /dev/null
+++ b/tests/test_spec.py
@@ -0,0 +1,79 @@
+"""Exhaustive exploration of the specifications and their broken variants."""
+
+import pytest
+
+from spec import config_spread, keyed_call, loans, result_log, share_table
+from spec.checking import run_check
+
+MODELS = {
+    'result log': result_log.build(result_log.Rules()),
+    'result log, repeatable': result_log.build(
+        result_log.Rules(idempotent=True),
+    ),
+    'loans': loans.build(loans.Rules()),
+    'share table': share_table.build(share_table.Rules()),
+    'configuration spread': config_spread.build(config_spread.Rules()),
+    'keyed call': keyed_call.build(keyed_call.Rules()),
+}
+
+BROKEN = {
+    'last result wins': result_log.build(
+        result_log.Rules(last_wins=True, idempotent=True),
+    ),
+    'segments overwritten': result_log.build(
+        result_log.Rules(append_blindly=True),
+    ),
+    'lease trusted without start record': result_log.build(
+        result_log.Rules(ignore_started=True),
+    ),
+    'lender keeps all': loans.build(
+        loans.Rules(bucket=loans.LenderKeepsAll),
+    ),
+    'tokens moved without capacity': loans.build(
+        loans.Rules(bucket=loans.LenderRefills),
+    ),
+    'loan counted from its reply': loans.build(
+        loans.Rules(count_from_reply=True),
+    ),
+    'new owner does not wait': share_table.build(
+        share_table.Rules(keeper=share_table.MintsAtOnce),
+    ),
+    'late answers confirm': share_table.build(
+        share_table.Rules(answers_count_when_read=True),
+    ),
+    'newer table confirms': share_table.build(
+        share_table.Rules(newer_table_confirms=True),
+    ),
+    'deletions dropped': config_spread.build(
+        config_spread.Rules(table=config_spread.DropsDeleted),
+    ),
+    'last message wins': config_spread.build(
+        config_spread.Rules(table=config_spread.TakesAny),
+    ),
+    'listing without floor': config_spread.build(
+        config_spread.Rules(table=config_spread.NoFloor),
+    ),
+    'created without condition': keyed_call.build(
+        keyed_call.Rules(create_blindly=True),
+    ),
+    'started call repeated': keyed_call.build(
+        keyed_call.Rules(retry_unknown=True),
+    ),
+    'sent call said not to run': keyed_call.build(
+        keyed_call.Rules(say_not_run_when_sent=True),
+    ),
+}
+
+
+@pytest.mark.parametrize('name', MODELS)
+def test_model_holds(name):
+    """Every reachable state keeps the invariants."""
+    check = run_check(MODELS[name])
+    assert not check.refuted, check.trace
+    assert check.states > 100
+
+
+@pytest.mark.parametrize('name', BROKEN)
+def test_broken_variant_is_refuted(name):
+    """The search finds what each rule is for."""
+    assert run_check(BROKEN[name]).refuted
