--- a/packages/jacinthmount-node/jacinthmount_node/admission.py
+++ b/packages/jacinthmount-node/jacinthmount_node/admission.py
@@ -4,7 +4,7 @@
 
 import curio
 from jacinthmount.buckets import TAKE_VALID_S, Loan
-from jacinthmount.declarations import DataCentre
+from jacinthmount.declarations import Account, DataCentre
 from jacinthmount.errors import (
     PeerUnavailable,
     RateExceeded,
@@ -12,7 +12,12 @@
 )
 from jacinthmount.members import HostRecord, rank_hosts
 from jacinthmount.records import parse_json
-from jacinthmount.shares import SHARE_PREFIX, ShareTable
+from jacinthmount.shares import (
+    SHARE_PREFIX,
+    AccountLimit,
+    ShareTable,
+    split_limits,
+)
 
 from jacinthmount_node.messages import LoanAsk, LoanReply, Take, TakeReply
 from jacinthmount_node.node import Node
@@ -158,19 +163,35 @@
             bucket.borrow(loan, asked_at, self._node.now())
 
     def _owners(self, account: str) -> list[HostRecord]:
-        # The owner here comes first; others stand in while it is unknown.
+        # The owner here comes first, and again if its answer came late;
+        # others stand in while it is unknown or the account lives elsewhere.
         owner = self._node.keeper.owner(account)
         own = self._node.members.get(owner or '')
-        local = [own] if own else []
+        local = [own, own] if own and self._lives_here(account) else []
         return [*local, *self._remote_owners(account)]
 
+    def _lives_here(self, account: str) -> bool:
+        return self._node.data_centre in self._split(account)
+
+    def _split(self, account: str) -> dict[str, AccountLimit]:
+        catalogue = self._node.catalogue
+        found = catalogue.find(Account, account)
+        if found is None:
+            return {}
+        return split_limits(found, catalogue.every(DataCentre))
+
     def _remote_owners(self, account: str) -> list[HostRecord]:
         node = self._node
         owners = []
+        split = self._split(account)
         for stored in node.table.iter_prefix(SHARE_PREFIX):
             table = parse_json(ShareTable, stored.body or '')
             hosts = [slot.host for slot in table.slots]
-            if not hosts or not self._is_near(table.data_centre):
+            elsewhere = table.data_centre != node.data_centre
+            if table.data_centre not in split or not hosts or not elsewhere:
+                continue
+            # An account that lives in one place is asked for there.
+            if len(split) > 1 and not self._is_near(table.data_centre):
                 continue
             record = node.members.get(rank_hosts(account, hosts)[0])
             if record is not None:
--- a/packages/jacinthmount-node/jacinthmount_node/batch_archive.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_archive.py
@@ -43,7 +43,7 @@
         ended_s = manifest.ended_s
         if ended_s is None or time.time() - ended_s < ARCHIVE_AFTER_S:
             return
-        hosts = self._node.local_hosts()
+        hosts = self._node.live_hosts()
         ranked = rank_hosts(manifest.batch_id, hosts)
         if ranked[:1] != [self._node.host]:
             return
--- a/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
@@ -126,12 +126,11 @@
         endpoint: Endpoint,
     ) -> BatchItem | None:
         now = self._node.now()
+        # Only endpoints whose batch items run here can take a suspect.
         names = [
             one.name
-            for one in self._node.catalogue.endpoints(
-                endpoint.service,
-                endpoint.data_centre,
-            )
+            for one in self._rooms.decided_here()
+            if one.service == endpoint.service
         ]
         for item in chunk.pending:
             if item.not_before > now:
--- a/packages/jacinthmount-node/jacinthmount_node/batch_items.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_items.py
@@ -15,6 +15,7 @@
 from jacinthmount_node.engine import EngineStream, send_call
 from jacinthmount_node.http_client import ATTEMPT_ERRORS, Exchange
 from jacinthmount_node.node import Node
+from jacinthmount_node.sockets import bounded
 
 __all__ = ('ItemOutcome', 'run_item')
 
@@ -108,7 +109,7 @@
     streamed = not WHOLE_ANSWER_FIELDS & set(body)
     body['stream'] = streamed
     packed = json.dumps(body).encode()
-    await curio.timeout_after(
+    await bounded(
         STALL_TIMEOUT_S,
         send_call,
         exchange,
@@ -118,7 +119,7 @@
         len(item.text),
     )
     if exchange.status >= HTTPStatus.BAD_REQUEST or not streamed:
-        answer = await curio.timeout_after(
+        answer = await bounded(
             STALL_TIMEOUT_S,
             exchange.read_body,
         )
@@ -126,7 +127,7 @@
     stream = EngineStream(exchange=exchange)
     events = stream.iter_events()
     while True:
-        event = await curio.timeout_after(STALL_TIMEOUT_S, anext, events, None)
+        event = await bounded(STALL_TIMEOUT_S, anext, events, None)
         if event is None:
             break
         item.text += event.text
--- a/packages/jacinthmount-node/jacinthmount_node/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/calls.py
@@ -2,7 +2,7 @@
 
 import curio
 from jacinthmount.declarations import Profile
-from jacinthmount.dispatch import Attempt, Next, Stage, decide
+from jacinthmount.dispatch import Attempt, Next, Stage, decide_within
 from jacinthmount.errors import (
     CallInProgress,
     DeadlineUnreachable,
@@ -229,16 +229,18 @@
                 return result
             tried.add(state.endpoint.name)
             time_left = call.deadline > self._node.now()
-            may_retry = len(tried) < limit and self._node.budget.spend()
-            outcome = decide(
+            attempts_left = len(tried) < limit
+            outcome = decide_within(
                 Attempt(
                     stage=result,
                     idempotent=repeatable,
                     relayed=False,
                     resumable=False,
-                    may_retry=may_retry,
+                    may_retry=attempts_left,
                     time_left=time_left,
-                )
+                ),
+                self._node.budget,
+                self._node.now(),
             )
             if outcome is not Next.RETRY:
                 raise _failure(outcome)
--- a/packages/jacinthmount-node/jacinthmount_node/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/config_sync.py
@@ -147,17 +147,10 @@
         await self.take(objects, push=True)
 
     def _watches(self) -> bool:
-        hosts = self._node.local_hosts()
-        heard = self._node.hearing.unheard(hosts, self._node.now())
-        live = [
-            host
-            for host in hosts
-            if host not in heard or host == self._node.host
-        ]
+        live = self._node.live_hosts()
         ranked = rank_hosts(RANK_SUBJECT, live)
-        return self._node.host in ranked[:WATCHERS_PER_DATA_CENTRE] or (
-            self._node.host not in hosts
-        )
+        own = self._node.host
+        return own in ranked[:WATCHERS_PER_DATA_CENTRE] or own not in live
 
     async def _run_push(self) -> None:
         while True:
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -27,7 +27,7 @@
 from jacinthmount_node.membership import Membership
 from jacinthmount_node.messages import Hello
 from jacinthmount_node.node import Node
-from jacinthmount_node.object_api import HttpStore
+from jacinthmount_node.object_api import HttpHostList, HttpStore
 from jacinthmount_node.online import OnlineRunner
 from jacinthmount_node.peers import PeerLinks, PeerServer, make_contexts
 from jacinthmount_node.share_task import ShareTask
@@ -97,6 +97,7 @@
             node=node,
             shares=self._shares,
             sync=self._sync,
+            host_list=HttpHostList(addresses=settings.platform, pool=pool),
         )
         self._rooms = EngineRooms(
             node=node,
--- a/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
@@ -64,7 +64,7 @@
 
     def decider(self, engine: str) -> str:
         """Names the host that runs the batch items of an engine."""
-        ranked = rank_hosts(engine, self._node.local_hosts())
+        ranked = rank_hosts(engine, self._node.live_hosts())
         return ranked[0] if ranked else self._node.host
 
     def decided_here(self) -> list[Endpoint]:
--- a/packages/jacinthmount-node/jacinthmount_node/gate.py
+++ b/packages/jacinthmount-node/jacinthmount_node/gate.py
@@ -8,6 +8,7 @@
 
 from jacinthmount_node.engine_rooms import EngineRooms
 from jacinthmount_node.node import Node
+from jacinthmount_node.sockets import bounded
 
 __all__ = ('Gate', 'OnlineCall')
 
@@ -119,11 +120,8 @@
 
     async def pump(self) -> None:
         """Lets waiting requests go while there are slots."""
-        free = sum(
-            max(0, state.free_slots())
-            for state in self._router.states()
-            if state.available(self._node.now())
-        )
+        usable = self._router.usable(self._node.now())
+        free = sum(max(0, state.free_slots()) for state in usable)
         while free > 0 and len(self._queue):
             free -= 1
             waiter = self._queue.pop()
@@ -161,8 +159,8 @@
         self._note_queue()
         left = call.deadline - self._node.now()
         try:
-            await curio.timeout_after(max(MIN_WAIT_S, left), waiter.ready.wait)
-        except curio.TaskTimeout:
+            await bounded(max(MIN_WAIT_S, left), waiter.ready.wait)
+        except TimeoutError:
             raise DeadlineUnreachable(
                 detail='no slot came free before the deadline',
                 retry_after_s=MIN_RETRY_AFTER_S,
--- a/packages/jacinthmount-node/jacinthmount_node/handlers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/handlers.py
@@ -98,7 +98,7 @@
 
 @answer.register
 async def _answer_give(message: Give, desk: PeerDesk) -> Record | None:
-    await desk.shares.on_give(message.handover)
+    desk.shares.on_give(message.handover)
     return Ack()
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_client.py
@@ -8,7 +8,7 @@
 from jacinthmount.dispatch import Stage
 from jacinthmount.errors import EndpointFailed
 
-from jacinthmount_node.sockets import connect
+from jacinthmount_node.sockets import bounded, connect
 
 __all__ = ('ATTEMPT_ERRORS', 'ClientPool', 'Exchange', 'TRANSPORT_ERRORS')
 
@@ -158,7 +158,7 @@
             if not exchange.is_stale():
                 return exchange.next_exchange()
             await exchange.close()
-        sock = await curio.timeout_after(CONNECT_TIMEOUT_S, connect, address)
+        sock = await bounded(CONNECT_TIMEOUT_S, connect, address)
         wire = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=MAX_HEADER_BYTES,
@@ -185,7 +185,7 @@
         """Sends a small request and reads the head of its answer."""
         exchange = await self.open(address, fresh=False)
         try:
-            await curio.timeout_after(
+            await bounded(
                 timeout_s,
                 _send_and_read,
                 exchange,
--- a/packages/jacinthmount-node/jacinthmount_node/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_server.py
@@ -19,6 +19,7 @@
 )
 
 from jacinthmount_node.logs import log_failure
+from jacinthmount_node.sockets import bounded
 
 __all__ = (
     'HttpRequest',
@@ -294,7 +295,7 @@
     async def send(self, *events: h11.Event) -> None:
         packed = b''.join(self._wire.send(event) or b'' for event in events)
         try:
-            await curio.timeout_after(
+            await bounded(
                 WRITE_TIMEOUT_S,
                 self._sock.sendall,
                 packed,
@@ -307,11 +308,11 @@
         if self._wire.their_state is h11.DONE:
             return h11.EndOfMessage()
         try:
-            return await curio.timeout_after(
+            return await bounded(
                 BODY_TIMEOUT_S,
                 self._next_event,
             )
-        except curio.TaskTimeout:
+        except TimeoutError:
             raise RequestTimeout(detail='body too slow') from None
         except h11.RemoteProtocolError as exc:
             self.broken = True
@@ -323,12 +324,12 @@
         if idle and not await self._await_first_byte():
             return None
         try:
-            event = await curio.timeout_after(
+            event = await bounded(
                 HEADER_TIMEOUT_S,
                 self._next_event,
             )
             return self._check_head(event)
-        except curio.TaskTimeout:
+        except TimeoutError:
             await self._reject(RequestTimeout(detail='headers too slow'))
         except h11.RemoteProtocolError as exc:
             await self._reject(_head_error(exc))
--- a/packages/jacinthmount-node/jacinthmount_node/membership.py
+++ b/packages/jacinthmount-node/jacinthmount_node/membership.py
@@ -1,10 +1,12 @@
 """Registration and the renewal object of a host."""
 
+import contextlib
+
 import curio
 from jacinthmount.claims import Heartbeat, beat_name
 from jacinthmount.errors import StoreConflict, StoreUnavailable
 from jacinthmount.members import HOST_PREFIX, HostRecord
-from jacinthmount.ports import ABSENT, Stored
+from jacinthmount.ports import ABSENT, HostList, Stored
 from jacinthmount.records import serialize_json
 from jacinthmount.stores import new_write_id, write_definitely
 
@@ -17,12 +19,13 @@
 
 REGISTER_INTERVAL_S = 1.0
 BEAT_INTERVAL_S = 4.0
+CLEANUP_INTERVAL_S = 10.0
 
 
 class Membership:
     """Keeps this host registered and its claims renewed."""
 
-    __slots__ = ('_leaving', '_node', '_shares', '_sync')
+    __slots__ = ('_host_list', '_leaving', '_node', '_shares', '_sync')
 
     def __init__(
         self,
@@ -30,9 +33,11 @@
         node: Node,
         shares: ShareTask,
         sync: ConfigSync,
+        host_list: HostList,
     ) -> None:
         """Takes the state to keep."""
         self._node = node
+        self._host_list = host_list
         self._shares = shares
         self._sync = sync
         self._leaving = False
@@ -42,6 +47,7 @@
         async with curio.TaskGroup() as group:
             await group.spawn(self._run_register)
             await group.spawn(self._run_beats)
+            await group.spawn(self._run_cleanup)
             await group.spawn(self._shares.run)
 
     async def leave(self) -> None:
@@ -102,6 +108,29 @@
                 push=True,
             )
 
+    async def _run_cleanup(self) -> None:
+        while True:
+            await curio.sleep(CLEANUP_INTERVAL_S)
+            with contextlib.suppress(StoreUnavailable, StoreConflict):
+                await self._forget_lost_hosts()
+
+    async def _forget_lost_hosts(self) -> None:
+        # A host that is only cut off registers again once it is back.
+        node = self._node
+        lost = set(node.local_hosts()) - set(node.live_hosts())
+        if not lost:
+            return
+        listed = {one.host for one in await self._host_list.read_hosts()}
+        for host in sorted(lost - listed) if listed else ():
+            name = f'{HOST_PREFIX}{host}'
+            found = await node.store.read(name)
+            if found is not None:
+                version = await node.store.delete(name, found.version)
+                await self._sync.take(
+                    [Stored(name=name, version=version, body=None)],
+                    push=True,
+                )
+
     async def _run_beats(self) -> None:
         node = self._node
         version = ABSENT
--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -20,7 +20,7 @@
 from jacinthmount.retries import RetryBudget
 from jacinthmount.routing import Router
 from jacinthmount.settings import Settings
-from jacinthmount.shares import AccountLimit, ShareKeeper
+from jacinthmount.shares import ShareKeeper, split_limits
 from jacinthmount.table import ConfigTable
 
 from jacinthmount_node.http_client import ClientPool
@@ -80,7 +80,7 @@
             incarnation=self.incarnation,
         )
         self.routers: dict[str, Router] = {}
-        self.budget = RetryBudget()
+        self.budget = RetryBudget(now=clock.now())
         self.loaded = False
         self.ready = False
 
@@ -114,6 +114,14 @@
             if record.data_centre == self.data_centre and not record.leaving
         ]
 
+    def live_hosts(self) -> list[str]:
+        """Lists the hosts of the data centre that were heard lately."""
+        hosts = self.local_hosts()
+        missed = set(self.hearing.unheard(hosts, self.now()))
+        return [
+            host for host in hosts if host not in missed or host == self.host
+        ]
+
     def router(self, service: str) -> Router:
         """Finds the router of a service."""
         found = self.routers.get(service)
@@ -171,15 +179,13 @@
         self._rebuild_limits()
 
     def _rebuild_limits(self) -> None:
-        own = self.catalogue.find(DataCentre, self.data_centre)
-        share = own.share if own else 0.0
-        limits = {
-            account.name: AccountLimit(
-                rate_per_s=account.rate_per_s * share,
-                burst=account.burst * share,
-            )
-            for account in self.catalogue.every(Account)
-        }
+        data_centres = self.catalogue.every(DataCentre)
+        limits = {}
+        for account in self.catalogue.every(Account):
+            split = split_limits(account, data_centres)
+            limit = split.get(self.data_centre)
+            if limit is not None:
+                limits[account.name] = limit
         self.keeper.apply_limits(limits, self.now())
 
     def _rebuild_members(self) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/object_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/object_api.py
@@ -5,7 +5,6 @@
 from typing import Any
 from urllib.parse import quote
 
-import curio
 from jacinthmount.errors import (
     EndpointFailed,
     StoreConflict,
@@ -24,6 +23,7 @@
 )
 
 from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
+from jacinthmount_node.sockets import bounded
 
 __all__ = ('HttpHostList', 'HttpStore')
 
@@ -48,7 +48,7 @@
         timeout_s: float,
     ) -> tuple[int, Any]:
         try:
-            return await curio.timeout_after(
+            return await bounded(
                 timeout_s,
                 self._call,
                 method,
--- a/packages/jacinthmount-node/jacinthmount_node/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/online.py
@@ -4,7 +4,7 @@
 
 import curio
 from jacinthmount.declarations import Profile
-from jacinthmount.dispatch import Attempt, Next, Stage, decide
+from jacinthmount.dispatch import Attempt, Next, Stage, decide_within
 from jacinthmount.errors import (
     DeadlineExceeded,
     DeadlineUnreachable,
@@ -20,6 +20,7 @@
 from jacinthmount_node.http_client import ATTEMPT_ERRORS, Exchange
 from jacinthmount_node.http_server import Responder
 from jacinthmount_node.node import Node
+from jacinthmount_node.sockets import bounded
 
 __all__ = ('OnlineRunner',)
 
@@ -108,16 +109,17 @@
     ) -> None:
         time_left = call.deadline > self._node.now()
         attempts_left = progress.attempts < profile.max_attempts
-        may_retry = time_left and attempts_left and self._node.budget.spend()
-        outcome = decide(
+        outcome = decide_within(
             Attempt(
                 stage=stage,
                 idempotent=profile.idempotent,
                 relayed=responder.started,
                 resumable=call.stream,
-                may_retry=may_retry,
+                may_retry=attempts_left,
                 time_left=time_left,
-            )
+            ),
+            self._node.budget,
+            self._node.now(),
         )
         if outcome in {Next.RETRY, Next.RESUME}:
             return
@@ -195,7 +197,7 @@
         stream = EngineStream(exchange=exchange)
         events = stream.iter_events()
         while True:
-            event = await curio.timeout_after(
+            event = await bounded(
                 STALL_TIMEOUT_S,
                 _next_event,
                 events,
--- a/packages/jacinthmount-node/jacinthmount_node/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/peers.py
@@ -14,7 +14,7 @@
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.messages import Envelope, Hello
 from jacinthmount_node.metrics import Metrics
-from jacinthmount_node.sockets import connect
+from jacinthmount_node.sockets import bounded, connect
 
 __all__ = ('PeerLink', 'PeerLinks', 'PeerServer', 'make_contexts')
 
@@ -120,7 +120,7 @@
             server_side=True,
             do_handshake_on_connect=False,
         )
-        await curio.timeout_after(CONNECT_TIMEOUT_S, sock.do_handshake)
+        await bounded(CONNECT_TIMEOUT_S, sock.do_handshake)
         stream = _Stream(sock=sock, metrics=self._metrics)
         outgoing = curio.Queue()
         await group.spawn(_write_all, stream, outgoing, daemon=True)
@@ -219,14 +219,14 @@
             raise PeerUnavailable(detail=f'{self._address}: queue full')
         self._waiting[number] = waiter
         try:
-            await curio.timeout_after(
+            await bounded(
                 timeout_s,
                 self._exchange,
                 number,
                 body,
                 waiter,
             )
-        except curio.TaskTimeout:
+        except TimeoutError:
             raise PeerUnavailable(detail=f'{self._address}: no reply') from None
         finally:
             self._waiting.pop(number, None)
@@ -267,7 +267,7 @@
             await self._drop(stream)
 
     async def _open(self) -> _Stream:
-        raw = await curio.timeout_after(
+        raw = await bounded(
             CONNECT_TIMEOUT_S,
             connect,
             self._address,
@@ -277,7 +277,7 @@
                 raw,
                 do_handshake_on_connect=False,
             )
-            await curio.timeout_after(CONNECT_TIMEOUT_S, sock.do_handshake)
+            await bounded(CONNECT_TIMEOUT_S, sock.do_handshake)
         except BaseException:
             await raw.close()
             raise
--- a/packages/jacinthmount-node/jacinthmount_node/share_task.py
+++ b/packages/jacinthmount-node/jacinthmount_node/share_task.py
@@ -31,6 +31,8 @@
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 1.5
 GIVE_TIMEOUT_S = 1.0
+MEMBER_POLLS = 40
+MEMBER_POLL_S = 0.1
 TABLE_INTERVAL_S = 1.0
 CONFIRM_INTERVAL_S = 3.0
 
@@ -86,12 +88,9 @@
         )
         await self._send_all(transfers)
 
-    async def on_give(self, handover: Handover) -> None:
+    def on_give(self, handover: Handover) -> None:
         """Takes buckets from their old owner."""
-        if not self._node.confirmed():
-            return
-        onward = self._node.keeper.on_handover(handover, self._node.now())
-        await self._send_all(onward)
+        self._node.keeper.on_handover(handover, self._node.now())
 
     def on_ping(self, ping: Ping) -> Pong:
         """Answers a ping and notes what it tells."""
@@ -107,24 +106,27 @@
 
     async def _send_all(self, transfers: list[Transfer]) -> None:
         for transfer in transfers:
-            record = self._node.members.get(transfer.host)
-            if record is not None:
-                await curio.spawn(
-                    self._send_give,
-                    record,
-                    transfer.handover,
-                    daemon=True,
-                )
+            await curio.spawn(self._send_give, transfer, daemon=True)
 
-    async def _send_give(self, record: HostRecord, handover: Handover) -> None:
+    async def _send_give(self, transfer: Transfer) -> None:
         try:
             await self._links.request(
-                record,
-                Give(handover=handover),
+                await self._wait_member(transfer.host),
+                Give(handover=transfer.handover),
                 GIVE_TIMEOUT_S,
             )
         except PeerUnavailable:
-            log_event('handover_lost', host=record.host)
+            # Sent once only: a second copy could come after the bucket moved.
+            log_event('handover_lost', host=transfer.host)
+
+    async def _wait_member(self, host: str) -> HostRecord:
+        # The table can arrive before the record of a host that just joined.
+        for _ in range(MEMBER_POLLS):
+            record = self._node.members.get(host)
+            if record is not None:
+                return record
+            await curio.sleep(MEMBER_POLL_S)
+        raise PeerUnavailable(detail=f'{host}: not registered')
 
     async def _run_pings(self) -> None:
         while True:
@@ -214,11 +216,12 @@
         table = ShareTable(
             data_centre=node.data_centre,
             slots=[slot],
+            previous=[],
+            previous_version=ABSENT,
             write_id=new_write_id(),
         )
         body = serialize_json(table)
         version = await write_definitely(node.store, name, body, ABSENT)
-        node.keeper.on_created(table, version, node.now())
         await self._sync.take(
             [Stored(name=name, version=version, body=body)],
             push=True,
@@ -240,7 +243,13 @@
             slots.append(
                 ShareSlot(host=node.host, incarnation=node.incarnation),
             )
-        edited = replaced(table, slots=slots, write_id=new_write_id())
+        edited = replaced(
+            table,
+            slots=slots,
+            previous=table.slots,
+            previous_version=found.version,
+            write_id=new_write_id(),
+        )
         body = serialize_json(edited)
         version = await write_definitely(
             node.store,
--- a/packages/jacinthmount-node/jacinthmount_node/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/sockets.py
@@ -2,11 +2,14 @@
 
 import socket as std_socket
 import time
+from collections.abc import Awaitable, Callable
+from typing import Any
 
-from curio import socket
+import curio
+from curio import socket as curio_socket
 from jacinthmount.ports import Clock
 
-__all__ = ('SystemClock', 'connect', 'listen', 'parse_address')
+__all__ = ('SystemClock', 'bounded', 'connect', 'listen', 'parse_address')
 
 LISTEN_BACKLOG = 512
 
@@ -21,6 +24,24 @@
         return time.monotonic()
 
 
+async def bounded(
+    seconds: float,
+    func: Callable[..., Awaitable[Any]],
+    *args: Any,
+) -> Any:
+    """Runs a coroutine function for a limited time.
+
+    Curio takes a timeout that leaves an enclosing timeout block for a mistake,
+    so that this raises the ordinary error.
+
+    :raises TimeoutError: the time ran out.
+    """
+    try:
+        return await curio.timeout_after(seconds, func, *args)
+    except curio.TaskTimeout:
+        raise TimeoutError(f'{seconds} s ran out') from None
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Splits ``IP:port``."""
     host, _, port = address.rpartition(':')
@@ -32,7 +53,7 @@
 
     :raises OSError: the connection was refused or lost.
     """
-    sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    sock = curio_socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
     try:
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
         await sock.connect(parse_address(address))
@@ -49,7 +70,7 @@
 
     :raises OSError: the address is in use.
     """
-    sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+    sock = curio_socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
     sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_REUSEADDR, 1)
     sock.bind(parse_address(address))
     sock.listen(LISTEN_BACKLOG)
--- a/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
@@ -113,6 +113,19 @@
             f'127.0.0.1:{self.platform_port}',
         )
         wait_for_port(self.platform_port)
+        self.list_hosts(*self.hosts)
+
+    def list_hosts(self, *hosts: str) -> None:
+        """Sets the platform's list of hosts."""
+        rows = [
+            {
+                'host': host,
+                'data_centre': self.hosts[host].data_centre,
+                'leaving': False,
+            }
+            for host in hosts
+        ]
+        call_http(self.platform_port, 'PUT', '/host-list', {'hosts': rows})
 
     def start_plain(self) -> None:
         """Starts the stand-in of a plain service."""
--- a/packages/jacinthmount/jacinthmount/buckets.py
+++ b/packages/jacinthmount/jacinthmount/buckets.py
@@ -68,12 +68,13 @@
         level: float = 0.0,
     ) -> None:
         """Starts with a level, which is zero unless it was handed over."""
-        self._rate_per_s = rate_per_s
-        self._capacity = max(0.0, burst - rate_per_s * TAKE_VALID_S)
+        safe_rate_per_s, capacity = _safe_limits(rate_per_s, burst)
+        self._rate_per_s = safe_rate_per_s
+        self._capacity = capacity
         self._own = _Part(
-            rate_per_s=rate_per_s,
-            capacity=self._capacity,
-            level=min(level, self._capacity),
+            rate_per_s=safe_rate_per_s,
+            capacity=capacity,
+            level=min(level, capacity),
             stamp=now,
             until=None,
         )
@@ -153,8 +154,9 @@
     def resize(self, rate_per_s: float, burst: float, now: float) -> None:
         """Applies a changed rate and burst; loans keep their size."""
         self._settle(now)
-        self._rate_per_s = rate_per_s
-        self._capacity = max(0.0, burst - rate_per_s * TAKE_VALID_S)
+        safe_rate_per_s, capacity = _safe_limits(rate_per_s, burst)
+        self._rate_per_s = safe_rate_per_s
+        self._capacity = capacity
         self._fit_own()
 
     def has_loans(self, now: float) -> bool:
@@ -213,3 +215,12 @@
         self._own.rate_per_s = max(0.0, self._rate_per_s - lent_rate)
         self._own.capacity = max(0.0, self._capacity - lent_capacity)
         self._own.level = min(self._own.level, self._own.capacity)
+
+
+def _safe_limits(rate_per_s: float, burst: float) -> tuple[float, float]:
+    # Capacity plus what refills while a token is valid must not exceed the
+    # burst. At least half of the burst stays capacity, at the cost of rate.
+    capacity = burst - rate_per_s * TAKE_VALID_S
+    if capacity >= burst / 2:
+        return rate_per_s, capacity
+    return burst / 2 / TAKE_VALID_S, burst / 2
--- a/packages/jacinthmount/jacinthmount/dispatch.py
+++ b/packages/jacinthmount/jacinthmount/dispatch.py
@@ -2,9 +2,10 @@
 
 import enum
 
-from jacinthmount.records import Record
+from jacinthmount.records import Record, replaced
+from jacinthmount.retries import RetryBudget
 
-__all__ = ('Attempt', 'Next', 'Stage', 'decide')
+__all__ = ('Attempt', 'Next', 'Stage', 'decide', 'decide_within')
 
 
 class Stage(enum.IntEnum):
@@ -63,3 +64,15 @@
         can_resume = again and attempt.resumable
         return Next.RESUME if can_resume else Next.FAILED
     return Next.RETRY if again else Next.FAILED
+
+
+def decide_within(
+    attempt: Attempt,
+    budget: RetryBudget,
+    now: float,
+) -> Next:
+    """Decides what follows, and spends a retry only where one follows."""
+    outcome = decide(attempt)
+    if outcome not in {Next.RETRY, Next.RESUME} or budget.spend(now):
+        return outcome
+    return decide(replaced(attempt, may_retry=False))
--- a/packages/jacinthmount/jacinthmount/routing.py
+++ b/packages/jacinthmount/jacinthmount/routing.py
@@ -70,7 +70,12 @@
         self.service_time_s += gap * SERVICE_TIME_WEIGHT
 
     def on_failure(self, now: float) -> None:
-        """Notes a failure; repeated ones keep work away for longer."""
+        """Notes a failure; repeated ones keep work away for longer.
+
+        Requests that were in flight together fail together and count once.
+        """
+        if now < self.ejected_until:
+            return
         self.failures += 1
         pause = EJECT_BASE_S * 2 ** min(self.failures - 1, 10)
         self.ejected_until = now + min(pause, EJECT_MAX_S)
@@ -108,6 +113,20 @@
         """Finds one endpoint."""
         return self._states.get(name)
 
+    def usable(self, now: float) -> list[EndpointState]:
+        """Lists the endpoints that new work may go to.
+
+        Where every endpoint failed lately, all but the leaving ones are tried
+        again rather than refusing at once.
+        """
+        staying = [
+            state
+            for state in self._states.values()
+            if not state.endpoint.leaving
+        ]
+        available = [state for state in staying if state.available(now)]
+        return available or staying
+
     def choose(
         self,
         prefix: str,
@@ -123,9 +142,7 @@
         :param tried: names of endpoints to avoid if others exist.
         :returns: None where no endpoint is available.
         """
-        usable = [
-            state for state in self._states.values() if state.available(now)
-        ]
+        usable = self.usable(now)
         fresh = [state for state in usable if state.endpoint.name not in tried]
         candidates = fresh or usable
         if not candidates:
@@ -138,17 +155,11 @@
 
     def capacity_left(self, now: float) -> bool:
         """Tells whether any endpoint has a slot for an online request."""
-        return any(
-            state.free_slots() > 0
-            for state in self._states.values()
-            if state.available(now)
-        )
+        return any(state.free_slots() > 0 for state in self.usable(now))
 
     def wait_estimate_s(self, ahead: int, now: float) -> float:
         """Estimates the wait of a request with others ahead of it."""
-        usable = [
-            state for state in self._states.values() if state.available(now)
-        ]
+        usable = self.usable(now)
         slots = sum(state.endpoint.slots for state in usable)
         if not slots:
             return EJECT_MAX_S
--- a/spec/share_table.py
+++ b/spec/share_table.py
@@ -97,20 +97,14 @@
         host = self.hosts[name]
         confirmed = host.hearing.confirmed(name, host.keeper.slots(), self.now)
         transfers = host.keeper.on_table(
-            _table(self.table),
+            _table(self.version),
             self.version,
             self.now,
             confirmed=confirmed,
         )
-        for transfer in transfers:
+        for transfer in transfers if keep else ():
             receiver = self.hosts[transfer.host]
-            may_take = receiver.hearing.confirmed(
-                transfer.host,
-                receiver.keeper.slots(),
-                self.now,
-            )
-            if keep and may_take:
-                receiver.keeper.on_handover(transfer.handover, self.now)
+            receiver.keeper.on_handover(transfer.handover, self.now)
 
 
 def build(rules: Rules) -> Protocol:
@@ -119,8 +113,7 @@
     limits = {ACCOUNT: AccountLimit(rate_per_s=1.0, burst=4.0)}
     for host in hosts:
         host.keeper.apply_limits(limits, 0.0)
-        host.keeper.on_table(_table((OWNER, OTHER)), 1, 0.0, confirmed=False)
-    hosts[0].keeper.on_created(_table((OWNER, OTHER)), 1, 0.0)
+        host.keeper.on_table(_table(1), 1, 0.0, confirmed=False)
     for host, other in zip(hosts, reversed(HOSTS), strict=True):
         host.hearing.on_answer(other, 0.0)
         host.hearing.on_question(other, 0.0)
@@ -183,7 +176,6 @@
 def _other_asks(state: _State, rules: Rules) -> bool:
     owner = state.hosts[OWNER]
     other = state.hosts[OTHER]
-    owner.hearing.on_question(OTHER, state.now)
     owner.keeper.on_ack(OTHER, other.keeper.version, state.now)
     other.keeper.on_ack(OWNER, owner.keeper.version, state.now)
     if owner.keeper.version <= other.keeper.version:
@@ -269,9 +261,14 @@
 )
 
 
-def _table(hosts: tuple[str, ...]) -> ShareTable:
+def _table(version: int) -> ShareTable:
+    # Tables alternate: the owner is in the odd ones only.
+    slots = [ShareSlot(host=host, incarnation='1') for host in HOSTS]
+    with_owner = version % 2 == 1
     return ShareTable(
         data_centre='dc',
-        slots=[ShareSlot(host=host, incarnation='1') for host in hosts],
+        slots=slots if with_owner else slots[1:],
+        previous=slots[1:] if with_owner else slots,
+        previous_version=version - 1,
         write_id='',
     )
--- a/tests/test_batch_failures.py
+++ b/tests/test_batch_failures.py
@@ -7,8 +7,8 @@
 import time
 
 import pytest
-
 from jacinthmount_standin.engine import POISON, answer_text
+
 from tests.site import Site, eventually, make_lines
 
 HOSTS = ('east-h1', 'east-h2')
@@ -57,9 +57,7 @@
 
     def some_host_works():
         found.extend(
-            host
-            for host in HOSTS
-            if site.fleet.status(host)['batch_running']
+            host for host in HOSTS if site.fleet.status(host)['batch_running']
         )
         return bool(found)
 
@@ -99,10 +97,16 @@
     ended = site.wait_batch('east-h1', key, batch['id'], 60)
     assert ended['request_counts']['completed'] == 20
     resent = site.call(
-        'east-h1', 'POST', '/v1/batches', {
+        'east-h1',
+        'POST',
+        '/v1/batches',
+        {
             'input_file_id': batch['input_file_id'],
-            'endpoint': '/v1/chat/completions', 'completion_window': '1h',
-        }, key, idempotency_key='lot-1',
+            'endpoint': '/v1/chat/completions',
+            'completion_window': '1h',
+        },
+        key,
+        idempotency_key='lot-1',
     )
     assert json.loads(resent.body)['id'] == batch['id']
 
@@ -116,7 +120,9 @@
     for _ in range(5):
         with contextlib.suppress(Exception):
             batch = site.caller('east-h1', key).submit(
-                make_lines(40), '1h', 'lot-2b',
+                make_lines(40),
+                '1h',
+                'lot-2b',
             )
             break
     site.fleet.switch(site.fleet.platform_port, lose_answers=5)
@@ -130,9 +136,16 @@
     batch = site.caller('east-h1', key).submit(make_lines(300), '1h', '')
     working_host(site)
     site.fleet.switch(site.fleet.platform_port, outage=True)
-    refused = site.call('east-h1', 'POST', '/v1/batches', {
-        'input_file_id': batch['input_file_id'], 'completion_window': '1h',
-    }, key)
+    refused = site.call(
+        'east-h1',
+        'POST',
+        '/v1/batches',
+        {
+            'input_file_id': batch['input_file_id'],
+            'completion_window': '1h',
+        },
+        key,
+    )
     assert refused.status == 503
     assert refused.error['code'] == '1601'
     assert site.chat('east-h1', key, 'hello').status == 200
@@ -160,7 +173,9 @@
     """Items that kill engines end as failed; the rest is done."""
     poison = make_lines(1, prompt=POISON).replace(b'item-0', b'poison')
     batch = site.caller('east-h1', key).submit(
-        make_lines(30) + poison, '1h', '',
+        make_lines(30) + poison,
+        '1h',
+        '',
     )
     stop = threading.Event()
 
@@ -178,14 +193,18 @@
         stop.set()
         restarter.join()
     assert ended['request_counts'] == {
-        'total': 31, 'completed': 30, 'failed': 1,
+        'total': 31,
+        'completed': 30,
+        'failed': 1,
     }
 
 
 def test_cancelled_batch_stops(site, key):
     """No item starts later than the bound, and running ones are stopped."""
     batch = site.caller('east-h1', key).submit(
-        make_lines(2000, max_tokens=200), '1h', '',
+        make_lines(2000, max_tokens=200),
+        '1h',
+        '',
     )
     working_host(site)
     site.caller('east-h2', key).cancel(batch['id'])
@@ -204,9 +223,12 @@
     site.fleet.switch(site.fleet.plain_port, late_s=0.2)
     lines = b''.join(
         json.dumps({
-            'custom_id': f'brief-{number}', 'method': 'POST',
-            'url': '/services/brief/send', 'body': {'number': number},
-        }).encode() + b'\n'
+            'custom_id': f'brief-{number}',
+            'method': 'POST',
+            'url': '/services/brief/send',
+            'body': {'number': number},
+        }).encode()
+        + b'\n'
         for number in range(200)
     )
     batch = site.caller('east-h1', key).submit(lines, '1h', '')
@@ -220,7 +242,8 @@
     runs = site.stats(site.fleet.plain_port)['counts']
     assert max(runs.values()) == 1
     unknown = [
-        row for row in site.results(other, key, batch['id'])
+        row
+        for row in site.results(other, key, batch['id'])
         if row['error'] and row['error']['code'] == '1402'
     ]
     assert len(unknown) == counts['failed']
--- a/tests/test_buckets.py
+++ b/tests/test_buckets.py
@@ -25,6 +25,13 @@
     assert bucket.level(100) == 5 - 10 * TAKE_VALID_S
 
 
+def test_small_burst_keeps_half_and_gives_up_rate():
+    """A burst below what refills at once still admits, within the limits."""
+    bucket = Bucket(rate_per_s=1000, burst=4, now=0)
+    assert bucket.level(10) == 2
+    assert bucket.total_rate(10) == 2 / TAKE_VALID_S
+
+
 def test_loan_moves_rate_capacity_and_level():
     """A loan takes all three from the lender."""
     lender = Bucket(rate_per_s=2, burst=8, now=0, level=8)
--- /dev/null
+++ b/tests/test_call_failures.py
@@ -0,0 +1,283 @@
+"""Calls run at most once, "not run" is true, answers are whole and own."""
+
+import json
+import signal
+import threading
+
+import pytest
+
+from tests.site import Load, Site, eventually
+
+HOSTS = ('east-h1', 'east-h2')
+ENGINES = {'engine-1': 'east', 'engine-2': 'east'}
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory):
+    """Two hosts and two engines in one data centre."""
+    made = Site(
+        folder=tmp_path_factory.mktemp('calls'),
+        data_centres={'east': 2},
+        engines=ENGINES,
+        accounts={'ministry': (500, 500)},
+    )
+    yield made
+    made.fleet.stop()
+
+
+@pytest.fixture(scope='module')
+def key(site):
+    """A key of the account ministry."""
+    return site.grant('ministry')[1]
+
+
+@pytest.fixture
+def plain(site):
+    """The plain service without failures; tests set its switches."""
+    port = site.fleet.plain_port
+
+    def switch(**changes):
+        site.fleet.switch(port, **changes)
+
+    yield switch
+    site.fleet.switch(
+        port,
+        late_s=0,
+        cut_before_answer=0,
+        cut_mid_answer=0,
+        crossed=0,
+    )
+
+
+def brief(site, host, key, body, **headers):
+    """Sends a call that may not be repeated."""
+    return site.call(
+        host,
+        'POST',
+        '/services/brief/send',
+        body.encode(),
+        key,
+        **headers,
+    )
+
+
+def runs(site, body):
+    """Counts how often the endpoint ran a call."""
+    return site.stats(site.fleet.plain_port)['counts'].get(body, 0)
+
+
+@pytest.mark.parametrize(
+    'failure',
+    [
+        'cut_before_answer',
+        'cut_mid_answer',
+        'crossed',
+    ],
+)
+@pytest.mark.parametrize('resend_key', ['', 'resent'])
+def test_lost_answer_is_unknown_and_not_repeated(
+    site,
+    key,
+    plain,
+    failure,
+    resend_key,
+):
+    """Whatever becomes of the answer, the endpoint ran the call once."""
+    body = f'{failure}-{resend_key}'
+    headers = {'idempotency_key': body} if resend_key else {}
+    plain(**{failure: 1})
+    first = brief(site, 'east-h1', key, body, **headers)
+    assert first.error['run_state'] == 'outcome_unknown'
+    if resend_key:
+        again = brief(site, 'east-h2', key, body, **headers)
+        assert again.error['run_state'] == 'outcome_unknown'
+    assert runs(site, body) == 1
+
+
+def test_resent_call_gets_the_first_answer(site, key, plain):
+    """A call that was answered is replayed through any host."""
+    first = brief(site, 'east-h1', key, 'replay', idempotency_key='replay')
+    again = brief(site, 'east-h2', key, 'replay', idempotency_key='replay')
+    assert (first.status, first.body) == (again.status, again.body)
+    assert runs(site, 'replay') == 1
+
+
+def test_same_key_with_another_body_is_refused(site, key, plain):
+    """The key names one request."""
+    brief(site, 'east-h1', key, 'body-a', idempotency_key='mismatch')
+    other = brief(site, 'east-h2', key, 'body-b', idempotency_key='mismatch')
+    assert (other.status, other.error['run_state']) == (422, 'not_run')
+    assert runs(site, 'body-b') == 0
+
+
+def test_racing_resends_run_once(site, key, plain):
+    """Many copies at once through both hosts run one time."""
+    plain(late_s=0.2)
+    answers = []
+
+    def send(number):
+        answers.append(
+            brief(
+                site,
+                HOSTS[number % 2],
+                key,
+                'race',
+                idempotency_key='race',
+            )
+        )
+
+    threads = [
+        threading.Thread(target=send, args=(number,)) for number in range(12)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert runs(site, 'race') == 1
+    assert any(answer.status == 200 for answer in answers)
+    # A copy refused at admission never reached the record of the call.
+    refused = [answer.error for answer in answers if answer.status != 200]
+    assert {
+        error['code'] for error in refused if error['run_state'] == 'not_run'
+    } <= {'1301', '1303'}
+
+
+def test_keyed_call_in_an_outage_is_truly_not_run(site, key, plain):
+    """Without the platform the call is refused before it leaves."""
+    port = site.fleet.platform_port
+    site.fleet.switch(port, outage=True)
+    try:
+        refused = brief(site, 'east-h1', key, 'out', idempotency_key='out')
+        unkeyed = brief(site, 'east-h1', key, 'out-unkeyed')
+    finally:
+        site.fleet.switch(port, outage=False)
+    assert (refused.status, refused.error['run_state']) == (503, 'not_run')
+    assert runs(site, 'out') == 0
+    assert unkeyed.status == 200
+
+
+def test_lost_platform_answer_runs_once(site, key, plain):
+    """A record whose write lost its answer is settled, not doubled."""
+    site.fleet.switch(site.fleet.platform_port, lose_answers=2)
+    answer = brief(site, 'east-h1', key, 'lost', idempotency_key='lost')
+    again = brief(site, 'east-h2', key, 'lost', idempotency_key='lost')
+    assert answer.status == again.status == 200
+    assert runs(site, 'lost') == 1
+
+
+def test_unreachable_endpoint_is_not_run_and_can_be_sent_again(
+    site,
+    key,
+    plain,
+):
+    """A refused connection is told as not run, with a time to come back."""
+    site.fleet.kill('plain')
+    refused = brief(site, 'east-h1', key, 'down', idempotency_key='down')
+    assert refused.error['run_state'] == 'not_run'
+    site.fleet.start_plain()
+    eventually(
+        lambda: (
+            brief(
+                site,
+                'east-h2',
+                key,
+                'down',
+                idempotency_key='down',
+            ).status
+            == 200
+        ),
+        10,
+    )
+    assert runs(site, 'down') == 1
+
+
+def test_host_killed_during_a_keyed_call(site, key, plain):
+    """A resend through another host learns that the outcome is unknown."""
+    plain(late_s=1)
+    first = []
+    thread = threading.Thread(
+        target=lambda: first.append(
+            brief(site, 'east-h2', key, 'kill', idempotency_key='kill'),
+        )
+    )
+    thread.start()
+    eventually(lambda: runs(site, 'kill') == 1, 5)
+    site.fleet.kill('east-h2')
+    thread.join()
+    again = brief(site, 'east-h1', key, 'kill', idempotency_key='kill')
+    site.fleet.start_host('east-h2')
+    site.fleet.wait_ready('east-h2')
+    assert first[0].status == 0
+    assert again.error['run_state'] == 'outcome_unknown'
+    assert runs(site, 'kill') == 1
+
+
+@pytest.mark.parametrize(
+    'switch',
+    [
+        {'crossed': 2},
+        {'fail': 2},
+        {'cut_after_tokens': 3, 'cuts': 2},
+    ],
+)
+def test_online_answer_is_whole_and_own(site, key, switch):
+    """Crossed, failed and cut answers are repeated or resumed elsewhere."""
+    expected = site.chat('east-h1', key, 'own', stream=True).body
+    engines = [site.fleet.engine_port(engine) for engine in ENGINES]
+    for port in engines:
+        site.fleet.switch(
+            port,
+            **{
+                **switch,
+                **{
+                    name: 1
+                    for name in ('crossed', 'fail', 'cuts')
+                    if name in switch
+                },
+            },
+        )
+    answers = [site.chat('east-h1', key, 'own', stream=True) for _ in range(4)]
+    for port in engines:
+        site.fleet.switch(port, cut_after_tokens=0, cuts=0, fail=0, crossed=0)
+    assert [text(answer) for answer in answers] == [
+        text(answer)
+        for answer in [
+            type(answers[0])(status=200, body=expected, asked_at=0, read_at=0),
+        ]
+        * 4
+    ]
+
+
+def text(answer):
+    """Joins the pieces of a streamed answer."""
+    assert answer.status == 200, answer.body
+    assert answer.body.rstrip().endswith(b'data: [DONE]')
+    return ''.join(
+        json.loads(line[6:])['choices'][0]['delta']['content']
+        for line in answer.body.decode().splitlines()
+        if line.startswith('data: {')
+    )
+
+
+def test_engine_killed_and_frozen_under_load(site, key):
+    """Online requests that may be repeated are answered all the same."""
+    eventually(lambda: site.chat('east-h1', key, 'warm').status == 200, 20)
+    load = Load(
+        call=lambda number: site.chat(
+            HOSTS[0],
+            key,
+            f'load {number}',
+            stream=number % 2 == 0,
+        ),
+        threads=4,
+    )
+    eventually(lambda: len(load.answers) > 20)
+    site.fleet.kill('engine-1')
+    eventually(lambda: len(load.answers) > 60)
+    site.fleet.start_engine('engine-1')
+    site.fleet.signal('engine-2', signal.SIGSTOP)
+    seen = len(load.answers)
+    eventually(lambda: len(load.answers) > seen + 20, 40)
+    site.fleet.signal('engine-2', signal.SIGCONT)
+    answers = load.stop()
+    assert {answer.status for answer in answers} == {200}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from jacinthmount.dispatch import Attempt, Next, Stage, decide
+from jacinthmount.dispatch import Attempt, Next, Stage, decide, decide_within
 from jacinthmount.fairness import FairQueue
 from jacinthmount.idempotency import (
     CALL_ANSWERED,
@@ -24,6 +24,7 @@
 )
 from jacinthmount.permits import SETTLE_S, EngineRoom
 from jacinthmount.ports import EngineLoad
+from jacinthmount.records import replaced
 from jacinthmount.retries import RetryBudget
 from jacinthmount.routing import Router
 from jacinthmount.suspects import SuspectBook
@@ -131,10 +132,28 @@
     retries = 0
     for _ in range(1000):
         budget.on_request()
-        retries += budget.spend()
+        retries += budget.spend(0)
     assert retries <= 205
 
 
+def test_calls_that_are_never_repeated_cost_no_retries():
+    """Unknown outcomes of some callers don't use up the retries of others."""
+    budget = RetryBudget(reserve=1)
+    attempt = Attempt(
+        stage=Stage.SENT,
+        idempotent=False,
+        relayed=False,
+        resumable=False,
+        may_retry=True,
+        time_left=True,
+    )
+    for _ in range(10):
+        assert decide_within(attempt, budget, 0) is Next.UNKNOWN
+    retried = replaced(attempt, idempotent=True)
+    assert decide_within(retried, budget, 0) is Next.RETRY
+    assert decide_within(retried, budget, 0) is Next.FAILED
+
+
 def test_poison_item_fails_and_innocent_ones_do_not():
     """Only the item that kills endpoints alone is blamed."""
     book = SuspectBook()
@@ -250,6 +269,22 @@
     assert len(chosen) == 3
 
 
+def test_requests_that_fail_together_count_once(router):
+    """One death of an endpoint keeps work away for the first pause only."""
+    state = router.states()[0]
+    for _ in range(8):
+        state.on_failure(0)
+    assert state.available(0.5)
+
+
+def test_endpoints_that_all_failed_are_tried_again(router):
+    """A failure of the last endpoint does not refuse the next request."""
+    for state in router.states():
+        state.on_failure(0)
+    assert router.choose('prefix', set(), 0.1) is not None
+    assert router.capacity_left(0.1)
+
+
 def test_old_report_is_not_trusted(router):
     """A lagging report counts only while it is fresh."""
     state = router.states()[0]
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,11 +1,13 @@
 """Tests of buckets that change hosts."""
 
 import pytest
+from jacinthmount.declarations import Account, DataCentre
 from jacinthmount.members import rank_hosts
 from jacinthmount.shares import (
     HANDOVER_WAIT_S,
     AccountLimit,
     ShareKeeper,
+    split_limits,
 )
 
 from tests.utils import make_table
@@ -24,7 +26,7 @@
             {ACCOUNT: AccountLimit(rate_per_s=1, burst=10)},
             0,
         )
-    made[SECOND].on_created(make_table(SECOND), 1, 0)
+    made[SECOND].on_table(make_table(SECOND), 1, 0, confirmed=True)
     return made
 
 
@@ -33,10 +35,15 @@
     assert keepers[SECOND].bucket(ACCOUNT, 0) is not None
 
 
+def test_bucket_fills_from_the_time_it_was_free(keepers):
+    """The first request does not find a bucket that starts to fill."""
+    assert keepers[SECOND].bucket(ACCOUNT, 4).level(4) == pytest.approx(4)
+
+
 def test_bucket_moves_with_its_level(keepers):
     """A host that joins gets its buckets from their old owner."""
     keepers[SECOND].bucket(ACCOUNT, 0)
-    table = make_table(FIRST, SECOND)
+    table = make_table(FIRST, SECOND, previous=(SECOND,), version=1)
     keepers[FIRST].on_table(table, 2, 5, confirmed=True)
     assert keepers[FIRST].bucket(ACCOUNT, 5) is None
     transfers = keepers[SECOND].on_table(table, 2, 5, confirmed=True)
@@ -49,20 +56,26 @@
 def test_unconfirmed_host_hands_nothing_over(keepers):
     """Its bucket may have been made anew elsewhere."""
     keepers[SECOND].bucket(ACCOUNT, 0)
-    table = make_table(FIRST, SECOND)
+    table = make_table(FIRST, SECOND, previous=(SECOND,), version=1)
     assert not keepers[SECOND].on_table(table, 2, 5, confirmed=False)
     assert keepers[SECOND].bucket(ACCOUNT, 5) is None
 
 
 def test_lost_handover_is_replaced_after_the_wait(keepers):
     """The new owner starts empty once every host has acknowledged."""
-    keepers[FIRST].on_table(make_table(FIRST, SECOND), 2, 0, confirmed=True)
+    keepers[FIRST].on_table(
+        make_table(FIRST, SECOND, previous=(SECOND,), version=1),
+        2,
+        0,
+        confirmed=True,
+    )
     assert keepers[FIRST].bucket(ACCOUNT, 100) is None
     keepers[FIRST].on_ack(SECOND, 2, 100)
     assert keepers[FIRST].bucket(ACCOUNT, 100 + HANDOVER_WAIT_S - 1) is None
     bucket = keepers[FIRST].bucket(ACCOUNT, 100 + HANDOVER_WAIT_S)
     assert bucket is not None
     assert not bucket.level(100 + HANDOVER_WAIT_S)
+    assert bucket.level(101 + HANDOVER_WAIT_S) == pytest.approx(1)
 
 
 def test_new_start_of_a_host_is_not_listed(keepers):
@@ -82,14 +95,19 @@
     bucket.level(8)
     assert bucket.lend('loan', 0.5, 8)
     transfers = keepers[SECOND].on_table(
-        make_table(FIRST, SECOND),
+        make_table(FIRST, SECOND, previous=(SECOND,), version=1),
         2,
         9,
         confirmed=True,
     )
     wait_s = transfers[0].handover.wait_s
     assert wait_s == pytest.approx(4.5)
-    keepers[FIRST].on_table(make_table(FIRST, SECOND), 2, 9, confirmed=True)
+    keepers[FIRST].on_table(
+        make_table(FIRST, SECOND, previous=(SECOND,), version=1),
+        2,
+        9,
+        confirmed=True,
+    )
     keepers[FIRST].on_handover(transfers[0].handover, 9)
     assert keepers[FIRST].bucket(ACCOUNT, 9 + wait_s - 0.1) is None
     assert keepers[FIRST].bucket(ACCOUNT, 9 + wait_s) is not None
@@ -98,10 +116,65 @@
 def test_duplicate_handover_is_ignored(keepers):
     """A bucket held here is not replaced by an old copy."""
     keepers[SECOND].bucket(ACCOUNT, 0)
-    table = make_table(FIRST, SECOND)
+    table = make_table(FIRST, SECOND, previous=(SECOND,), version=1)
     keepers[FIRST].on_table(table, 2, 8, confirmed=True)
     transfers = keepers[SECOND].on_table(table, 2, 8, confirmed=True)
     keepers[FIRST].on_handover(transfers[0].handover, 8)
     assert keepers[FIRST].bucket(ACCOUNT, 8).take(5, 8)
     keepers[FIRST].on_handover(transfers[0].handover, 8)
     assert not keepers[FIRST].bucket(ACCOUNT, 8).take(5, 8)
+
+
+def test_account_declared_after_a_change_is_served_at_once(keepers):
+    """A host that keeps nothing back lets the new owner start at once."""
+    table = make_table(FIRST, SECOND, previous=(SECOND,), version=1)
+    for keeper in keepers.values():
+        keeper.apply_limits({}, 0)
+    keepers[FIRST].on_table(table, 2, 5, confirmed=True)
+    transfers = keepers[SECOND].on_table(table, 2, 5, confirmed=True)
+    keepers[FIRST].on_handover(transfers[0].handover, 5)
+    for keeper in keepers.values():
+        keeper.apply_limits({ACCOUNT: AccountLimit(rate_per_s=1, burst=9)}, 5)
+    assert keepers[FIRST].bucket(ACCOUNT, 5) is not None
+    assert keepers[SECOND].bucket(ACCOUNT, 5) is None
+
+
+def test_handover_that_comes_before_its_table_waits(keepers):
+    """A handover under a newer table is kept until that table is known."""
+    keepers[SECOND].bucket(ACCOUNT, 0)
+    table = make_table(FIRST, SECOND, previous=(SECOND,), version=1)
+    transfers = keepers[SECOND].on_table(table, 2, 5, confirmed=True)
+    keepers[FIRST].on_handover(transfers[0].handover, 5)
+    assert keepers[FIRST].bucket(ACCOUNT, 5) is None
+    keepers[FIRST].on_table(table, 2, 6, confirmed=True)
+    assert keepers[FIRST].bucket(ACCOUNT, 6) is not None
+
+
+def test_release_under_an_older_table_settles_nothing(keepers):
+    """A host that skipped a table can't speak for it."""
+    table = make_table(FIRST, SECOND, previous=(SECOND,), version=2)
+    keepers[FIRST].on_table(table, 3, 5, confirmed=True)
+    transfers = keepers[SECOND].on_table(table, 3, 5, confirmed=True)
+    for transfer in transfers:
+        keepers[FIRST].on_handover(transfer.handover, 5)
+    assert keepers[FIRST].bucket(ACCOUNT, 5) is None
+
+
+@pytest.mark.parametrize(('burst', 'places'), [(100, 4), (10, 1)])
+def test_limits_are_split_and_sum_to_the_whole(burst, places):
+    """A small burst stays whole, since no part of it would admit."""
+    data_centres = [
+        DataCentre(name=f'dc-{number}', region='r', share=0.25, write_id='')
+        for number in range(4)
+    ]
+    account = Account(
+        name='gin',
+        rate_per_s=8,
+        burst=burst,
+        weight=1,
+        write_id='',
+    )
+    split = split_limits(account, data_centres)
+    assert len(split) == places
+    assert sum(limit.burst for limit in split.values()) == burst
+    assert sum(limit.rate_per_s for limit in split.values()) == 8
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -77,11 +77,21 @@
     )
 
 
-def make_table(*hosts: str) -> ShareTable:
-    """Builds a share table of first starts."""
+def make_table(
+    *hosts: str,
+    previous: tuple[str, ...] = (),
+    version: int = 0,
+) -> ShareTable:
+    """Builds a share table of first starts.
+
+    :param previous: hosts of the table that it replaced.
+    :param version: version of that table.
+    """
     return ShareTable(
         data_centre='east',
         slots=[ShareSlot(host=host, incarnation='1') for host in hosts],
+        previous=[ShareSlot(host=host, incarnation='1') for host in previous],
+        previous_version=version,
         write_id='',
     )
 
