--- a/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
@@ -30,7 +30,7 @@
 
 __all__ = ('BatchItem', 'ChunkRun')
 
-FLUSH_INTERVAL_S = 1.0
+FLUSH_INTERVAL_S = 5.0
 STORE_PAUSE_S = 1.0
 MAX_BUFFER_BYTES = 4 * 1024 * 1024
 RECORD_OVERHEAD_BYTES = 100
--- a/packages/jacinthmount-node/jacinthmount_node/batch_claims.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_claims.py
@@ -41,6 +41,10 @@
 __all__ = ('BatchClaims',)
 
 CLAIM_INTERVAL_S = 0.5
+MAX_IDLE_ROUNDS = 10
+MAX_LOOKS = 2
+TAKEN_PAUSE_S = 4.0
+BEAT_READ_S = 2.0
 MAX_CHUNKS = 8
 PENDING_PER_STREAM = 2
 PASSED_PAUSE_S = 10.0
@@ -50,13 +54,17 @@
     """Claims chunks while this host has engines with room for them."""
 
     __slots__ = (
+        '_beat_bodies',
         '_beats',
         '_board',
         '_files',
+        '_idle_rounds',
         '_node',
         '_passed',
         '_rooms',
         '_sync',
+        '_taken',
+        '_wake',
     )
 
     def __init__(
@@ -75,12 +83,20 @@
         self._sync = sync
         self._board = board
         self._beats = BeatWatch()
+        self._beat_bodies: dict[str, tuple[float, str]] = {}
         self._passed: dict[str, float] = {}
+        self._taken: dict[str, float] = {}
+        self._idle_rounds = 0
+        self._wake = curio.Event()
 
     async def run(self) -> None:
         """Claims until cancelled."""
         while True:
-            await curio.sleep(CLAIM_INTERVAL_S)
+            # Hosts without luck ask less often, until a batch changes.
+            rounds = min(MAX_IDLE_ROUNDS, 1 + self._idle_rounds)
+            async with curio.ignore_after(CLAIM_INTERVAL_S * rounds):
+                await self._wake.wait()
+            self._wake.clear()
             self._board.decay_served(CLAIM_INTERVAL_S)
             try:
                 await self._claim_more()
@@ -89,17 +105,31 @@
             except JacinthmountError as exc:
                 log_failure('claims', exc)
 
+    async def wake(self) -> None:
+        """Looks for chunks again soon, since batches changed."""
+        self._idle_rounds = 0
+        await self._wake.set()
+
     async def _claim_more(self) -> None:
         await self._release_idle()
         if self._board.stopping or not self._wants_chunks():
             return
+        looked = 0
+        self._idle_rounds += 1
         for batch in self._board.open_batches():
-            if not self._board.runs_here(batch.targets):
+            if not self._may_have_chunks(batch):
                 continue
+            looked += 1
             await self._claim_from(batch)
-            if not self._wants_chunks():
+            if looked >= MAX_LOOKS or not self._wants_chunks():
                 return
 
+    def _may_have_chunks(self, batch: BatchManifest) -> bool:
+        taken_at = self._taken.get(batch.batch_id, -TAKEN_PAUSE_S)
+        if self._node.now() - taken_at < TAKEN_PAUSE_S:
+            return False
+        return self._board.runs_here(batch.targets)
+
     async def _release_idle(self) -> None:
         # The rest of these chunks is for engines that other hosts decide on.
         for run in list(self._board.chunks.values()):
@@ -139,7 +169,9 @@
             name = claim_name(batch.batch_id, chunk)
             version = found[name].version if name in found else ABSENT
             if await self._try_claim(batch, chunk, claims.get(name), version):
+                self._idle_rounds = 0
                 return
+        self._taken[batch.batch_id] = node.now()
 
     def _chunk_order(self, batch: BatchManifest) -> list[int]:
         # Hosts start at different chunks, so that they rarely race.
@@ -192,15 +224,22 @@
             return False
         if not claim.holder:
             return True
-        beat = await self._node.store.read(beat_name(claim.holder))
         now = self._node.now()
-        version = beat.version if beat else ABSENT
-        self._beats.on_beat(claim.holder, version, now)
-        restarted = beat is not None and claim.incarnation not in (
-            beat.body or ''
-        )
+        body = await self._read_beat(claim.holder, now)
+        restarted = bool(body) and claim.incarnation not in body
         return restarted or self._beats.expired(claim.holder, now)
 
+    async def _read_beat(self, holder: str, now: float) -> str:
+        # One look meets many claims of the same holder.
+        read_at, body = self._beat_bodies.get(holder, (-BEAT_READ_S, ''))
+        if now - read_at < BEAT_READ_S:
+            return body
+        beat = await self._node.store.read(beat_name(holder))
+        self._beats.on_beat(holder, beat.version if beat else ABSENT, now)
+        body = beat.body or '' if beat else ''
+        self._beat_bodies[holder] = (now, body)
+        return body
+
     async def _run_chunk(self, run: ChunkRun) -> None:
         try:
             lines = await self._files.read_chunk(
--- a/packages/jacinthmount-node/jacinthmount_node/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_runner.py
@@ -54,6 +54,7 @@
         """Stops the chunks of batches that are no longer open."""
         if not any(one.name.startswith(BATCH_PREFIX) for one in changed):
             return
+        await self._claims.wake()
         still_open = {batch.batch_id for batch in self._board.open_batches()}
         for run in list(self._board.chunks.values()):
             if run.batch.batch_id not in still_open:
--- a/packages/jacinthmount-node/jacinthmount_node/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/calls.py
@@ -4,6 +4,7 @@
 from jacinthmount.declarations import Profile
 from jacinthmount.dispatch import Attempt, Next, Stage, decide_within
 from jacinthmount.errors import (
+    AnswerNotKept,
     CallInProgress,
     DeadlineUnreachable,
     EndpointFailed,
@@ -149,6 +150,7 @@
             status=0,
             content_type='',
             body='',
+            kept=False,
             holder=self._node.host,
             write_id=new_write_id(),
         )
@@ -184,13 +186,14 @@
             )
             await self._record_end(name, ended, version)
             raise
-        kept = answer.body[:MAX_KEPT_ANSWER_BYTES].decode('latin-1')
+        kept = len(answer.body) <= MAX_KEPT_ANSWER_BYTES
         ended = replaced(
             started,
             state=CALL_ANSWERED,
             status=answer.status,
             content_type=dict(answer.headers).get('content-type', ''),
-            body=kept,
+            body=answer.body.decode('latin-1') if kept else '',
+            kept=kept,
             write_id=new_write_id(),
         )
         await self._record_end(name, ended, version)
@@ -327,6 +330,8 @@
 
 
 def _replayed(record: CallRecord) -> PlainAnswer:
+    if not record.kept:
+        raise AnswerNotKept(detail='the first answer was too large to keep')
     headers = [('x-replayed', 'yes')]
     if record.content_type:
         headers.append(('content-type', record.content_type))
--- a/packages/jacinthmount-node/jacinthmount_node/membership.py
+++ b/packages/jacinthmount-node/jacinthmount_node/membership.py
@@ -18,7 +18,7 @@
 __all__ = ('Membership',)
 
 REGISTER_INTERVAL_S = 1.0
-BEAT_INTERVAL_S = 4.0
+BEAT_INTERVAL_S = 5.0
 CLEANUP_INTERVAL_S = 10.0
 
 
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -2,6 +2,7 @@
 
 __all__ = (
     'AmbiguousFraming',
+    'AnswerNotKept',
     'BatchFileInvalid',
     'BodyTooLarge',
     'CallInProgress',
@@ -210,6 +211,13 @@
     run_state = OUTCOME_UNKNOWN
 
 
+class AnswerNotKept(JacinthmountError):
+    """The first request with this key ran; its answer was too large to keep."""
+
+    code = 1503
+    http_status = 410
+
+
 class StoreUnavailable(JacinthmountError):
     """The object API did not answer; a write may have taken effect."""
 
--- a/packages/jacinthmount/jacinthmount/idempotency.py
+++ b/packages/jacinthmount/jacinthmount/idempotency.py
@@ -15,7 +15,10 @@
 
 
 class CallRecord(Record):
-    """A keyed call: created before dispatch, completed with its answer."""
+    """A keyed call: created before dispatch, completed with its answer.
+
+    ``kept`` tells whether the body holds the whole answer.
+    """
 
     __slots__ = (
         'request_hash',
@@ -23,6 +26,7 @@
         'status',
         'content_type',
         'body',
+        'kept',
         'holder',
         'write_id',
     )
@@ -32,6 +36,7 @@
     status: int
     content_type: str
     body: str
+    kept: bool
     holder: str
     write_id: str
 
--- a/spec/keyed_call.py
+++ b/spec/keyed_call.py
@@ -213,6 +213,7 @@
         status=0,
         content_type='',
         body='',
+        kept=True,
         holder='',
         write_id='',
     )
--- a/tests/test_call_failures.py
+++ b/tests/test_call_failures.py
@@ -102,6 +102,16 @@
     assert runs(site, 'replay') == 1
 
 
+def test_answer_too_large_to_keep_is_not_replayed_short(site, key, plain):
+    """A resend learns that the call ran, and gets no part of an answer."""
+    body = 'x' * 300_000
+    first = brief(site, 'east-h1', key, body, idempotency_key='large')
+    again = brief(site, 'east-h2', key, body, idempotency_key='large')
+    assert first.status == 200
+    assert (again.status, again.error['run_state']) == (410, 'failed')
+    assert runs(site, body) == 1
+
+
 def test_same_key_with_another_body_is_refused(site, key, plain):
     """The key names one request."""
     brief(site, 'east-h1', key, 'body-a', idempotency_key='mismatch')
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -190,6 +190,7 @@
         status=200,
         content_type='',
         body='',
+        kept=True,
         holder='',
         write_id='',
     )
