Let a failed test end though its load still runs

Cause: threads of a load kept the test process alive after a failure, found when a broken variant made a key test fail and the run never ended.

--- a/tests/site.py
+++ b/tests/site.py
@@ -266,7 +266,11 @@
         self._call = call
         self._stop = threading.Event()
         self._threads = [
-            threading.Thread(target=self._run, args=(number,))
+            threading.Thread(
+                target=self._run,
+                args=(number,),
+                daemon=True,
+            )
             for number in range(threads)
         ]
         for thread in self._threads:
