Leave a frozen engine within seconds; don't repeat what can't be reached

Cause of the failed test: an engine that froze keeps its connections open, and a request without a stream waited for it until its deadline (504 after 20 s); streams waited 10 s each, again after every pause. Load reports that stay out twice now mark the engine silent, known to all hosts of the data centre.

Second cause, found beside it: a call to a single unreachable endpoint was repeated without end until the retries of all callers were used up, since attempts were counted by endpoint. Attempts are counted, and an endpoint that refused the connection is not asked again at once.

Ruled out: a fixed bound on answers without a stream; long answers are allowed.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(PYTHON) -m jacinthmount_standin demo --folder $(DEMO) --stop
 
 test: setup
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n 3 --dist loadfile
 
 lint: setup
 	$(VENV)/bin/ruff format --check packages tests spec
--- a/packages/jacinthmount-node/jacinthmount_node/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/calls.py
@@ -224,15 +224,20 @@
         repeatable = self._repeatable(call, profile)
         limit = profile.max_attempts
         tried: set[str] = set()
-        self._node.budget.on_request()
+        attempts = 0
+        node = self._node
+        node.budget.on_request()
         while True:
             state = self._choose(call, tried)
             result = await self._attempt(call, state, fresh=not repeatable)
             if isinstance(result, PlainAnswer):
                 return result
             tried.add(state.endpoint.name)
-            time_left = call.deadline > self._node.now()
-            attempts_left = len(tried) < limit
+            time_left = call.deadline > node.now()
+            attempts += 1
+            attempts_left = attempts < limit and node.router(
+                call.service,
+            ).worth_retry(result, tried, node.now())
             outcome = decide_within(
                 Attempt(
                     stage=result,
--- a/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
@@ -21,6 +21,7 @@
 REPORT_TIMEOUT_S = 0.5
 POLL_INTERVAL_S = 1.0
 RANK_VALID_S = 0.25
+SILENT_AFTER_MISSES = 2
 
 RoomChange = Callable[[str], Awaitable[None]]
 
@@ -35,6 +36,7 @@
         '_ranked_at',
         '_links',
         '_loads',
+        '_missed',
         '_node',
         '_reports',
         '_rooms',
@@ -59,6 +61,7 @@
         self._deciders: dict[str, str] = {}
         self._decided_here: list[Endpoint] = []
         self._ranked_at = -RANK_VALID_S
+        self._missed: dict[str, int] = {}
         self._wake = curio.Event()
         self.on_room_change: RoomChange | None = None
 
@@ -116,6 +119,7 @@
             return EngineReportReply(
                 elsewhere=0,
                 contenders=1,
+                silent=False,
                 running=0,
                 waiting=0,
                 age_s=0,
@@ -133,6 +137,7 @@
         return EngineReportReply(
             elsewhere=room.elsewhere(report.host, now),
             contenders=room.contenders(now),
+            silent=self._is_silent(report.engine),
             running=load.running if load else 0,
             waiting=load.waiting if load else 0,
             age_s=load.age_s + now - at if load else 0,
@@ -221,6 +226,7 @@
         for engine in set(self._rooms) - here:
             self._rooms.pop(engine)
             self._loads.pop(engine, None)
+            self._missed.pop(engine, None)
 
     async def _report(self, engine: str) -> None:
         node = self._node
@@ -242,6 +248,7 @@
         except PeerUnavailable:
             state.elsewhere = 0
             state.contenders = 1
+            state.silent = False
             return
         if isinstance(reply, EngineReportReply):
             self._take_reply(state, reply)
@@ -253,6 +260,7 @@
     ) -> None:
         state.elsewhere = reply.elsewhere
         state.contenders = reply.contenders
+        state.silent = reply.silent
         self._set_load(
             state,
             EngineLoad(
@@ -263,7 +271,13 @@
             ),
         )
 
-    def _set_load(self, state: EndpointState, load: EngineLoad) -> None:
+    def _set_load(
+        self,
+        state: EndpointState,
+        load: EngineLoad | None,
+    ) -> None:
+        if load is None:
+            return
         state.reported = load
         state.reported_at = self._node.now()
 
@@ -276,14 +290,21 @@
     async def _poll(self, endpoint: Endpoint) -> None:
         if self._node.catalogue.kind_of(endpoint.service) != 'model':
             return
+        state = self._node.router(endpoint.service).find(endpoint.name)
         try:
             load = await self._reports.read_load(endpoint.address)
         except PeerUnavailable:
-            return
-        self._loads[endpoint.name] = (load, self._node.now())
-        state = self._node.router(endpoint.service).find(endpoint.name)
+            self._missed[endpoint.name] = self._missed.get(endpoint.name, 0) + 1
+            load = None
+        if load is not None:
+            self._missed.pop(endpoint.name, None)
+            self._loads[endpoint.name] = (load, self._node.now())
         if state is not None:
-            self._set_load(state, load)
+            state.silent = self._is_silent(endpoint.name)
+            self._set_load(state, load or state.reported)
+
+    def _is_silent(self, engine: str) -> bool:
+        return self._missed.get(engine, 0) >= SILENT_AFTER_MISSES
 
     def _states(self) -> list[EndpointState]:
         return [
--- a/packages/jacinthmount-node/jacinthmount_node/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/messages.py
@@ -180,10 +180,18 @@
 class EngineReportReply(Record):
     """What the host that runs the engine's batch knows of it."""
 
-    __slots__ = ('elsewhere', 'contenders', 'running', 'waiting', 'age_s')
+    __slots__ = (
+        'elsewhere',
+        'contenders',
+        'silent',
+        'running',
+        'waiting',
+        'age_s',
+    )
 
     elsewhere: int
     contenders: int
+    silent: bool
     running: int
     waiting: int
     age_s: float
--- a/packages/jacinthmount-node/jacinthmount_node/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/online.py
@@ -1,6 +1,8 @@
 """Online requests to model engines: attempts, retries and relaying."""
 
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from typing import Any
 
 import curio
 from jacinthmount.declarations import Profile
@@ -25,8 +27,10 @@
 __all__ = ('OnlineRunner',)
 
 STALL_TIMEOUT_S = 10.0
+SILENCE_CHECK_S = 0.5
 PUMP_INTERVAL_S = 0.25
 LANE = 'online'
+Relay = Callable[..., Awaitable[None]]
 FORWARDED_HEADERS = ('content-type',)
 SSE_HEADERS = (
     ('content-type', 'text/event-stream'),
@@ -108,7 +112,11 @@
         progress: _Progress,
     ) -> None:
         time_left = call.deadline > self._node.now()
-        attempts_left = progress.attempts < profile.max_attempts
+        router = self._node.router(call.service)
+        attempts_left = (
+            progress.attempts < profile.max_attempts
+            and router.worth_retry(stage, progress.tried, self._node.now())
+        )
         outcome = decide_within(
             Attempt(
                 stage=stage,
@@ -143,7 +151,14 @@
                     state.endpoint.address,
                     fresh=not profile.idempotent,
                 )
-                await self._relay(call, exchange, responder, progress)
+                await self._while_heard(
+                    state,
+                    self._relay,
+                    call,
+                    exchange,
+                    responder,
+                    progress,
+                )
         except ATTEMPT_ERRORS:
             if responder.started and responder.broken:
                 raise
@@ -160,6 +175,25 @@
         await self._node.pool.release(exchange)
         return None
 
+    async def _while_heard(
+        self,
+        state: EndpointState,
+        func: Relay,
+        *args: Any,
+    ) -> None:
+        # An endpoint that froze keeps its connections open without a word.
+        task = await curio.spawn(func, *args)
+        try:
+            while not task.terminated:
+                async with curio.ignore_after(SILENCE_CHECK_S):
+                    await task.wait()
+                if state.silent and not task.terminated:
+                    raise EndpointFailed(detail='endpoint is silent')
+        finally:
+            await task.cancel()
+        if task.exception is not None:
+            raise task.exception
+
     async def _relay(
         self,
         call: OnlineCall,
--- a/packages/jacinthmount/jacinthmount/routing.py
+++ b/packages/jacinthmount/jacinthmount/routing.py
@@ -3,6 +3,7 @@
 import random
 
 from jacinthmount.declarations import Endpoint
+from jacinthmount.dispatch import Stage
 from jacinthmount.hashing import hash_hex, hash_text
 from jacinthmount.ports import EngineLoad
 
@@ -29,6 +30,7 @@
         'reported',
         'reported_at',
         'service_time_s',
+        'silent',
         'elsewhere',
     )
 
@@ -39,6 +41,7 @@
         self.batch = 0
         self.elsewhere = 0
         self.contenders = 1
+        self.silent = False
         self.failures = 0
         self.ejected_until = 0.0
         self.reported: EngineLoad | None = None
@@ -72,7 +75,9 @@
 
     def available(self, now: float) -> bool:
         """Tells whether new work may go to the endpoint."""
-        return not self.endpoint.leaving and now >= self.ejected_until
+        if self.silent or self.endpoint.leaving:
+            return False
+        return now >= self.ejected_until
 
     def on_success(self, elapsed_s: float) -> None:
         """Notes an answer and the time it took."""
@@ -166,6 +171,17 @@
         pair = self._rng.sample(candidates, min(2, len(candidates)))
         return min(pair, key=lambda state: _finish_estimate(state, now))
 
+    def worth_retry(self, stage: Stage, tried: set[str], now: float) -> bool:
+        """Tells whether another attempt has a chance.
+
+        An endpoint that could not be reached is not asked again at once.
+        """
+        if stage >= Stage.SENT:
+            return True
+        return any(
+            state.endpoint.name not in tried for state in self.usable(now)
+        )
+
     def capacity_left(self, now: float) -> bool:
         """Tells whether any endpoint has a slot for an online request."""
         return any(state.free_slots() > 0 for state in self.usable(now))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -292,6 +292,25 @@
     assert router.capacity_left(0.1)
 
 
+def test_silent_endpoint_gets_nothing_while_others_answer(router):
+    """An endpoint that answers no load report is left out."""
+    router.states()[0].silent = True
+    chosen = {
+        router.choose(str(number), set(), 0).endpoint.name
+        for number in range(50)
+    }
+    assert chosen == {'e1', 'e2'}
+
+
+def test_unreachable_endpoints_are_not_asked_again_at_once(router):
+    """Retries go to endpoints that were not tried, or nowhere."""
+    tried = {'e0', 'e1'}
+    assert router.worth_retry(Stage.CONNECTING, tried, 0)
+    tried.add('e2')
+    assert not router.worth_retry(Stage.CONNECTING, tried, 0)
+    assert router.worth_retry(Stage.SENT, tried, 0)
+
+
 def test_no_host_is_kept_out_of_a_full_endpoint(router):
     """Each host that wants an endpoint may use an equal part of it."""
     state = router.states()[0]
