Start no item again that was cancelled with its chunk

Cause, found by reading: cancelled items were queued again when their task ended, after the queue of the chunk had been emptied, and could start while the last results were being written; nothing would have stopped them then. A chunk that stops now takes nothing back.

Ruled out: relying on the lost claim; it is set only after the last write.

--- a/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
@@ -78,6 +78,7 @@
         '_log_lock',
         '_node',
         '_results',
+        '_stopping',
         '_wake',
         'batch',
         'chunk',
@@ -109,6 +110,7 @@
         self.pending: deque[BatchItem] = deque()
         self.running: set[int] = set()
         self.lost = False
+        self._stopping = False
 
     @property
     def name(self) -> str:
@@ -157,8 +159,20 @@
         return False
 
     def may_start(self) -> bool:
-        """Tells whether more results may be held until they are written."""
-        return not self.lost and self._buffer_bytes < MAX_BUFFER_BYTES
+        """Tells whether items may start, and their results be held."""
+        if self.lost or self._stopping:
+            return False
+        return self._buffer_bytes < MAX_BUFFER_BYTES
+
+    def begin_stop(self) -> None:
+        """Lets no item start any more, also none that was cancelled."""
+        self._stopping = True
+        self.pending.clear()
+
+    def put_back(self, item: BatchItem) -> None:
+        """Queues an item again that ended without a result."""
+        if not self.lost and not self._stopping:
+            self.pending.appendleft(item)
 
     async def add_unknown(self, line: int) -> None:
         """Ends an item that another holder started and may not be repeated."""
@@ -196,7 +210,7 @@
 
     async def stop(self) -> None:
         """Gives the chunk up; results so far are written."""
-        self.pending.clear()
+        self.begin_stop()
         try:
             await self.flush()
         except (StoreUnavailable, StoreConflict) as exc:
--- a/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
@@ -87,7 +87,7 @@
 
     async def stop_items(self, chunk: ChunkRun) -> None:
         """Cancels the items of a chunk."""
-        chunk.pending.clear()
+        chunk.begin_stop()
         for one in list(self._running.values()):
             if one.item.chunk is chunk:
                 await one.task.cancel(blocking=False)
@@ -175,8 +175,8 @@
         self._running.pop(item.name, None)
         item.chunk.running.discard(item.line)
         self._suspects.on_stop(item.name, endpoint.name)
-        if not ended and not item.chunk.lost and not self._board.stopping:
-            item.chunk.pending.appendleft(item)
+        if not ended:
+            item.chunk.put_back(item)
 
     async def _try_item(self, item: BatchItem, endpoint: Endpoint) -> bool:
         node = self._node
--- a/packages/jacinthmount-node/jacinthmount_node/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_runner.py
@@ -65,7 +65,7 @@
         """Lets running items end, writes results and frees claims."""
         self._board.stopping = True
         for run in self._board.chunks.values():
-            run.pending.clear()
+            run.begin_stop()
         await self._feed.wait_idle()
         for claimed in list(self._board.chunks.values()):
             await claimed.stop()
--- a/tests/test_batch_failures.py
+++ b/tests/test_batch_failures.py
@@ -199,14 +199,19 @@
     }
 
 
-def test_cancelled_batch_stops(site, key):
-    """No item starts later than the bound, and running ones are stopped."""
+@pytest.mark.parametrize('slow_s', [0, 1])
+def test_cancelled_batch_stops(site, key, slow_s):
+    """No item starts later than the bound, and running ones are stopped.
+
+    A slow platform must not keep stopped items open to be started again.
+    """
     batch = site.caller('east-h1', key).submit(
         make_lines(2000, max_tokens=200),
         '1h',
         '',
     )
     working_host(site)
+    site.fleet.switch(site.fleet.platform_port, slow_s=slow_s)
     site.caller('east-h2', key).cancel(batch['id'])
     time.sleep(CANCEL_BOUND_S)
     started = site.engine_runs(*ENGINES)
--- a/tests/test_results.py
+++ b/tests/test_results.py
@@ -8,9 +8,15 @@
 from jacinthmount.batches import derive_batch_id, order_batches
 from jacinthmount.claims import LEASE_S, BeatWatch, may_claim, next_claim
 from jacinthmount.errors import BatchFileInvalid
-from jacinthmount.files import MAX_CHUNK_LINES, MAX_LINE_BYTES, ChunkBuilder
+from jacinthmount.files import (
+    MAX_CHUNK_LINES,
+    MAX_LINE_BYTES,
+    ChunkBuilder,
+    parse_line,
+)
 from jacinthmount.records import replaced
 from jacinthmount.results import STARTED, ChunkResults
+from jacinthmount_node.batch_chunks import BatchItem, ChunkRun
 
 from tests.builders import make_batch, make_segment
 
@@ -49,6 +55,29 @@
     assert not results.complete()
 
 
+def test_stopped_chunk_starts_nothing_again():
+    """An item that was cancelled with its chunk is not queued again."""
+    run = ChunkRun(
+        node=None,
+        batch=make_batch('batch_1'),
+        chunk=0,
+        claim=next_claim(None, 'a', '1', ''),
+        claim_version=1,
+    )
+    item = BatchItem(
+        chunk=run,
+        line=0,
+        request=parse_line(make_line('0').decode()),
+    )
+    run.put_back(item)
+    assert list(run.pending) == [item]
+    assert run.may_start()
+    run.begin_stop()
+    run.put_back(item)
+    assert not run.pending
+    assert not run.may_start()
+
+
 def test_claim_waits_for_the_lease():
     """Another holder's claim is free once its beat stood still."""
     beats = BeatWatch()
