Keep the ports of a test fleet reserved

Cause: a run of the tests failed with "east-h1 is not ready". Ports were picked one process at a time and let go at once, so that two processes of one fleet could be given the same port; the second could not listen and ended. Picking the twelve ports of a small fleet 3,000 times gave 16 fleets with a port used twice, and a run starts some dozens of fleets.

Ruled out: connections that take a port as their own end (0 of 6,000 picked ports lost beside 8,000 connections; the kernel gives these two uses odd and even ports).

A node that ended is told at once with what it printed, not after 30 s.

--- a/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
@@ -13,13 +13,15 @@
 from pathlib import Path
 from typing import Any
 
+from jacinthmount_standin.addresses import LOOPBACK, PortReserve
 from jacinthmount_standin.certificates import CertificateAuthority
 
-__all__ = ('Fleet', 'HostPorts', 'call_http', 'free_ports')
+__all__ = ('Fleet', 'HostPorts', 'call_http')
 
 ADMIN_TOKEN = 'operator-token-of-a-test-fleet'
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+SHOWN_CHARS = 2000
 
 SETTINGS = """\
 [node]
@@ -50,11 +52,17 @@
 
     __slots__ = ('admin', 'data_centre', 'front', 'host', 'peer')
 
-    def __init__(self, *, host: str, data_centre: str) -> None:
-        """Picks free ports."""
+    def __init__(
+        self,
+        *,
+        host: str,
+        data_centre: str,
+        reserve: PortReserve,
+    ) -> None:
+        """Takes three ports of the reserve."""
         self.host = host
         self.data_centre = data_centre
-        front, peer, admin = free_ports(3)
+        front, peer, admin = reserve.take(3)
         self.front = front
         self.peer = peer
         self.admin = admin
@@ -67,6 +75,7 @@
         '_engines',
         '_folder',
         '_processes',
+        '_reserve',
         'hosts',
         'platform_port',
         'plain_port',
@@ -81,13 +90,15 @@
         self._folder = folder
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._engines: dict[str, tuple[int, int, float]] = {}
-        platform_port, plain_port = free_ports(2)
+        self._reserve = PortReserve()
+        platform_port, plain_port = self._reserve.take(2)
         self.platform_port = platform_port
         self.plain_port = plain_port
         self.hosts = {
             f'{data_centre}-h{number}': HostPorts(
                 host=f'{data_centre}-h{number}',
                 data_centre=data_centre,
+                reserve=self._reserve,
             )
             for data_centre, count in data_centres.items()
             for number in range(1, count + 1)
@@ -149,7 +160,7 @@
         :returns: its port.
         """
         if name not in self._engines:
-            self._engines[name] = (free_ports(1)[0], slots, token_s)
+            self._engines[name] = (self._reserve.take(1)[0], slots, token_s)
         port, slots, token_s = self._engines[name]
         self._start_standin(
             name,
@@ -189,7 +200,11 @@
             self.wait_ready(host)
 
     def wait_ready(self, host: str) -> None:
-        """Waits until a node is ready."""
+        """Waits until a node is ready.
+
+        :raises RuntimeError: it ended; holds what it printed last.
+        :raises TimeoutError: it is not ready in time.
+        """
         deadline = time.monotonic() + START_TIMEOUT_S
         port = self.hosts[host].front
         while time.monotonic() < deadline:
@@ -197,8 +212,10 @@
                 status, _ = call_http(port, 'GET', '/readyz')
                 if status == HTTPStatus.OK:
                     return
+            if not self.alive(host):
+                raise RuntimeError(f'{host} ended: {self._printed(host)}')
             time.sleep(POLL_S)
-        raise TimeoutError(f'{host} is not ready')
+        raise TimeoutError(f'{host} is not ready: {self._printed(host)}')
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to one process of the fleet."""
@@ -251,6 +268,7 @@
                 process.kill()
         for process in self._processes.values():
             process.wait()
+        self._reserve.close()
 
     def save(self) -> None:
         """Writes process ids and ports for other commands."""
@@ -272,6 +290,9 @@
             )
         )
 
+    def _printed(self, name: str) -> str:
+        return (self._folder / f'{name}.out').read_text()[-SHOWN_CHARS:]
+
     def _start_standin(self, name: str, *words: str) -> None:
         self._start(
             name,
@@ -315,21 +336,12 @@
             )
 
 
-def free_ports(count: int) -> list[int]:
-    """Finds free ports on loopback."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for opened in sockets:
-            opened.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in sockets]
-
-
 def wait_for_port(port: int) -> None:
     """Waits until a port accepts connections."""
     deadline = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < deadline:
         with contextlib.suppress(OSError):
-            socket.create_connection(('127.0.0.1', port), 1).close()
+            socket.create_connection((LOOPBACK, port), 1).close()
             return
         time.sleep(POLL_S)
     raise TimeoutError(f'nothing listens on port {port}')
@@ -351,7 +363,7 @@
     packed = body
     if body is not None and not isinstance(body, bytes):
         packed = json.dumps(body).encode()
-    conn = HTTPConnection('127.0.0.1', port, timeout=timeout_s)
+    conn = HTTPConnection(LOOPBACK, port, timeout=timeout_s)
     with contextlib.closing(conn):
         conn.request(method, path, packed, headers or {})
         answer = conn.getresponse()
