--- a/packages/jacinthmount-node/jacinthmount_node/admin.py
+++ b/packages/jacinthmount-node/jacinthmount_node/admin.py
@@ -85,6 +85,7 @@
                 'address': state.endpoint.address,
                 'available': state.available(now),
                 'leaving': state.endpoint.leaving,
+                'closed': state.is_closed(now),
                 'online': state.online,
                 'elsewhere': state.elsewhere,
                 'batch': state.batch,
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/assembly.py
@@ -0,0 +1,51 @@
+"""Parts of a node put together with the adapters of their ports."""
+
+import random
+
+from jacinthmount.settings import Settings
+
+from jacinthmount_node.engine import HttpEngine
+from jacinthmount_node.engine_control import HttpEngineControl
+from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.http_client import ClientPool
+from jacinthmount_node.load_slots import LoadSlots
+from jacinthmount_node.node import Node
+from jacinthmount_node.object_api import HttpStore, HttpWeightStore
+from jacinthmount_node.order_task import OrderTask
+from jacinthmount_node.peers import PeerLinks
+from jacinthmount_node.plain_service import HttpPlainService
+from jacinthmount_node.sockets import SystemClock
+
+__all__ = ('make_node', 'make_orders')
+
+
+def make_node(settings: Settings, pool: ClientPool) -> Node:
+    """Makes the shared state with its ports."""
+    return Node(
+        settings=settings,
+        store=HttpStore(addresses=settings.platform, pool=pool),
+        clock=SystemClock(),
+        engine=HttpEngine(pool=pool),
+        plain=HttpPlainService(pool=pool),
+        rng=random.Random(),
+    )
+
+
+def make_orders(
+    node: Node,
+    links: PeerLinks,
+    rooms: EngineRooms,
+    pool: ClientPool,
+) -> OrderTask:
+    """Makes the task that orders engines."""
+    weights = None
+    addresses = node.settings.weight_store
+    if addresses:
+        weights = HttpWeightStore(addresses=addresses, pool=pool)
+    return OrderTask(
+        node=node,
+        links=links,
+        rooms=rooms,
+        control=HttpEngineControl(pool=pool),
+        slots=LoadSlots(node=node, weights=weights),
+    )
--- a/packages/jacinthmount-node/jacinthmount_node/batch_items.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_items.py
@@ -8,12 +8,12 @@
 import curio
 from jacinthmount.declarations import Endpoint, Profile
 from jacinthmount.dispatch import Stage
-from jacinthmount.errors import EndpointFailed, OutcomeUnknown
+from jacinthmount.errors import EndpointFailed, EndpointLost, OutcomeUnknown
+from jacinthmount.ports import BackendCall, BackendExchange
 from jacinthmount.results import DONE, FAILED, ResultRecord
 
 from jacinthmount_node.batch_chunks import BatchItem
-from jacinthmount_node.engine import EngineStream, send_call
-from jacinthmount_node.http_client import ATTEMPT_ERRORS, Exchange
+from jacinthmount_node.http_client import ATTEMPT_ERRORS
 from jacinthmount_node.node import Node
 from jacinthmount_node.sockets import bounded
 
@@ -52,8 +52,9 @@
     """
     exchange = None
     stage = Stage.CONNECTING
+    backend = node.backend(endpoint.service)
     try:
-        exchange = await node.pool.open(
+        exchange = await backend.open(
             endpoint.address,
             fresh=not profile.idempotent,
         )
@@ -70,7 +71,7 @@
         if exchange is not None:
             await exchange.close()
         raise
-    await node.pool.release(exchange)
+    await backend.release(exchange)
     return ItemOutcome(record=record, died=False)
 
 
@@ -89,7 +90,9 @@
             code=OutcomeUnknown.code,
         )
         return ItemOutcome(record=record, died=False)
-    died = stage >= Stage.SENT and not isinstance(exc, EndpointFailed)
+    refused = isinstance(exc, EndpointFailed)
+    lost = isinstance(exc, EndpointLost) or not refused
+    died = stage >= Stage.SENT and lost
     if stage >= Stage.SENT and not died:
         item.attempts += 1
     if item.attempts >= profile.max_attempts:
@@ -104,19 +107,17 @@
     return ItemOutcome(record=None, died=died)
 
 
-async def _run_model(item: BatchItem, exchange: Exchange) -> ResultRecord:
+async def _run_model(
+    item: BatchItem, exchange: BackendExchange
+) -> ResultRecord:
     body = json.loads(item.request.body)
     streamed = not WHOLE_ANSWER_FIELDS & set(body)
     body['stream'] = streamed
     packed = json.dumps(body).encode()
     await bounded(
         STALL_TIMEOUT_S,
-        send_call,
-        exchange,
-        item.request.url,
-        packed,
-        item.name,
-        len(item.text),
+        exchange.send,
+        _make_call(item, item.request.url, packed),
     )
     if exchange.status >= HTTPStatus.BAD_REQUEST or not streamed:
         answer = await bounded(
@@ -124,8 +125,7 @@
             exchange.read_body,
         )
         return _whole_record(item, exchange.status, answer)
-    stream = EngineStream(exchange=exchange)
-    events = stream.iter_events()
+    events = exchange.iter_events()
     while True:
         event = await bounded(STALL_TIMEOUT_S, anext, events, None)
         if event is None:
@@ -135,25 +135,22 @@
         line=item.line,
         state=DONE,
         status=HTTPStatus.OK.value,
-        body=json.dumps(_assemble(item, body, stream.usage)),
+        body=json.dumps(_assemble(item, body, exchange.usage)),
         code=0,
     )
 
 
 async def _run_plain(
     item: BatchItem,
-    exchange: Exchange,
+    exchange: BackendExchange,
     profile: Profile,
 ) -> ResultRecord:
     target = f'/{item.request.url.split("/", 3)[-1]}'
     packed = item.request.body.encode()
-    headers = [
-        ('content-type', 'application/json'),
-        ('x-request-id', item.name),
-    ]
+    call = _make_call(item, target, packed)
+    call.headers.append(('content-type', 'application/json'))
     async with curio.timeout_after(profile.deadline_s):
-        await exchange.send('POST', target, headers, packed)
-        await exchange.read_head()
+        await exchange.send(call)
         answer = await exchange.read_body()
     if (
         exchange.status >= HTTPStatus.INTERNAL_SERVER_ERROR
@@ -163,6 +160,18 @@
     return _whole_record(item, exchange.status, answer)
 
 
+def _make_call(item: BatchItem, target: str, packed: bytes) -> BackendCall:
+    return BackendCall(
+        method='POST',
+        target=target,
+        headers=[],
+        body=packed,
+        request_id=item.name,
+        account=item.chunk.batch.account,
+        offset=len(item.text),
+    )
+
+
 def _whole_record(
     item: BatchItem,
     status: int,
--- a/packages/jacinthmount-node/jacinthmount_node/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/calls.py
@@ -25,13 +25,13 @@
     hash_request,
     judge,
 )
-from jacinthmount.ports import ABSENT
+from jacinthmount.ports import ABSENT, BackendCall, BackendExchange
 from jacinthmount.records import parse_json, replaced, serialize_json
 from jacinthmount.routing import EndpointState
 from jacinthmount.stores import new_write_id, write_definitely
 
 from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.http_client import ATTEMPT_ERRORS, Exchange
+from jacinthmount_node.http_client import ATTEMPT_ERRORS
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.node import Node
 
@@ -283,7 +283,7 @@
         await self._rooms.note_online(state)
         try:
             async with curio.timeout_after(call.deadline - started_at):
-                exchange = await node.pool.open(
+                exchange = await node.plain.open(
                     state.endpoint.address,
                     fresh=fresh,
                 )
@@ -300,26 +300,30 @@
             state.online -= 1
             await self._rooms.note_online(state)
         state.on_success(node.now() - started_at)
-        await node.pool.release(exchange)
+        await node.plain.release(exchange)
         return answer
 
     async def _exchange(
         self,
         call: PlainCall,
-        exchange: Exchange,
+        exchange: BackendExchange,
     ) -> PlainAnswer:
         headers = [
             (name, call.headers[name])
             for name in REQUEST_HEADERS
             if name in call.headers
         ]
-        headers.append(('x-request-id', call.request_id))
-        headers.append(('x-client-account', call.account or '-'))
-        await exchange.send(call.method, call.target, headers, call.body)
-        await exchange.read_head()
-        echoed = exchange.headers.get('x-request-id', call.request_id)
-        if echoed != call.request_id:
-            raise EndpointFailed(detail='answer to another request')
+        await exchange.send(
+            BackendCall(
+                method=call.method,
+                target=call.target,
+                headers=headers,
+                body=call.body,
+                request_id=call.request_id,
+                account=call.account,
+                offset=0,
+            ),
+        )
         body = await exchange.read_body()
         relayed = [
             (name, exchange.headers[name])
@@ -329,7 +333,7 @@
         return PlainAnswer(status=exchange.status, headers=relayed, body=body)
 
 
-async def _close(exchange: Exchange | None) -> None:
+async def _close(exchange: BackendExchange | None) -> None:
     if exchange is not None:
         await exchange.close()
 
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -1,6 +1,5 @@
 """Start, run and graceful shutdown of a node."""
 
-import random
 import signal
 
 import curio
@@ -11,11 +10,13 @@
 
 from jacinthmount_node.admin import Admin
 from jacinthmount_node.admission import Admission
+from jacinthmount_node.assembly import make_node, make_orders
 from jacinthmount_node.batch_runner import BatchRunner
 from jacinthmount_node.batches_api import BatchDesk
 from jacinthmount_node.calls import PlainRunner
 from jacinthmount_node.config_sync import ConfigSync
 from jacinthmount_node.engine import EngineLoadReports
+from jacinthmount_node.engine_polls import EnginePolls
 from jacinthmount_node.engine_rooms import EngineRooms
 from jacinthmount_node.files_api import FileDesk
 from jacinthmount_node.front import Front
@@ -27,12 +28,11 @@
 from jacinthmount_node.logs import log_event, log_failure
 from jacinthmount_node.membership import Membership
 from jacinthmount_node.messages import Hello
-from jacinthmount_node.node import Node
-from jacinthmount_node.object_api import HttpHostList, HttpStore
+from jacinthmount_node.object_api import HttpHostList
 from jacinthmount_node.online import OnlineRunner
 from jacinthmount_node.peers import PeerLinks, PeerServer, make_contexts
 from jacinthmount_node.share_task import ShareTask
-from jacinthmount_node.sockets import SystemClock, listen
+from jacinthmount_node.sockets import listen
 
 __all__ = ('Daemon', 'run_daemon')
 
@@ -53,6 +53,7 @@
         '_membership',
         '_node',
         '_online',
+        '_orders',
         '_peer_server',
         '_rooms',
         '_shares',
@@ -66,13 +67,7 @@
         :raises OSError: an address is in use or a file can't be read.
         """
         pool = ClientPool()
-        node = Node(
-            settings=settings,
-            store=HttpStore(addresses=settings.platform, pool=pool),
-            clock=SystemClock(),
-            pool=pool,
-            rng=random.Random(),
-        )
+        node = make_node(settings, pool)
         self._node = node
         self._stopping = False
         server_context, client_context = make_contexts(
@@ -105,8 +100,12 @@
         self._rooms = EngineRooms(
             node=node,
             links=links,
-            reports=EngineLoadReports(pool=pool),
+            polls=EnginePolls(
+                node=node,
+                reports=EngineLoadReports(pool=pool),
+            ),
         )
+        self._orders = make_orders(node, links, self._rooms, pool)
         admission = Admission(node=node, links=links)
         self._online = OnlineRunner(node=node, rooms=self._rooms)
         files = FileDesk(node=node)
@@ -170,6 +169,7 @@
                 ('rooms', self._rooms.run),
                 ('online', self._online.run),
                 ('batch', self._batch.run),
+                ('orders', self._orders.run),
                 ('front', self._front_server.run),
                 ('load', self._load),
             )
--- a/packages/jacinthmount-node/jacinthmount_node/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine.py
@@ -1,71 +1,78 @@
 """Adapter of model engines: requests, streams, load reports."""
 
 import json
+from collections.abc import AsyncIterator
 from http import HTTPStatus
-from typing import Any
 
 from jacinthmount.errors import EndpointFailed, PeerUnavailable
-from jacinthmount.ports import EngineLoad, LoadReports
+from jacinthmount.ports import (
+    BackendCall,
+    EngineLoad,
+    LoadReports,
+    StreamEvent,
+)
 
-from jacinthmount_node.http_client import (
-    TRANSPORT_ERRORS,
-    ClientPool,
-    Exchange,
+from jacinthmount_node.backends import (
+    REQUEST_ID,
+    HttpBackend,
+    HttpBackendExchange,
 )
+from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
 
-__all__ = ('EngineLoadReports', 'EngineStream', 'StreamEvent', 'send_call')
+__all__ = ('EngineExchange', 'EngineLoadReports', 'HttpEngine')
 
 LOAD_ERRORS = (*TRANSPORT_ERRORS, ValueError, LookupError)
 LOAD_TIMEOUT_S = 1.0
 END_MARK = '[DONE]'
+DATA_FIELD = b'data:'
 
 
-class StreamEvent:
-    """One event of a streamed answer, as sent and as text."""
-
-    __slots__ = ('finished', 'payload', 'text')
-
-    def __init__(self, *, payload: str, text: str, finished: bool) -> None:
-        """Keeps the payload to relay and the text that it adds."""
-        self.payload = payload
-        self.text = text
-        self.finished = finished
-
-
-class EngineStream:
-    """Events of one streamed answer, checked to belong to its request."""
+class EngineExchange(HttpBackendExchange):
+    """One request to an engine."""
 
-    __slots__ = ('_exchange', '_partial', 'usage')
+    __slots__ = ('_partial',)
 
-    def __init__(self, *, exchange: Exchange) -> None:
-        """Takes an exchange whose head was read."""
-        self._exchange = exchange
-        self._partial = b''
-        self.usage: dict[str, Any] | None = None
-
-    async def iter_events(self):
-        """Yields events up to the end mark.
-
-        :raises EndpointFailed: the stream ended before its end mark, or
-            reported an error.
-        """
+    async def send(self, call: BackendCall) -> None:
+        """See the port."""
+        headers = [
+            ('content-type', 'application/json'),
+            (REQUEST_ID, call.request_id),
+            *call.headers,
+        ]
+        if call.offset:
+            headers.append(('x-resume-offset', str(call.offset)))
+        await self.exchange_head(call, headers)
+        self.check_own(call)
+        if REQUEST_ID not in self.headers:
+            raise EndpointFailed(detail='answer without a request id')
+        if self.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise EndpointFailed(detail=f'engine status {self.status}')
+
+    async def iter_events(self) -> AsyncIterator[StreamEvent]:
+        """See the port."""
         ended = False
-        async for piece in self._exchange.iter_body():
-            for payload in self._split(piece):
-                if payload == END_MARK:
-                    ended = True
-                else:
-                    yield self._parse(payload)
+        async for payload in self._iter_payloads():
+            if payload == END_MARK:
+                ended = True
+            else:
+                yield self._parse(payload)
         if not ended:
             raise EndpointFailed(detail='stream ended short')
 
+    async def _iter_payloads(self) -> AsyncIterator[str]:
+        self._partial = b''
+        with self.staged():
+            async for piece in self.http.iter_body():
+                for payload in self._split(piece):
+                    yield payload
+
     def _split(self, piece: bytes) -> list[str]:
         *whole, rest = (self._partial + piece).split(b'\n')
         self._partial = rest
         return [
-            line[len(b'data:') :].strip().decode()
+            line[len(DATA_FIELD) :].strip().decode()
             for line in whole
-            if line.startswith(b'data:')
+            if line.startswith(DATA_FIELD)
         ]
 
     def _parse(self, payload: str) -> StreamEvent:
@@ -83,6 +90,14 @@
         return StreamEvent(payload=payload, text=text, finished=finished)
 
 
+class HttpEngine(HttpBackend):
+    """Model engines over HTTP."""
+
+    __slots__ = ()
+
+    exchange_type = EngineExchange
+
+
 class EngineLoadReports(LoadReports):
     """Load reports over HTTP."""
 
@@ -113,29 +128,3 @@
             )
         except LOAD_ERRORS as exc:
             raise PeerUnavailable(detail=f'load of {address}') from exc
-
-
-async def send_call(
-    exchange: Exchange,
-    path: str,
-    body: bytes,
-    request_id: str,
-    offset: int,
-) -> None:
-    """Sends a request to an engine and reads the head of its answer.
-
-    :param offset: characters of the answer that are already known.
-    :raises EndpointFailed: the engine failed, or answered another request.
-    """
-    headers = [
-        ('content-type', 'application/json'),
-        ('x-request-id', request_id),
-    ]
-    if offset:
-        headers.append(('x-resume-offset', str(offset)))
-    await exchange.send('POST', path, headers, body)
-    await exchange.read_head()
-    if exchange.headers.get('x-request-id') != request_id:
-        raise EndpointFailed(detail='answer to another request')
-    if exchange.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-        raise EndpointFailed(detail=f'engine status {exchange.status}')
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_polls.py
@@ -0,0 +1,70 @@
+"""Load reports of the engines that this host decides about."""
+
+from collections.abc import Callable
+
+import curio
+from jacinthmount.declarations import Endpoint
+from jacinthmount.errors import PeerUnavailable
+from jacinthmount.ports import EngineLoad, LoadReports
+
+from jacinthmount_node.node import Node
+
+__all__ = ('EnginePolls',)
+
+POLL_INTERVAL_S = 1.0
+SILENT_AFTER_MISSES = 2
+
+
+class EnginePolls:
+    """Reads each report once a data centre and finds silent engines."""
+
+    __slots__ = ('_loads', '_missed', '_node', '_reports')
+
+    def __init__(self, *, node: Node, reports: LoadReports) -> None:
+        """Takes the port to read load reports from."""
+        self._node = node
+        self._reports = reports
+        self._loads: dict[str, tuple[EngineLoad, float]] = {}
+        self._missed: dict[str, int] = {}
+
+    async def run(self, list_endpoints: Callable[[], list[Endpoint]]) -> None:
+        """Polls until cancelled.
+
+        :param list_endpoints: lists the endpoints to poll.
+        """
+        while True:
+            await curio.sleep(POLL_INTERVAL_S)
+            for endpoint in list_endpoints():
+                await curio.spawn(self._poll, endpoint, daemon=True)
+
+    def newest(self, engine: str) -> tuple[EngineLoad | None, float]:
+        """Finds the newest report and the time at which it was read."""
+        return self._loads.get(engine, (None, self._node.now()))
+
+    def is_silent(self, engine: str) -> bool:
+        """Tells whether an engine missed several reports in a row."""
+        return self._missed.get(engine, 0) >= SILENT_AFTER_MISSES
+
+    def forget(self, engine: str) -> None:
+        """Forgets an engine that another host decides about."""
+        self._loads.pop(engine, None)
+        self._missed.pop(engine, None)
+
+    async def _poll(self, endpoint: Endpoint) -> None:
+        if self._node.catalogue.kind_of(endpoint.service) != 'model':
+            return
+        engine = endpoint.name
+        state = self._node.router(endpoint.service).find(engine)
+        try:
+            load = await self._reports.read_load(endpoint.address)
+        except PeerUnavailable:
+            self._missed[engine] = self._missed.get(engine, 0) + 1
+            load = None
+        if load is not None:
+            self._missed.pop(engine, None)
+            self._loads[engine] = (load, self._node.now())
+        if state is not None:
+            state.silent = self.is_silent(engine)
+            state.reported = load or state.reported
+            if load is not None:
+                state.reported_at = self._node.now()
--- a/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
@@ -7,10 +7,15 @@
 from jacinthmount.errors import PeerUnavailable
 from jacinthmount.members import rank_hosts
 from jacinthmount.permits import EngineRoom
-from jacinthmount.ports import EngineLoad, LoadReports
+from jacinthmount.ports import EngineLoad
 from jacinthmount.routing import EndpointState
 
-from jacinthmount_node.messages import EngineReport, EngineReportReply
+from jacinthmount_node.engine_polls import EnginePolls
+from jacinthmount_node.messages import (
+    EngineClosed,
+    EngineReport,
+    EngineReportReply,
+)
 from jacinthmount_node.node import Node
 from jacinthmount_node.peers import PeerLinks
 
@@ -19,9 +24,8 @@
 FLUSH_INTERVAL_S = 0.005
 REFRESH_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 0.5
-POLL_INTERVAL_S = 1.0
 RANK_VALID_S = 0.25
-SILENT_AFTER_MISSES = 2
+CLOSED_VALID_S = 5.0
 
 RoomChange = Callable[[str], Awaitable[None]]
 
@@ -35,10 +39,8 @@
         '_dirty',
         '_ranked_at',
         '_links',
-        '_loads',
-        '_missed',
         '_node',
-        '_reports',
+        '_polls',
         '_rooms',
         '_wake',
         'on_room_change',
@@ -49,19 +51,17 @@
         *,
         node: Node,
         links: PeerLinks,
-        reports: LoadReports,
+        polls: EnginePolls,
     ) -> None:
-        """Takes the port to read load reports from."""
+        """Takes what reads the load reports."""
         self._node = node
         self._links = links
-        self._reports = reports
+        self._polls = polls
         self._rooms: dict[str, EngineRoom] = {}
-        self._loads: dict[str, tuple[EngineLoad, float]] = {}
         self._dirty: set[str] = set()
         self._deciders: dict[str, str] = {}
         self._decided_here: list[Endpoint] = []
         self._ranked_at = -RANK_VALID_S
-        self._missed: dict[str, int] = {}
         self._wake = curio.Event()
         self.on_room_change: RoomChange | None = None
 
@@ -70,7 +70,7 @@
         async with curio.TaskGroup() as group:
             await group.spawn(self._run_flush)
             await group.spawn(self._run_refresh)
-            await group.spawn(self._run_polls)
+            await group.spawn(self._polls.run, self.decided_here)
 
     def decider(self, engine: str) -> str:
         """Names the host that runs the batch items of an engine."""
@@ -84,7 +84,29 @@
 
     def room(self, endpoint: Endpoint) -> int:
         """Counts the batch items that an endpoint may run now."""
-        return self._room(endpoint).room(self._node.now())
+        now = self._node.now()
+        state = self._node.router(endpoint.service).find(endpoint.name)
+        if state is None or state.is_closed(now):
+            return 0
+        return self._room(endpoint).room(now)
+
+    def is_idle(self, endpoint: Endpoint) -> bool:
+        """Tells whether nothing runs on an endpoint decided here."""
+        state = self._node.router(endpoint.service).find(endpoint.name)
+        batch = state.batch if state else 0
+        return not batch + self._room(endpoint).online(self._node.now())
+
+    async def on_closed(self, message: EngineClosed) -> None:
+        """Stops or resumes sending work to an engine."""
+        endpoint = self._node.catalogue.find(Endpoint, message.engine)
+        if endpoint is None:
+            return
+        state = self._node.router(endpoint.service).find(endpoint.name)
+        if state is None:
+            return
+        valid_s = CLOSED_VALID_S if message.closed else 0
+        state.closed_until = self._node.now() + valid_s
+        await self._changed(message.engine)
 
     async def note_online(self, state: EndpointState) -> None:
         """Notes that the online requests in flight on an engine changed."""
@@ -133,11 +155,11 @@
         )
         await self._changed(report.engine)
         self._share_room(endpoint)
-        load, at = self._loads.get(report.engine, (None, now))
+        load, at = self._polls.newest(report.engine)
         return EngineReportReply(
             elsewhere=room.elsewhere(report.host, now),
             contenders=room.contenders(now),
-            silent=self._is_silent(report.engine),
+            silent=self._polls.is_silent(report.engine),
             running=load.running if load else 0,
             waiting=load.waiting if load else 0,
             age_s=load.age_s + now - at if load else 0,
@@ -225,8 +247,7 @@
         here = {endpoint.name for endpoint in self.decided_here()}
         for engine in set(self._rooms) - here:
             self._rooms.pop(engine)
-            self._loads.pop(engine, None)
-            self._missed.pop(engine, None)
+            self._polls.forget(engine)
 
     async def _report(self, engine: str) -> None:
         node = self._node
@@ -261,51 +282,14 @@
         state.elsewhere = reply.elsewhere
         state.contenders = reply.contenders
         state.silent = reply.silent
-        self._set_load(
-            state,
-            EngineLoad(
-                running=reply.running,
-                waiting=reply.waiting,
-                slots=state.endpoint.slots,
-                age_s=reply.age_s,
-            ),
+        state.reported = EngineLoad(
+            running=reply.running,
+            waiting=reply.waiting,
+            slots=state.endpoint.slots,
+            age_s=reply.age_s,
         )
-
-    def _set_load(
-        self,
-        state: EndpointState,
-        load: EngineLoad | None,
-    ) -> None:
-        if load is None:
-            return
-        state.reported = load
         state.reported_at = self._node.now()
 
-    async def _run_polls(self) -> None:
-        while True:
-            await curio.sleep(POLL_INTERVAL_S)
-            for endpoint in self.decided_here():
-                await curio.spawn(self._poll, endpoint, daemon=True)
-
-    async def _poll(self, endpoint: Endpoint) -> None:
-        if self._node.catalogue.kind_of(endpoint.service) != 'model':
-            return
-        state = self._node.router(endpoint.service).find(endpoint.name)
-        try:
-            load = await self._reports.read_load(endpoint.address)
-        except PeerUnavailable:
-            self._missed[endpoint.name] = self._missed.get(endpoint.name, 0) + 1
-            load = None
-        if load is not None:
-            self._missed.pop(endpoint.name, None)
-            self._loads[endpoint.name] = (load, self._node.now())
-        if state is not None:
-            state.silent = self._is_silent(endpoint.name)
-            self._set_load(state, load or state.reported)
-
-    def _is_silent(self, engine: str) -> bool:
-        return self._missed.get(engine, 0) >= SILENT_AFTER_MISSES
-
     def _states(self) -> list[EndpointState]:
         return [
             state
--- a/packages/jacinthmount-node/jacinthmount_node/handlers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/handlers.py
@@ -11,6 +11,7 @@
 from jacinthmount_node.messages import (
     Ack,
     Digest,
+    EngineClosed,
     EngineReport,
     Fetch,
     Give,
@@ -108,3 +109,12 @@
     desk: PeerDesk,
 ) -> Record | None:
     return await desk.rooms.on_report(message)
+
+
+@answer.register
+async def _answer_closed(
+    message: EngineClosed,
+    desk: PeerDesk,
+) -> Record | None:
+    await desk.rooms.on_closed(message)
+    return Ack()
--- a/packages/jacinthmount-node/jacinthmount_node/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/messages.py
@@ -9,6 +9,7 @@
     'Ack',
     'Digest',
     'DigestReply',
+    'EngineClosed',
     'EngineReport',
     'EngineReportReply',
     'Envelope',
@@ -166,6 +167,15 @@
     handover: Handover
 
 
+class EngineClosed(Record):
+    """Whether an engine gets no new work while it is given an order."""
+
+    __slots__ = ('engine', 'closed')
+
+    engine: str
+    closed: bool
+
+
 class EngineReport(Record):
     """Online requests in flight of one host on one engine."""
 
--- a/packages/jacinthmount-node/jacinthmount_node/metrics.py
+++ b/packages/jacinthmount-node/jacinthmount_node/metrics.py
@@ -52,6 +52,7 @@
         'batch_items',
         'batch_preempted',
         'first_token_s',
+        'orders',
         'peer_bytes',
         'platform_calls',
         'queued',
@@ -111,6 +112,12 @@
             ['service'],
             registry=registry,
         )
+        self.orders = Counter(
+            'jacinthmount_orders',
+            'Orders to engines, by outcome.',
+            ['outcome'],
+            registry=registry,
+        )
         self.queued = Gauge(
             'jacinthmount_queued',
             'Online requests that wait.',
--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -14,7 +14,7 @@
 from jacinthmount.errors import MalformedRecord
 from jacinthmount.keys import KEY_PREFIX, KeyRecord, Keyring
 from jacinthmount.members import HOST_PREFIX, HostRecord, PeerHearing
-from jacinthmount.ports import Clock, ObjectStore, Stored
+from jacinthmount.ports import Backend, Clock, ObjectStore, Stored
 from jacinthmount.records import parse_json
 from jacinthmount.retries import RetryBudget
 from jacinthmount.routing import Router
@@ -28,7 +28,6 @@
 )
 from jacinthmount.table import ConfigTable
 
-from jacinthmount_node.http_client import ClientPool
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import Metrics
 
@@ -42,6 +41,7 @@
         'budget',
         'catalogue',
         'clock',
+        'engine',
         'hearing',
         'incarnation',
         'keeper',
@@ -49,7 +49,7 @@
         'loaded',
         'members',
         'metrics',
-        'pool',
+        'plain',
         'ready',
         'rng',
         'routers',
@@ -67,14 +67,16 @@
         settings: Settings,
         store: ObjectStore,
         clock: Clock,
-        pool: ClientPool,
+        engine: Backend,
+        plain: Backend,
         rng: random.Random,
     ) -> None:
         """Starts without configuration."""
         self.settings = settings
         self.store = store
         self.clock = clock
-        self.pool = pool
+        self.engine = engine
+        self.plain = plain
         self.rng = rng
         self.incarnation = uuid.uuid4().hex
         self.metrics = Metrics()
@@ -105,6 +107,11 @@
         """Names the data centre of this host."""
         return self.settings.data_centre
 
+    def backend(self, service: str) -> Backend:
+        """Finds what reaches the endpoints of a service."""
+        is_model = self.catalogue.kind_of(service) == 'model'
+        return self.engine if is_model else self.plain
+
     def now(self) -> float:
         """Reads monotonic time in seconds."""
         return self.clock.now()
--- a/packages/jacinthmount-node/jacinthmount_node/object_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/object_api.py
@@ -1,4 +1,4 @@
-"""Adapter of the object API and the host list over HTTP and JSON."""
+"""Adapter of object API, host list and weight store over HTTP and JSON."""
 
 import json
 from http import HTTPStatus
@@ -7,6 +7,7 @@
 
 from jacinthmount.errors import (
     EndpointFailed,
+    NotFound,
     StoreConflict,
     StoreUnavailable,
     ValueTooLarge,
@@ -20,12 +21,13 @@
     Listing,
     ObjectStore,
     Stored,
+    WeightStore,
 )
 
 from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
 from jacinthmount_node.sockets import bounded
 
-__all__ = ('HttpHostList', 'HttpStore')
+__all__ = ('HttpHostList', 'HttpStore', 'HttpWeightStore')
 
 CALL_ERRORS = (*TRANSPORT_ERRORS, EndpointFailed, ValueError)
 CALL_TIMEOUT_S = 3.0
@@ -206,6 +208,30 @@
         ]
 
 
+class HttpWeightStore(WeightStore):
+    """Weight store over HTTP."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self, *, addresses: list[str], pool: ClientPool) -> None:
+        """Takes the addresses of the store; the first is tried first."""
+        self._client = _PlatformClient(addresses=list(addresses), pool=pool)
+
+    async def read_size(self, weights: str, version: str) -> int:
+        """See the port."""
+        status, answer = await self._client.call(
+            'GET',
+            f'/weights/{quote(weights, safe="")}/{quote(version, safe="")}',
+            [],
+            b'',
+            CALL_TIMEOUT_S,
+        )
+        if status == HTTPStatus.NOT_FOUND:
+            raise NotFound(detail=f'weights {weights} {version}')
+        _expect(status, HTTPStatus.OK)
+        return int(answer['bytes'])
+
+
 def _target(name: str) -> str:
     return f'/objects/{quote(name)}'
 
--- a/packages/jacinthmount-node/jacinthmount_node/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/online.py
@@ -14,12 +14,12 @@
     JacinthmountError,
     OutcomeUnknown,
 )
+from jacinthmount.ports import BackendCall, BackendExchange
 from jacinthmount.routing import EndpointState
 
-from jacinthmount_node.engine import EngineStream, send_call
 from jacinthmount_node.engine_rooms import EngineRooms
 from jacinthmount_node.gate import Gate, OnlineCall
-from jacinthmount_node.http_client import ATTEMPT_ERRORS, Exchange
+from jacinthmount_node.http_client import ATTEMPT_ERRORS
 from jacinthmount_node.http_server import Responder
 from jacinthmount_node.node import Node
 from jacinthmount_node.sockets import bounded
@@ -147,7 +147,7 @@
         stage = Stage.CONNECTING
         try:
             async with curio.timeout_after(call.deadline - started_at):
-                exchange = await self._node.pool.open(
+                exchange = await self._node.engine.open(
                     state.endpoint.address,
                     fresh=not profile.idempotent,
                 )
@@ -172,7 +172,7 @@
                 await exchange.close()
             raise
         state.on_success(self._node.now() - started_at)
-        await self._node.pool.release(exchange)
+        await self._node.engine.release(exchange)
         return None
 
     async def _while_heard(
@@ -197,16 +197,20 @@
     async def _relay(
         self,
         call: OnlineCall,
-        exchange: Exchange,
+        exchange: BackendExchange,
         responder: Responder,
         progress: _Progress,
     ) -> None:
-        await send_call(
-            exchange,
-            call.path,
-            call.body,
-            call.request_id,
-            progress.offset,
+        await exchange.send(
+            BackendCall(
+                method='POST',
+                target=call.path,
+                headers=[],
+                body=call.body,
+                request_id=call.request_id,
+                account=call.account,
+                offset=progress.offset,
+            ),
         )
         if call.stream and exchange.status < HTTPStatus.MULTIPLE_CHOICES:
             await self._relay_stream(call, exchange, responder, progress)
@@ -224,12 +228,11 @@
     async def _relay_stream(
         self,
         call: OnlineCall,
-        exchange: Exchange,
+        exchange: BackendExchange,
         responder: Responder,
         progress: _Progress,
     ) -> None:
-        stream = EngineStream(exchange=exchange)
-        events = stream.iter_events()
+        events = exchange.iter_events()
         while True:
             event = await bounded(
                 STALL_TIMEOUT_S,
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/plain_service.py
@@ -0,0 +1,37 @@
+"""Adapter of plain services."""
+
+from jacinthmount.ports import BackendCall
+
+from jacinthmount_node.backends import (
+    REQUEST_ID,
+    HttpBackend,
+    HttpBackendExchange,
+)
+
+__all__ = ('HttpPlainService', 'PlainExchange')
+
+NO_ACCOUNT = '-'
+
+
+class PlainExchange(HttpBackendExchange):
+    """One request to a plain service."""
+
+    __slots__ = ()
+
+    async def send(self, call: BackendCall) -> None:
+        """See the port; a service need not repeat the request id."""
+        headers = [
+            *call.headers,
+            (REQUEST_ID, call.request_id),
+            ('x-client-account', call.account or NO_ACCOUNT),
+        ]
+        await self.exchange_head(call, headers)
+        self.check_own(call)
+
+
+class HttpPlainService(HttpBackend):
+    """Plain services over HTTP."""
+
+    __slots__ = ()
+
+    exchange_type = PlainExchange
--- a/packages/jacinthmount-standin/jacinthmount_standin/platform.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/platform.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform: object API and host list."""
+"""Stand-in of the platform: object API, host list, weight store."""
 
 from collections import Counter
 from http import HTTPStatus
@@ -22,6 +22,7 @@
 __all__ = ('Platform', 'run_platform')
 
 OBJECTS_PREFIX = '/objects/'
+WEIGHTS_PREFIX = '/weights/'
 MAX_BODY_BYTES = 1_100_000
 
 
@@ -41,6 +42,7 @@
             slow_s=0.0,
             lose_answers=0,
             lose_requests=0,
+            weights={},
         )
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -66,27 +68,59 @@
         request: HttpRequest,
         responder: Responder,
     ) -> None:
-        if request.path.startswith(OBJECTS_PREFIX):
-            name = unquote(request.path.removeprefix(OBJECTS_PREFIX))
-            if request.method == 'GET':
-                await self._read(name, responder)
-            else:
-                await self._change(name, request, responder)
-        elif request.path == '/list':
-            listing = await self._store.list_names(request.query['prefix'])
-            await responder.send_json(
-                HTTPStatus.OK,
-                {
-                    'objects': [_shape(one) for one in listing.objects],
-                    'revision': listing.revision,
-                },
-            )
-        elif request.path == '/watch':
-            await self._watch(request, responder)
-        elif request.path == '/host-list':
-            await responder.send_json(HTTPStatus.OK, {'hosts': self._hosts})
+        kind = request.path.split('/')[1]
+        answers = {
+            'objects': self._object,
+            'list': self._list,
+            'watch': self._watch,
+            'weights': self._weights,
+            'host-list': self._list_hosts,
+        }
+        answer = answers.get(kind)
+        if answer is None:
+            await responder.send_json(HTTPStatus.NOT_FOUND, {})
+        else:
+            await answer(request, responder)
+
+    async def _object(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        name = unquote(request.path.removeprefix(OBJECTS_PREFIX))
+        if request.method == 'GET':
+            await self._read(name, responder)
         else:
+            await self._change(name, request, responder)
+
+    async def _list(self, request: HttpRequest, responder: Responder) -> None:
+        listing = await self._store.list_names(request.query['prefix'])
+        await responder.send_json(
+            HTTPStatus.OK,
+            {
+                'objects': [_shape(one) for one in listing.objects],
+                'revision': listing.revision,
+            },
+        )
+
+    async def _list_hosts(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        await responder.send_json(HTTPStatus.OK, {'hosts': self._hosts})
+
+    async def _weights(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        name = unquote(request.path.removeprefix(WEIGHTS_PREFIX))
+        size = self._switches.read('weights').get(name)
+        if size is None:
             await responder.send_json(HTTPStatus.NOT_FOUND, {})
+            return
+        await responder.send_json(HTTPStatus.OK, {'bytes': size})
 
     async def _read(self, name: str, responder: Responder) -> None:
         found = await self._store.read(name)
--- a/packages/jacinthmount/jacinthmount/declarations.py
+++ b/packages/jacinthmount/jacinthmount/declarations.py
@@ -31,11 +31,20 @@
 class DataCentre(Record):
     """A data centre and its part of every account's rate and burst."""
 
-    __slots__ = ('name', 'region', 'share', 'write_id')
+    __slots__ = (
+        'name',
+        'region',
+        'share',
+        'loads',
+        'load_rate_mib_per_s',
+        'write_id',
+    )
 
     name: str
     region: str
     share: float
+    loads: int
+    load_rate_mib_per_s: float
     write_id: str
 
 
@@ -66,11 +75,22 @@
 class Service(Record):
     """A model or a plain service that callers can address."""
 
-    __slots__ = ('name', 'kind', 'profile', 'write_id')
+    __slots__ = (
+        'name',
+        'kind',
+        'profile',
+        'weights',
+        'version',
+        'adapters',
+        'write_id',
+    )
 
     name: str
     kind: str
     profile: str
+    weights: str
+    version: str
+    adapters: list[str]
     write_id: str
 
 
@@ -84,6 +104,7 @@
         'address',
         'slots',
         'fenced',
+        'role',
         'leaving',
         'write_id',
     )
@@ -94,6 +115,7 @@
     address: str
     slots: int
     fenced: bool
+    role: str
     leaving: bool
     write_id: str
 
@@ -137,6 +159,24 @@
                     low=0,
                     high=1,
                 ),
+                make_option(
+                    'loads',
+                    'int',
+                    'engines',
+                    'Engines that take weights from the store at a time.',
+                    default='1',
+                    low=1,
+                    high=64,
+                ),
+                make_option(
+                    'load_rate_mib_per_s',
+                    'float',
+                    'MiB a second',
+                    "Part of the weight store's rate; 0 is without a limit.",
+                    default='0',
+                    low=0,
+                    high=1000000,
+                ),
             ),
         ),
         'profile': (
@@ -209,6 +249,27 @@
                 make_option(
                     'profile', 'text', 'name', 'Profile of the service.'
                 ),
+                make_option(
+                    'weights',
+                    'text',
+                    'name',
+                    'Weights that its engines load; empty gives no orders.',
+                    default='',
+                ),
+                make_option(
+                    'version',
+                    'text',
+                    'name',
+                    'Version of the weights; required with weights.',
+                    default='',
+                ),
+                make_option(
+                    'adapters',
+                    'list',
+                    'name, ...',
+                    'Adapters that its engines load.',
+                    default='',
+                ),
             ),
         ),
         'endpoint': (
@@ -237,6 +298,13 @@
                     'Whether it refuses orders with an old fencing number.',
                     default='no',
                 ),
+                make_option(
+                    'role',
+                    'text',
+                    'name',
+                    'Role of the engine; empty leaves it alone.',
+                    default='',
+                ),
                 make_option(
                     'leaving',
                     'bool',
@@ -372,6 +440,11 @@
                 f'[service {service.name}]: profile: '
                 f'no profile {service.profile!r}',
             )
+        if bool(service.weights) is not bool(service.version):
+            problems.append(
+                f'[service {service.name}]: version: '
+                'give weights and version together, or neither',
+            )
     for endpoint in catalogue.every(Endpoint):
         problems.extend(_check_endpoint(catalogue, endpoint))
     for route in catalogue.every(Route):
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -9,6 +9,7 @@
     'DeadlineExceeded',
     'DeadlineUnreachable',
     'EndpointFailed',
+    'EndpointLost',
     'HeadersTooLarge',
     'IdempotencyMismatch',
     'InvalidDeclarations',
@@ -18,6 +19,7 @@
     'MalformedRecord',
     'MalformedRequest',
     'NotFound',
+    'OrderFenced',
     'OutcomeUnknown',
     'PeerUnavailable',
     'RateExceeded',
@@ -172,6 +174,12 @@
     http_status = 502
 
 
+class EndpointLost(EndpointFailed):
+    """The connection to the endpoint failed, was cut or broke its protocol."""
+
+    code = 1405
+
+
 class OutcomeUnknown(JacinthmountError):
     """The request may have run; it will not be repeated."""
 
@@ -274,6 +282,14 @@
     run_state = NOT_RUN
 
 
+class OrderFenced(JacinthmountError):
+    """The engine took an order with a higher fencing number."""
+
+    code = 1802
+    http_status = 409
+    run_state = NOT_RUN
+
+
 class BatchFileInvalid(JacinthmountError):
     """Lines of a batch file are not valid.
 
--- /dev/null
+++ b/packages/jacinthmount/jacinthmount/memory.py
@@ -0,0 +1,212 @@
+"""In-memory implementations of the ports; the object store is in stores."""
+
+from collections.abc import AsyncIterator, Callable
+
+from jacinthmount.dispatch import Stage
+from jacinthmount.errors import (
+    EndpointFailed,
+    EndpointLost,
+    NotFound,
+    OrderFenced,
+    PeerUnavailable,
+)
+from jacinthmount.ports import (
+    Backend,
+    BackendCall,
+    BackendExchange,
+    Clock,
+    EngineControl,
+    EngineLoad,
+    EngineOrder,
+    EngineState,
+    HostList,
+    HostState,
+    LoadReports,
+    StreamEvent,
+    WeightStore,
+)
+from jacinthmount.records import Record, replaced
+
+__all__ = (
+    'BackendReply',
+    'ManualClock',
+    'MemoryBackend',
+    'MemoryEngineControl',
+    'MemoryHostList',
+    'MemoryLoadReports',
+    'MemoryWeightStore',
+)
+
+
+class ManualClock(Clock):
+    """Time that only moves when told to."""
+
+    __slots__ = ('_now',)
+
+    def __init__(self) -> None:
+        """Starts at zero."""
+        self._now = 0.0
+
+    def now(self) -> float:
+        """See the port."""
+        return self._now
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass."""
+        self._now += seconds
+
+
+class MemoryHostList(HostList):
+    """A list of hosts that is set by hand."""
+
+    __slots__ = ('hosts',)
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.hosts: list[HostState] = []
+
+    async def read_hosts(self) -> list[HostState]:
+        """See the port."""
+        return list(self.hosts)
+
+
+class MemoryWeightStore(WeightStore):
+    """Sizes of weights by name and version."""
+
+    __slots__ = ('sizes',)
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.sizes: dict[tuple[str, str], int] = {}
+
+    async def read_size(self, weights: str, version: str) -> int:
+        """See the port."""
+        size = self.sizes.get((weights, version))
+        if size is None:
+            raise NotFound(detail=f'weights {weights} {version}')
+        return size
+
+
+class MemoryLoadReports(LoadReports):
+    """Load reports that are set by hand, by address."""
+
+    __slots__ = ('loads',)
+
+    def __init__(self) -> None:
+        """Starts without engines."""
+        self.loads: dict[str, EngineLoad] = {}
+
+    async def read_load(self, address: str) -> EngineLoad:
+        """See the port."""
+        if address not in self.loads:
+            raise PeerUnavailable(detail=f'load of {address}')
+        return self.loads[address]
+
+
+class MemoryEngineControl(EngineControl):
+    """Engines that carry out an order at once, by address."""
+
+    __slots__ = ('states',)
+
+    def __init__(self) -> None:
+        """Starts without engines."""
+        self.states: dict[str, EngineState] = {}
+
+    async def read_state(self, address: str) -> EngineState:
+        """See the port."""
+        if address not in self.states:
+            raise PeerUnavailable(detail=f'state of {address}')
+        return self.states[address]
+
+    async def send_order(self, address: str, order: EngineOrder) -> None:
+        """See the port."""
+        state = await self.read_state(address)
+        if order.fencing < state.fencing:
+            raise OrderFenced(detail=address)
+        self.states[address] = replaced(
+            state,
+            weights=order.weights or state.weights,
+            version=order.version or state.version,
+            adapters=order.adapters,
+            role=order.role or state.role,
+            fencing=order.fencing,
+        )
+
+
+class BackendReply(Record):
+    """What an endpoint in memory answers.
+
+    ``lost`` tells that the connection is cut after the events and the body.
+    """
+
+    __slots__ = ('status', 'headers', 'body', 'events', 'lost')
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    events: list[StreamEvent]
+    lost: bool
+
+
+class MemoryBackend(Backend):
+    """Endpoints that answer by calling a function, by address."""
+
+    __slots__ = ('replies',)
+
+    def __init__(self) -> None:
+        """Starts without endpoints."""
+        self.replies: dict[str, Callable[[BackendCall], BackendReply]] = {}
+
+    async def open(self, address: str, *, fresh: bool) -> BackendExchange:
+        """See the port."""
+        if address not in self.replies:
+            raise EndpointLost(detail=f'{address}: refused')
+        return _MemoryExchange(reply_to=self.replies[address])
+
+    async def release(self, exchange: BackendExchange) -> None:
+        """See the port."""
+
+
+class _MemoryExchange(BackendExchange):
+    __slots__ = ('_reply', '_reply_to')
+
+    def __init__(
+        self,
+        *,
+        reply_to: Callable[[BackendCall], BackendReply],
+    ) -> None:
+        super().__init__()
+        self._reply_to = reply_to
+
+    async def send(self, call: BackendCall) -> None:
+        self.stage = Stage.SENT
+        reply = self._reply_to(call)
+        self._reply = reply
+        if reply.lost and not reply.events:
+            raise EndpointLost(detail='cut before the answer')
+        self.stage = Stage.ANSWERING
+        self.status = reply.status
+        self.headers = reply.headers
+        if self.headers.get('x-request-id', call.request_id) != call.request_id:
+            raise EndpointFailed(detail='answer to another request')
+
+    async def read_body(self) -> bytes:
+        self._end()
+        return self._reply.body
+
+    async def iter_events(self) -> AsyncIterator[StreamEvent]:
+        for event in self._reply.events:
+            yield event
+        self._end()
+
+    async def close(self) -> None:
+        self._reply_to = _refuse
+
+    def _end(self) -> None:
+        if self._reply.lost:
+            raise EndpointLost(detail='cut amid the answer')
+        self.stage = Stage.ANSWERED
+
+
+def _refuse(call: BackendCall) -> BackendReply:
+    raise EndpointLost(detail='the exchange was closed')
--- a/packages/jacinthmount/jacinthmount/ports.py
+++ b/packages/jacinthmount/jacinthmount/ports.py
@@ -1,18 +1,29 @@
 """Ports to everything outside the system."""
 
+from collections.abc import AsyncIterator
+from typing import Any
+
+from jacinthmount.dispatch import Stage
 from jacinthmount.records import Record
 
 __all__ = (
     'ABSENT',
     'FLEET_PREFIX',
+    'Backend',
+    'BackendCall',
+    'BackendExchange',
     'Clock',
+    'EngineControl',
     'EngineLoad',
+    'EngineOrder',
+    'EngineState',
     'HostList',
     'HostState',
     'Listing',
     'LoadReports',
     'ObjectStore',
     'Stored',
+    'StreamEvent',
     'WeightStore',
 )
 
@@ -114,8 +125,67 @@
 class WeightStore:
     """Rate-limited store of model weights."""
 
-    async def read_size(self, model: str) -> int:
-        """Reads the size of a model's weights in bytes."""
+    async def read_size(self, weights: str, version: str) -> int:
+        """Reads the size of a version of weights in bytes.
+
+        :raises NotFound: the store does not hold it.
+        :raises StoreUnavailable: no answer.
+        """
+        raise NotImplementedError
+
+
+class EngineState(Record):
+    """What an engine runs.
+
+    ``fencing`` is the highest number of an order it took; ``loading`` tells
+    that it is not ready yet.
+    """
+
+    __slots__ = (
+        'weights',
+        'version',
+        'adapters',
+        'role',
+        'loading',
+        'fencing',
+    )
+
+    weights: str
+    version: str
+    adapters: list[str]
+    role: str
+    loading: bool
+    fencing: int
+
+
+class EngineOrder(Record):
+    """Tells an engine what to run; an empty field stays as it is."""
+
+    __slots__ = ('weights', 'version', 'adapters', 'role', 'fencing')
+
+    weights: str
+    version: str
+    adapters: list[str]
+    role: str
+    fencing: int
+
+
+class EngineControl:
+    """Orders to engines and what they run."""
+
+    async def read_state(self, address: str) -> EngineState:
+        """Reads what an engine runs.
+
+        :raises PeerUnavailable: no answer.
+        """
+        raise NotImplementedError
+
+    async def send_order(self, address: str, order: EngineOrder) -> None:
+        """Sends an order; the engine carries it out in its own time.
+
+        :raises OrderFenced: the engine took an order with a higher number.
+        :raises PeerUnavailable: no answer; the order may still take effect.
+        """
         raise NotImplementedError
 
 
@@ -130,6 +200,103 @@
         raise NotImplementedError
 
 
+class BackendCall(Record):
+    """One request to an endpoint.
+
+    ``headers`` are those that the endpoint may see. ``offset`` counts the
+    characters of a streamed answer that are already known.
+    """
+
+    __slots__ = (
+        'method',
+        'target',
+        'headers',
+        'body',
+        'request_id',
+        'account',
+        'offset',
+    )
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    request_id: str
+    account: str
+    offset: int
+
+
+class StreamEvent(Record):
+    """One event of a streamed answer, as sent and as the text it adds."""
+
+    __slots__ = ('payload', 'text', 'finished')
+
+    payload: str
+    text: str
+    finished: bool
+
+
+class BackendExchange:
+    """One call to an endpoint and its answer.
+
+    ``stage`` tells how far it came, also after an error. ``usage`` is what a
+    streamed answer said of its tokens.
+    """
+
+    __slots__ = ('headers', 'stage', 'status', 'usage')
+
+    def __init__(self) -> None:
+        """Starts before anything was sent."""
+        self.stage = Stage.CONNECTING
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.usage: dict[str, Any] | None = None
+
+    async def send(self, call: BackendCall) -> None:
+        """Sends a call and reads status and headers of its answer.
+
+        :raises EndpointLost: the connection failed.
+        :raises EndpointFailed: the endpoint failed, or answered another call.
+        """
+        raise NotImplementedError
+
+    async def read_body(self) -> bytes:
+        """Reads the whole body of the answer.
+
+        :raises EndpointLost: the answer ended short.
+        """
+        raise NotImplementedError
+
+    def iter_events(self) -> AsyncIterator[StreamEvent]:
+        """Yields the events of a streamed answer up to its end mark.
+
+        :raises EndpointLost: the connection failed.
+        :raises EndpointFailed: the stream ended short or reported an error.
+        """
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        """Drops the exchange, which cancels a request still running."""
+        raise NotImplementedError
+
+
+class Backend:
+    """Model engines or plain services, by address."""
+
+    async def open(self, address: str, *, fresh: bool) -> BackendExchange:
+        """Opens an exchange.
+
+        :param fresh: never reuse a connection, since an idle one may be lost
+            after the request has left.
+        :raises EndpointLost: the endpoint can't be reached.
+        """
+        raise NotImplementedError
+
+    async def release(self, exchange: BackendExchange) -> None:
+        """Takes back an exchange that ended whole."""
+        raise NotImplementedError
+
+
 class Clock:
     """Monotonic time in seconds."""
 
--- a/packages/jacinthmount/jacinthmount/routing.py
+++ b/packages/jacinthmount/jacinthmount/routing.py
@@ -22,6 +22,7 @@
 
     __slots__ = (
         'batch',
+        'closed_until',
         'contenders',
         'ejected_until',
         'endpoint',
@@ -42,6 +43,7 @@
         self.elsewhere = 0
         self.contenders = 1
         self.silent = False
+        self.closed_until = 0.0
         self.failures = 0
         self.ejected_until = 0.0
         self.reported: EngineLoad | None = None
@@ -75,10 +77,14 @@
 
     def available(self, now: float) -> bool:
         """Tells whether new work may go to the endpoint."""
-        if self.silent or self.endpoint.leaving:
+        if self.silent or self.is_closed(now):
             return False
         return now >= self.ejected_until
 
+    def is_closed(self, now: float) -> bool:
+        """Tells whether the endpoint gets nothing new, whatever it answers."""
+        return self.endpoint.leaving or now < self.closed_until
+
     def on_success(self, elapsed_s: float) -> None:
         """Notes an answer and the time it took."""
         self.failures = 0
@@ -134,13 +140,11 @@
     def usable(self, now: float) -> list[EndpointState]:
         """Lists the endpoints that new work may go to.
 
-        Where every endpoint failed lately, all but the leaving ones are tried
+        Where every endpoint failed lately, all but the closed ones are tried
         again rather than refusing at once.
         """
         staying = [
-            state
-            for state in self._states.values()
-            if not state.endpoint.leaving
+            state for state in self._states.values() if not state.is_closed(now)
         ]
         available = [state for state in staying if state.available(now)]
         return available or staying
--- a/packages/jacinthmount/jacinthmount/settings.py
+++ b/packages/jacinthmount/jacinthmount/settings.py
@@ -22,6 +22,7 @@
         'admin_listen',
         'admin_token_file',
         'platform',
+        'weight_store',
         'peers',
         'tls_ca',
         'tls_cert',
@@ -38,6 +39,7 @@
     admin_listen: str
     admin_token_file: str
     platform: list[str]
+    weight_store: list[str]
     peers: list[str]
     tls_ca: str
     tls_cert: str
@@ -99,6 +101,13 @@
             'IP:port, ...',
             'Addresses of the platform.',
         ),
+        make_option(
+            'weight_store',
+            'list',
+            'IP:port, ...',
+            'Addresses of the weight store; empty where there is none.',
+            default='',
+        ),
     ),
     'peers': (
         make_option(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -46,6 +46,7 @@
         'address': '127.0.0.1:1000',
         'slots': 4,
         'fenced': False,
+        'role': '',
         'leaving': False,
         'write_id': '',
     }
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,136 @@
+"""Tests of the decisions about orders to engines."""
+
+import pytest
+from jacinthmount.orders import (
+    ORDER_MAX_S,
+    ORDER_STOP_S,
+    OrderView,
+    Step,
+    Target,
+    is_reached,
+    make_order,
+    may_order,
+    may_take,
+    next_lease,
+    next_step,
+    ready_after_s,
+    serves,
+    slot_time_s,
+)
+from jacinthmount.ports import EngineState
+from jacinthmount.records import replaced
+
+TARGET = Target(
+    weights='w',
+    version='2',
+    adapters=['a'],
+    role='',
+    basis=7,
+)
+EMPTY = EngineState(
+    weights='',
+    version='',
+    adapters=[],
+    role='',
+    loading=False,
+    fencing=0,
+)
+OLD = replaced(EMPTY, weights='w', version='1', adapters=['a'])
+NEW = replaced(OLD, version='2')
+
+
+@pytest.fixture
+def view():
+    """An engine that serves an old version beside another one."""
+    return OrderView(
+        target=TARGET,
+        state=OLD,
+        has_slot=True,
+        closed=True,
+        idle=True,
+        others=1,
+        siblings=1,
+        ordered_s=None,
+    )
+
+
+def test_lease_number_rises_with_each_write():
+    """Each order has a number of its own, whoever sends it."""
+    first = next_lease(None, 'a', '1', 7, '')
+    again = next_lease(first, 'a', '1', 7, '')
+    other = next_lease(again, 'b', '1', 8, '')
+    assert first.fencing < again.fencing < other.fencing
+    assert make_order(TARGET, other).fencing == other.fencing
+
+
+def test_orders_of_two_holders_never_overlap():
+    """The old holder's last order has ended before the new one's first."""
+    lease = next_lease(None, 'a', '1', 7, '')
+    last_order_ends = ORDER_STOP_S + ORDER_MAX_S
+    assert not may_order(0, ORDER_STOP_S)
+    assert ready_after_s(lease, 0, fenced=False) >= last_order_ends
+    assert not ready_after_s(lease, 0, fenced=True)
+    assert not ready_after_s(lease, lease.fencing, fenced=False)
+
+
+def test_host_that_lags_behind_takes_no_lease():
+    """Older declarations are never ordered after newer ones."""
+    lease = next_lease(None, 'a', '1', 7, '')
+    assert not may_take(lease, 6)
+    assert may_take(lease, 7)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'step'),
+    [
+        ({}, Step.ORDER),
+        ({'target': None}, Step.NOTHING),
+        ({'state': None}, Step.NOTHING),
+        ({'state': NEW}, Step.FINISH),
+        ({'state': NEW, 'has_slot': False}, Step.NOTHING),
+        ({'state': replaced(NEW, loading=True)}, Step.NOTHING),
+        ({'state': replaced(OLD, loading=True)}, Step.WAIT),
+        ({'has_slot': False}, Step.TAKE_SLOT),
+        ({'closed': False}, Step.CLOSE),
+        ({'closed': False, 'others': 0}, Step.WAIT),
+        ({'closed': False, 'others': 0, 'siblings': 0}, Step.CLOSE),
+        ({'closed': False, 'others': 0, 'state': EMPTY}, Step.CLOSE),
+        ({'idle': False}, Step.WAIT),
+        ({'ordered_s': 1.0}, Step.WAIT),
+        ({'ordered_s': ORDER_MAX_S}, Step.ORDER),
+    ],
+)
+def test_next_step(view, changes, step):
+    """A slot, then no new work, then nothing running, then the order."""
+    assert next_step(replaced(view, **changes)) is step
+
+
+def test_adapters_need_no_slot(view):
+    """Only weights come from the rate-limited store."""
+    state = replaced(NEW, adapters=[])
+    found = next_step(replaced(view, state=state, has_slot=False))
+    assert found is Step.ORDER
+
+
+def test_engine_serves_until_its_turn():
+    """An earlier version gets work, a load or other weights do not."""
+    assert serves(TARGET, NEW)
+    assert serves(TARGET, OLD)
+    assert serves(None, OLD)
+    assert serves(TARGET, None)
+    assert not serves(TARGET, EMPTY)
+    assert not serves(TARGET, replaced(NEW, loading=True))
+
+
+def test_engine_has_reached_its_target_once_it_is_ready():
+    """The version counts, and that nothing is loading."""
+    assert is_reached(TARGET, NEW)
+    assert not is_reached(TARGET, OLD)
+    assert not is_reached(TARGET, replaced(NEW, loading=True))
+    assert not is_reached(TARGET, None)
+
+
+def test_slot_time_follows_the_rate():
+    """A load keeps its slot for as long as its part of the rate takes."""
+    assert slot_time_s(100 * 1024 * 1024, 10) == pytest.approx(10)
+    assert slot_time_s(100 * 1024 * 1024, 0) == slot_time_s(0, 10)
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,414 @@
+"""Tests that hold for each port, in memory and over HTTP."""
+
+import contextlib
+import json
+
+import curio
+import pytest
+from jacinthmount.dispatch import Stage
+from jacinthmount.errors import (
+    EndpointFailed,
+    EndpointLost,
+    NotFound,
+    OrderFenced,
+    PeerUnavailable,
+)
+from jacinthmount.memory import (
+    BackendReply,
+    ManualClock,
+    MemoryBackend,
+    MemoryEngineControl,
+    MemoryHostList,
+    MemoryLoadReports,
+    MemoryWeightStore,
+)
+from jacinthmount.ports import (
+    BackendCall,
+    EngineLoad,
+    EngineOrder,
+    EngineState,
+    HostState,
+    StreamEvent,
+)
+from jacinthmount_node.engine import EngineLoadReports, HttpEngine
+from jacinthmount_node.engine_control import HttpEngineControl
+from jacinthmount_node.http_client import ClientPool
+from jacinthmount_node.object_api import HttpHostList, HttpWeightStore
+from jacinthmount_node.plain_service import HttpPlainService
+from jacinthmount_node.sockets import SystemClock
+from jacinthmount_standin.addresses import PortReserve
+from jacinthmount_standin.engine import answer_text
+from jacinthmount_standin.fleet import Fleet
+
+MEMORY_ADDRESS = '192.0.2.1:1'
+TOKENS = 6
+PROMPT = json.dumps([{'role': 'user', 'content': 'bale'}])
+WHOLE = answer_text(PROMPT, TOKENS)
+FIRST = answer_text(PROMPT, 2)
+KINDS = ('memory', 'http')
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    """A platform, an engine and a plain service."""
+    made = Fleet(folder=tmp_path_factory.mktemp('ports'), data_centres={})
+    made.start_platform()
+    made.start_engine('engine-1', slots=8, token_s=0.001)
+    made.start_plain()
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+def unused():
+    """An address on which nothing listens."""
+    with contextlib.closing(PortReserve()) as reserve:
+        yield f'127.0.0.1:{reserve.take(1)[0]}'
+
+
+@pytest.fixture(params=KINDS)
+def host_list(request, fleet):
+    """A list of one live and one leaving host, of each kind."""
+    states = [
+        HostState(host='a', data_centre='east', leaving=False),
+        HostState(host='b', data_centre='east', leaving=True),
+    ]
+    if request.param == 'memory':
+        made = MemoryHostList()
+        made.hosts = states
+        return made
+    fleet.list_states(states)
+    return HttpHostList(addresses=[platform(fleet)], pool=ClientPool())
+
+
+def platform(fleet):
+    """Names the address of the platform."""
+    return f'127.0.0.1:{fleet.platform_port}'
+
+
+def test_host_list_tells_who_leaves(host_list):
+    """Live and leaving hosts are told apart."""
+    found = curio.run(host_list.read_hosts)
+    assert [(one.host, one.leaving) for one in found] == [
+        ('a', False),
+        ('b', True),
+    ]
+
+
+@pytest.fixture(params=KINDS)
+def weight_store(request, fleet):
+    """A store of one version of one model's weights, of each kind."""
+    if request.param == 'memory':
+        made = MemoryWeightStore()
+        made.sizes['big model', '1'] = 5000
+        return made
+    fleet.switch(fleet.platform_port, weights={'big model/1': 5000})
+    return HttpWeightStore(addresses=[platform(fleet)], pool=ClientPool())
+
+
+def test_weight_store_tells_sizes(weight_store):
+    """A size is in bytes; unknown versions are told."""
+    assert curio.run(weight_store.read_size, 'big model', '1') == 5000
+    with pytest.raises(NotFound):
+        curio.run(weight_store.read_size, 'big model', '2')
+
+
+@pytest.fixture(params=KINDS)
+def reports(request, fleet):
+    """Load reports and the address of an idle engine."""
+    if request.param == 'memory':
+        made = MemoryLoadReports()
+        made.loads[MEMORY_ADDRESS] = EngineLoad(
+            running=0,
+            waiting=0,
+            slots=8,
+            age_s=0.1,
+        )
+        return made, MEMORY_ADDRESS
+    port = fleet.engine_port('engine-1')
+    return EngineLoadReports(pool=ClientPool()), f'127.0.0.1:{port}'
+
+
+def test_load_reports(reports, unused):
+    """A report has a lag; an engine out of reach is told."""
+    port, address = reports
+    load = curio.run(port.read_load, address)
+    assert (load.running, load.slots) == (0, 8)
+    assert load.age_s >= 0
+    with pytest.raises(PeerUnavailable):
+        curio.run(port.read_load, unused)
+
+
+@pytest.fixture(params=KINDS)
+def control(request, fleet):
+    """Orders and the address of an engine with nothing loaded."""
+    if request.param == 'memory':
+        made = MemoryEngineControl()
+        made.states[MEMORY_ADDRESS] = EngineState(
+            weights='',
+            version='',
+            adapters=[],
+            role='',
+            loading=False,
+            fencing=0,
+        )
+        return made, MEMORY_ADDRESS
+    fleet.start_engine('ordered')
+    port = fleet.engine_port('ordered')
+    return HttpEngineControl(pool=ClientPool()), f'127.0.0.1:{port}'
+
+
+def make_order(**changes):
+    """Builds an order with fencing number 5."""
+    fields = {
+        'weights': 'w',
+        'version': '1',
+        'adapters': ['a'],
+        'role': '',
+        'fencing': 5,
+    }
+    return EngineOrder(**{**fields, **changes})
+
+
+def test_orders_are_taken_and_fenced(control, unused):
+    """An order takes effect; one with an older number is refused."""
+    port, address = control
+
+    async def check():
+        await port.send_order(address, make_order())
+        state = await port.read_state(address)
+        assert (state.weights, state.version) == ('w', '1')
+        assert (state.adapters, state.fencing) == (['a'], 5)
+        with pytest.raises(OrderFenced):
+            await port.send_order(address, make_order(version='0', fencing=4))
+        await port.send_order(address, make_order(role='decode', fencing=6))
+        state = await port.read_state(address)
+        assert (state.version, state.role) == ('1', 'decode')
+        with pytest.raises(PeerUnavailable):
+            await port.read_state(unused)
+        with pytest.raises(PeerUnavailable):
+            await port.send_order(unused, make_order())
+
+    curio.run(check)
+
+
+def make_call(**changes):
+    """Builds a streamed request to an engine."""
+    fields = {
+        'method': 'POST',
+        'target': '/v1/chat/completions',
+        'headers': [],
+        'body': json.dumps({
+            'model': 'm',
+            'stream': True,
+            'max_tokens': TOKENS,
+            'messages': json.loads(PROMPT),
+        }).encode(),
+        'request_id': 'req-1',
+        'account': 'gin',
+        'offset': 0,
+    }
+    return BackendCall(**{**fields, **changes})
+
+
+def reply_of(call, *, body=b'', request_id='', lost=False):
+    """Builds the answer of an engine in memory."""
+    text = WHOLE[call.offset :]
+    if lost:
+        text = FIRST
+    return BackendReply(
+        status=200,
+        headers={'x-request-id': request_id or call.request_id},
+        body=body,
+        events=[
+            StreamEvent(payload='', text=f'{word} ', finished=False)
+            for word in text.split()
+        ],
+        lost=lost,
+    )
+
+
+class Endpoints:
+    """An engine or service of some kind that can be made to fail."""
+
+    __slots__ = ('address', 'backend', 'fail')
+
+    def __init__(self, *, backend, address, fail):
+        """Takes what makes its next answer fail, by way of failing."""
+        self.backend = backend
+        self.address = address
+        self.fail = fail
+
+
+@pytest.fixture(params=KINDS)
+def engine(request, fleet):
+    """An engine of each kind."""
+    if request.param == 'memory':
+        backend = MemoryBackend()
+        backend.replies[MEMORY_ADDRESS] = reply_of
+
+        def fail(how):
+            changes = {
+                'crossed': {'request_id': 'another'},
+                'cut': {'lost': True},
+            }[how]
+            backend.replies[MEMORY_ADDRESS] = lambda call: reply_of(
+                call,
+                **changes,
+            )
+
+        return Endpoints(backend=backend, address=MEMORY_ADDRESS, fail=fail)
+    port = fleet.engine_port('engine-1')
+
+    def switch(how):
+        fleet.switch(
+            port,
+            **{
+                'crossed': {'crossed': 1},
+                'cut': {'cut_after_tokens': 2, 'cuts': 1},
+            }[how],
+        )
+
+    return Endpoints(
+        backend=HttpEngine(pool=ClientPool()),
+        address=f'127.0.0.1:{port}',
+        fail=switch,
+    )
+
+
+async def read_stream(endpoints, call, texts):
+    """Sends a call and gathers the text of its answer."""
+    exchange = await endpoints.backend.open(endpoints.address, fresh=False)
+    try:
+        await exchange.send(call)
+        async for event in exchange.iter_events():
+            texts.append(event.text)
+    finally:
+        texts.append(exchange.stage)
+        await exchange.close()
+
+
+def test_stream_is_whole_and_resumes(engine):
+    """A stream has all the text, a resumed one the rest of it."""
+    texts = []
+    curio.run(read_stream, engine, make_call(), texts)
+    assert texts.pop() is Stage.ANSWERED
+    assert ''.join(texts) == WHOLE
+    rest = []
+    call = make_call(offset=len(FIRST))
+    curio.run(read_stream, engine, call, rest)
+    assert rest.pop() is Stage.ANSWERED
+    assert FIRST + ''.join(rest) == WHOLE
+
+
+def test_cut_stream_is_told(engine):
+    """What came before the cut is known, and that it was cut."""
+    engine.fail('cut')
+    texts = []
+    with pytest.raises(EndpointLost):
+        curio.run(read_stream, engine, make_call(), texts)
+    assert texts.pop() is Stage.ANSWERING
+    assert ''.join(texts) == FIRST
+
+
+def test_answer_to_another_request_is_refused(engine):
+    """An answer that names another request is never read."""
+    engine.fail('crossed')
+    texts = []
+    with pytest.raises(EndpointFailed):
+        curio.run(read_stream, engine, make_call(), texts)
+    assert texts == [Stage.ANSWERING]
+
+
+def test_unreachable_engine_has_got_nothing(engine, unused):
+    """Without a connection there is no exchange to ask."""
+    engine.address = unused
+    texts = []
+    with pytest.raises(EndpointLost):
+        curio.run(read_stream, engine, make_call(), texts)
+    assert not texts
+
+
+@pytest.fixture(params=KINDS)
+def service(request, fleet):
+    """A plain service of each kind."""
+    if request.param == 'memory':
+        backend = MemoryBackend()
+
+        def respond(call, *, request_id='', lost=False):
+            return BackendReply(
+                status=200,
+                headers={'x-request-id': request_id or call.request_id},
+                body=json.dumps({'echo': call.body.decode()}).encode(),
+                events=[],
+                lost=lost,
+            )
+
+        backend.replies[MEMORY_ADDRESS] = respond
+
+        def fail(how):
+            changes = {
+                'crossed': {'request_id': 'another'},
+                'cut': {'lost': True},
+            }[how]
+            backend.replies[MEMORY_ADDRESS] = lambda call: respond(
+                call,
+                **changes,
+            )
+
+        return Endpoints(backend=backend, address=MEMORY_ADDRESS, fail=fail)
+
+    def switch(how):
+        name = {'crossed': 'crossed', 'cut': 'cut_before_answer'}[how]
+        fleet.switch(fleet.plain_port, **{name: 1})
+
+    return Endpoints(
+        backend=HttpPlainService(pool=ClientPool()),
+        address=f'127.0.0.1:{fleet.plain_port}',
+        fail=switch,
+    )
+
+
+async def call_service(endpoints, stages):
+    """Calls a service and reads its whole answer."""
+    call = make_call(target='/x', body=b'term')
+    exchange = await endpoints.backend.open(endpoints.address, fresh=True)
+    try:
+        await exchange.send(call)
+        return await exchange.read_body()
+    finally:
+        stages.append(exchange.stage)
+        await exchange.close()
+
+
+def test_service_answers_whole(service):
+    """The whole body is read."""
+    stages = []
+    answer = curio.run(call_service, service, stages)
+    assert json.loads(answer)['echo'] == 'term'
+    assert stages == [Stage.ANSWERED]
+
+
+def test_service_cut_after_sending(service):
+    """A connection lost after the request has left says so."""
+    service.fail('cut')
+    stages = []
+    with pytest.raises(EndpointLost):
+        curio.run(call_service, service, stages)
+    assert stages == [Stage.SENT]
+
+
+def test_service_with_another_answer(service):
+    """An answer that names another request is refused."""
+    service.fail('crossed')
+    with pytest.raises(EndpointFailed):
+        curio.run(call_service, service, [])
+
+
+@pytest.mark.parametrize('clock', [ManualClock(), SystemClock()])
+def test_clock_never_goes_back(clock):
+    """Times read later are not smaller."""
+    first = clock.now()
+    if isinstance(clock, ManualClock):
+        clock.advance(1)
+    assert clock.now() >= first
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from spec import config_spread, keyed_call, loans, result_log, share_table
+from spec import (
+    config_spread,
+    engine_orders,
+    keyed_call,
+    loans,
+    result_log,
+    share_table,
+)
 from spec.checking import run_check
 
 MODELS = {
@@ -14,6 +21,12 @@
     'share table': share_table.build(share_table.Rules()),
     'configuration spread': config_spread.build(config_spread.Rules()),
     'keyed call': keyed_call.build(keyed_call.Rules()),
+    'engine orders, fenced': engine_orders.build(
+        engine_orders.Rules(fenced=True),
+    ),
+    'engine orders, not fenced': engine_orders.build(
+        engine_orders.Rules(fenced=False),
+    ),
 }
 
 BROKEN = {
@@ -59,6 +72,18 @@
     'started call repeated': keyed_call.build(
         keyed_call.Rules(retry_unknown=True),
     ),
+    'new holder does not wait': engine_orders.build(
+        engine_orders.Rules(fenced=False, skip_wait=True),
+    ),
+    'lost answer skips the wait': engine_orders.build(
+        engine_orders.Rules(fenced=False, forget_lost=True),
+    ),
+    'paused holder orders late': engine_orders.build(
+        engine_orders.Rules(fenced=False, order_late=True),
+    ),
+    'old declarations ordered': engine_orders.build(
+        engine_orders.Rules(fenced=True, ignore_basis=True),
+    ),
     'sent call said not to run': keyed_call.build(
         keyed_call.Rules(say_not_run_when_sent=True),
     ),
