Cut data centres off at the network in tests

Until now cuts were brought about by outages, kills and freezes. A relay stands between data centres and before the platform, tells who connects by IP number, and holds bytes back or delays them. Hosts connect to others from the IP number that they listen on, and may advertise another address.

--- a/packages/jacinthmount-node/jacinthmount_node/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/config_sync.py
@@ -233,7 +233,7 @@
             records = self._others(local=remote)
         known = [record.peer_address for record in records]
         if not known:
-            own = self._node.settings.peer_listen
+            own = self._node.settings.peer_address()
             known = [
                 address
                 for address in self._node.settings.peers
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -32,7 +32,7 @@
 from jacinthmount_node.online import OnlineRunner
 from jacinthmount_node.peers import PeerLinks, PeerServer, make_contexts
 from jacinthmount_node.share_task import ShareTask
-from jacinthmount_node.sockets import listen
+from jacinthmount_node.sockets import listen, parse_address
 
 __all__ = ('Daemon', 'run_daemon')
 
@@ -76,6 +76,7 @@
             settings.tls_key,
         )
         links = PeerLinks(
+            local_ip=parse_address(settings.peer_listen)[0],
             context=client_context,
             hello=Hello(
                 host=node.host,
--- a/packages/jacinthmount-node/jacinthmount_node/membership.py
+++ b/packages/jacinthmount-node/jacinthmount_node/membership.py
@@ -78,7 +78,7 @@
             host=cfg.host,
             incarnation=node.incarnation,
             data_centre=cfg.data_centre,
-            peer_address=cfg.peer_listen,
+            peer_address=cfg.peer_address(),
             admin_address=cfg.admin_listen,
             leaving=False,
             write_id=new_write_id(),
--- a/packages/jacinthmount-node/jacinthmount_node/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/peers.py
@@ -172,6 +172,7 @@
         '_address',
         '_context',
         '_hello',
+        '_local_ip',
         '_metrics',
         '_number',
         '_outgoing',
@@ -183,12 +184,14 @@
         self,
         *,
         address: str,
+        local_ip: str,
         context,
         hello: Hello,
         metrics: Metrics,
     ) -> None:
-        """Takes the address of the other host."""
+        """Takes the address of the other host, and the IP to come from."""
         self._address = address
+        self._local_ip = local_ip
         self._context = context
         self._hello = hello
         self._metrics = metrics
@@ -271,6 +274,7 @@
             CONNECT_TIMEOUT_S,
             connect,
             self._address,
+            self._local_ip,
         )
         try:
             sock = await self._context.wrap_socket(
@@ -295,10 +299,25 @@
 class PeerLinks:
     """Links to all other hosts, opened on demand."""
 
-    __slots__ = ('_context', '_hello', '_links', '_metrics', '_tasks')
+    __slots__ = (
+        '_context',
+        '_hello',
+        '_links',
+        '_local_ip',
+        '_metrics',
+        '_tasks',
+    )
 
-    def __init__(self, *, context, hello: Hello, metrics: Metrics) -> None:
-        """Takes the TLS context and who this host is."""
+    def __init__(
+        self,
+        *,
+        local_ip: str,
+        context,
+        hello: Hello,
+        metrics: Metrics,
+    ) -> None:
+        """Takes the TLS context, who this host is and its IP number."""
+        self._local_ip = local_ip
         self._context = context
         self._hello = hello
         self._metrics = metrics
@@ -328,6 +347,7 @@
         if link is None:
             link = PeerLink(
                 address=address,
+                local_ip=self._local_ip,
                 context=self._context,
                 hello=self._hello,
                 metrics=self._metrics,
--- a/packages/jacinthmount-node/jacinthmount_node/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/sockets.py
@@ -48,14 +48,17 @@
     return host, int(port)
 
 
-async def connect(address: str):
+async def connect(address: str, local_ip: str = ''):
     """Opens a TCP connection without delayed sends.
 
+    :param local_ip: IP number to connect from; empty leaves it open.
     :raises OSError: the connection was refused or lost.
     """
     sock = curio_socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
     try:
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+        if local_ip:
+            sock.bind((local_ip, 0))
         await sock.connect(parse_address(address))
     except BaseException:
         await sock.close()
--- a/packages/jacinthmount-standin/jacinthmount_standin/__main__.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/__main__.py
@@ -14,6 +14,7 @@
 from jacinthmount_standin.experiments import EXPERIMENTS, run_experiment
 from jacinthmount_standin.plain import run_plain
 from jacinthmount_standin.platform import run_platform
+from jacinthmount_standin.relay import run_relay
 
 __all__ = ()
 
@@ -41,6 +42,14 @@
     address: str
 
 
+@attrs.define(kw_only=True)
+class RelayCommand:
+    """Options of the network between data centres."""
+
+    address: str
+    routes: str
+
+
 @attrs.define(kw_only=True)
 class DemoCommand:
     """Options of the demo."""
@@ -111,6 +120,15 @@
                 help='Plain service.',
                 arguments=[ADDRESS],
             ),
+            cappa.Command(
+                RelayCommand,
+                name='relay',
+                help='Network between data centres.',
+                arguments=[
+                    ADDRESS,
+                    option('routes', 'File of the routes.', required=True),
+                ],
+            ),
             EXPERIMENT,
             cappa.Command(
                 DemoCommand,
@@ -148,6 +166,11 @@
     run_plain(command.address)
 
 
+@run.register
+def _run_relay(command: RelayCommand) -> None:
+    run_relay(command.address, command.routes)
+
+
 @run.register
 def _run_experiment(command: ExperimentCommand) -> None:
     figures = run_experiment(command.name, Path(command.folder).absolute())
--- a/packages/jacinthmount-standin/jacinthmount_standin/addresses.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/addresses.py
@@ -20,9 +20,9 @@
         """Starts empty."""
         self._sockets: list[socket.socket] = []
 
-    def take(self, count: int) -> list[int]:
-        """Takes a number of free ports."""
-        return [self._take_one() for _ in range(count)]
+    def take(self, count: int, ip: str = LOOPBACK) -> list[int]:
+        """Takes a number of free ports of an IP number of loopback."""
+        return [self._take_one(ip) for _ in range(count)]
 
     def close(self) -> None:
         """Gives all ports back."""
@@ -30,9 +30,9 @@
             reserved.close()
         self._sockets.clear()
 
-    def _take_one(self) -> int:
+    def _take_one(self, ip: str) -> int:
         reserved = socket.socket()
         self._sockets.append(reserved)
         reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind((LOOPBACK, 0))
+        reserved.bind((ip, 0))
         return reserved.getsockname()[1]
--- a/packages/jacinthmount-standin/jacinthmount_standin/demo.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/demo.py
@@ -12,8 +12,9 @@
 from http import HTTPStatus
 from pathlib import Path
 
+from jacinthmount_standin.callers import call_http
 from jacinthmount_standin.declare import Declared, write_declarations
-from jacinthmount_standin.fleet import Fleet, call_http
+from jacinthmount_standin.fleet import Fleet
 
 __all__ = ('run_demo', 'stop_demo')
 
--- a/packages/jacinthmount-standin/jacinthmount_standin/experiments.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/experiments.py
@@ -14,8 +14,9 @@
 from jacinthmount_ctl.caller import Caller
 from jacinthmount_node.object_api import HttpStore
 
+from jacinthmount_standin.callers import call_http
 from jacinthmount_standin.declare import Declared
-from jacinthmount_standin.fleet import Fleet, call_http
+from jacinthmount_standin.fleet import Fleet
 from jacinthmount_standin.load import LoadPlan, run_load
 from jacinthmount_standin.operator import apply_declared, open_store
 from jacinthmount_standin.split_study import study_splits
--- a/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
@@ -4,26 +4,25 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
 from http import HTTPStatus
-from http.client import HTTPConnection
 from pathlib import Path
 from typing import Any
 
 from jacinthmount.ports import HostState
 
 from jacinthmount_standin.addresses import LOOPBACK, PortReserve
+from jacinthmount_standin.callers import call_http, read_end, wait_for_port
 from jacinthmount_standin.certificates import CertificateAuthority
+from jacinthmount_standin.network import HostPorts, Network
 
-__all__ = ('Fleet', 'HostPorts', 'call_http')
+__all__ = ('Fleet',)
 
 ADMIN_TOKEN = 'operator-token-of-a-test-fleet'
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
-SHOWN_CHARS = 2000
 
 SETTINGS = """\
 [node]
@@ -34,7 +33,8 @@
 
 [listen]
 listen = 127.0.0.1:{front}
-peer_listen = 127.0.0.1:{peer}
+peer_listen = {ip}:{peer}
+peer_advertise = {advertise}
 admin_listen = 127.0.0.1:{admin}
 admin_token_file = {folder}/admin.token
 
@@ -50,27 +50,6 @@
 """
 
 
-class HostPorts:
-    """A host of the fleet and its ports."""
-
-    __slots__ = ('admin', 'data_centre', 'front', 'host', 'peer')
-
-    def __init__(
-        self,
-        *,
-        host: str,
-        data_centre: str,
-        reserve: PortReserve,
-    ) -> None:
-        """Takes three ports of the reserve."""
-        self.host = host
-        self.data_centre = data_centre
-        front, peer, admin = reserve.take(3)
-        self.front = front
-        self.peer = peer
-        self.admin = admin
-
-
 class Fleet:
     """Processes of one fleet; only these are ever signalled."""
 
@@ -81,13 +60,21 @@
         '_reserve',
         'hosts',
         'platform_port',
+        'network',
         'plain_port',
     )
 
-    def __init__(self, *, folder: Path, data_centres: dict[str, int]) -> None:
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        data_centres: dict[str, int],
+        relayed: bool = False,
+    ) -> None:
         """Writes settings and certificates.
 
         :param data_centres: number of hosts by data centre.
+        :param relayed: put a network between that can be cut.
         """
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
@@ -101,11 +88,18 @@
             f'{data_centre}-h{number}': HostPorts(
                 host=f'{data_centre}-h{number}',
                 data_centre=data_centre,
+                ip=f'127.0.{place}.1',
                 reserve=self._reserve,
             )
-            for data_centre, count in data_centres.items()
+            for place, (data_centre, count) in enumerate(data_centres.items())
             for number in range(1, count + 1)
         }
+        self.network = Network(
+            hosts=self.hosts,
+            platform_port=platform_port,
+            reserve=self._reserve,
+            relayed=relayed,
+        )
         self._write_settings()
 
     @property
@@ -119,7 +113,7 @@
         return self._folder / 'declarations'
 
     def start_platform(self) -> None:
-        """Starts the stand-in of the platform."""
+        """Starts the stand-in of the platform, and the network to it."""
         self._start_standin(
             'platform',
             'platform',
@@ -127,6 +121,18 @@
             f'127.0.0.1:{self.platform_port}',
         )
         wait_for_port(self.platform_port)
+        if self.network.relayed:
+            routes = self._folder / 'routes.json'
+            self.network.write_routes(routes)
+            self._start_standin(
+                'relay',
+                'relay',
+                '--address',
+                f'{LOOPBACK}:{self.network.port}',
+                '--routes',
+                str(routes),
+            )
+            wait_for_port(self.network.port)
         self.list_hosts(*self.hosts)
 
     def list_hosts(self, *hosts: str) -> None:
@@ -327,7 +333,7 @@
         self.token_path.write_text(ADMIN_TOKEN)
         authority = CertificateAuthority(folder=self._folder)
         peers = ', '.join(
-            f'127.0.0.1:{ports.peer}' for ports in self.hosts.values()
+            self.network.peer_address(host) for host in self.hosts
         )
         for ports in self.hosts.values():
             cert, key = authority.issue(ports.host)
@@ -337,51 +343,14 @@
                     data_centre=ports.data_centre,
                     folder=self._folder,
                     front=ports.front,
+                    ip=ports.ip,
                     peer=ports.peer,
+                    advertise=self.network.peer_address(ports.host),
                     admin=ports.admin,
-                    platform=f'127.0.0.1:{self.platform_port}',
+                    platform=self.network.platform_address(ports.data_centre),
                     peers=peers,
                     ca=authority.ca_path,
                     cert=cert,
                     key=key,
                 )
             )
-
-
-def read_end(path: Path) -> str:
-    """Reads the end of a text file."""
-    return path.read_text()[-SHOWN_CHARS:]
-
-
-def wait_for_port(port: int) -> None:
-    """Waits until a port accepts connections."""
-    deadline = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < deadline:
-        with contextlib.suppress(OSError):
-            socket.create_connection((LOOPBACK, port), 1).close()
-            return
-        time.sleep(POLL_S)
-    raise TimeoutError(f'nothing listens on port {port}')
-
-
-def call_http(
-    port: int,
-    method: str,
-    path: str,
-    body: Any = None,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 30,
-) -> tuple[int, bytes]:
-    """Sends one request to loopback.
-
-    :param body: sent as JSON unless it is bytes.
-    :returns: status and body of the answer.
-    """
-    packed = body
-    if body is not None and not isinstance(body, bytes):
-        packed = json.dumps(body).encode()
-    conn = HTTPConnection(LOOPBACK, port, timeout=timeout_s)
-    with contextlib.closing(conn):
-        conn.request(method, path, packed, headers or {})
-        answer = conn.getresponse()
-        return answer.status, answer.read()
--- /dev/null
+++ b/packages/jacinthmount-standin/jacinthmount_standin/plots.py
@@ -0,0 +1,41 @@
+"""Plots of latencies."""
+
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+from matplotlib.figure import Figure
+
+__all__ = ('plot_latencies',)
+
+PERCENTILES = (1, 5, 10, 25, 50, 75, 90, 95, 99, 99.9)
+MICROSECONDS_PER_MS = 1000
+SIZE_INCHES = (8, 4.5)
+
+
+def plot_latencies(
+    histograms: dict[str, HdrHistogram],
+    title: str,
+    path: Path,
+) -> None:
+    """Draws latency over percentile, one line a histogram.
+
+    :param histograms: microseconds by name.
+    :param path: image to write.
+    """
+    figure = Figure(figsize=SIZE_INCHES, layout='constrained')
+    axes = figure.subplots()
+    places = range(len(PERCENTILES))
+    for name, histogram in histograms.items():
+        latencies = [
+            histogram.get_value_at_percentile(percentile) / MICROSECONDS_PER_MS
+            for percentile in PERCENTILES
+        ]
+        axes.plot(places, latencies, marker='o', label=name)
+    axes.set_xticks(list(places), [f'{one:g}' for one in PERCENTILES])
+    axes.set_xlabel('percentile')
+    axes.set_ylabel('milliseconds')
+    axes.set_yscale('log')
+    axes.grid(visible=True, alpha=0.3)
+    axes.set_title(title)
+    axes.legend()
+    figure.savefig(path)
--- a/packages/jacinthmount/jacinthmount/settings.py
+++ b/packages/jacinthmount/jacinthmount/settings.py
@@ -19,6 +19,7 @@
         'data_centre',
         'listen',
         'peer_listen',
+        'peer_advertise',
         'admin_listen',
         'admin_token_file',
         'platform',
@@ -36,6 +37,7 @@
     data_centre: str
     listen: str
     peer_listen: str
+    peer_advertise: str
     admin_listen: str
     admin_token_file: str
     platform: list[str]
@@ -48,6 +50,10 @@
     drain_delay_s: float
     batch_streams: int
 
+    def peer_address(self) -> str:
+        """Names the address that other hosts connect to."""
+        return self.peer_advertise or self.peer_listen
+
 
 NODE_SCHEMA: Mapping[str, tuple[Option, ...]] = types.MappingProxyType({
     'node': (
@@ -84,6 +90,13 @@
         make_option(
             'peer_listen', 'text', 'IP:port', 'Address for other hosts.'
         ),
+        make_option(
+            'peer_advertise',
+            'text',
+            'IP:port',
+            'Address that other hosts connect to; empty for peer_listen.',
+            default='',
+        ),
         make_option(
             'admin_listen', 'text', 'IP:port', 'Address for operators.'
         ),
--- a/tests/site.py
+++ b/tests/site.py
@@ -14,11 +14,19 @@
 from jacinthmount_ctl import porcelain
 from jacinthmount_ctl.caller import Caller
 from jacinthmount_node.object_api import HttpStore
+from jacinthmount_standin.callers import call_http
 from jacinthmount_standin.declare import Declared
-from jacinthmount_standin.fleet import ADMIN_TOKEN, Fleet, call_http
+from jacinthmount_standin.fleet import ADMIN_TOKEN, Fleet
 from jacinthmount_standin.operator import apply_declared, open_store
 
-__all__ = ('Answer', 'Load', 'Site', 'eventually', 'make_lines')
+__all__ = (
+    'Answer',
+    'Load',
+    'Site',
+    'check_windows',
+    'eventually',
+    'make_lines',
+)
 
 POLL_S = 0.05
 MODEL = 'provenance-llm'
@@ -63,14 +71,20 @@
         accounts: dict[str, tuple[float, float]],
         slots: int = 8,
         token_s: float = 0.005,
+        relayed: bool = False,
     ) -> None:
         """Starts everything and applies the declarations.
 
         :param engines: data centre by engine.
+        :param relayed: put a network between that can be cut.
         :param accounts: rate and burst by account.
         """
         self.folder = folder
-        self.fleet = Fleet(folder=folder, data_centres=data_centres)
+        self.fleet = Fleet(
+            folder=folder,
+            data_centres=data_centres,
+            relayed=relayed,
+        )
         try:
             self._start(engines, accounts, slots, token_s)
         except BaseException:
@@ -283,6 +297,30 @@
             self.answers.append(self._call(number))
 
 
+def check_windows(
+    answers: list[Answer],
+    rate_per_s: float,
+    burst: float,
+) -> list[Answer]:
+    """Checks every window between two admitted requests.
+
+    A request was admitted between its sending and its answer; windows are
+    taken as long as that allows, so that none is blamed wrongly.
+
+    :returns: the answers to requests that were admitted.
+    """
+    admitted = [answer for answer in answers if answer.status == 200]
+    starts = sorted(answer.asked_at for answer in admitted)
+    for start in starts:
+        inside = sorted(
+            answer.read_at for answer in admitted if answer.asked_at >= start
+        )
+        for count, end in enumerate(inside, 1):
+            allowed = burst + rate_per_s * (end - start)
+            assert count <= allowed, (count, end - start)
+    return admitted
+
+
 def eventually(
     holds: Callable[[], bool],
     timeout_s: float = 30,
--- a/tests/test_config_failures.py
+++ b/tests/test_config_failures.py
@@ -10,8 +10,8 @@
 import pytest
 from jacinthmount.errors import StoreConflict
 from jacinthmount_ctl import porcelain
+from jacinthmount_standin.callers import call_http
 from jacinthmount_standin.declare import write_declarations
-from jacinthmount_standin.fleet import call_http
 
 from tests.site import Load, Site, eventually, make_lines
 
--- a/tests/test_order_failures.py
+++ b/tests/test_order_failures.py
@@ -4,8 +4,8 @@
 import signal
 
 import pytest
+from jacinthmount_standin.callers import call_http
 from jacinthmount_standin.declare import WEIGHTS
-from jacinthmount_standin.fleet import call_http
 
 from tests.site import Load, Site, eventually
 
--- a/tests/test_rate_failures.py
+++ b/tests/test_rate_failures.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.site import Load, Site, eventually
+from tests.site import Load, Site, check_windows, eventually
 
 RATE_PER_S = 20.0
 BURST = 40.0
@@ -49,24 +49,6 @@
     return Load(call=call, threads=6)
 
 
-def check_windows(answers):
-    """Checks every window between two admitted requests.
-
-    A request was admitted between its sending and its answer; windows are
-    taken as long as that allows, so that none is blamed wrongly.
-    """
-    admitted = [answer for answer in answers if answer.status == 200]
-    starts = sorted(answer.asked_at for answer in admitted)
-    for start in starts:
-        inside = sorted(
-            answer.read_at for answer in admitted if answer.asked_at >= start
-        )
-        for count, end in enumerate(inside, 1):
-            allowed = BURST + RATE_PER_S * (end - start)
-            assert count <= allowed, (count, end - start)
-    return admitted
-
-
 def admitted_since(load, started):
     """Counts the requests admitted since a time."""
     return sum(
@@ -80,7 +62,7 @@
     load = start_load(site, key)
     time.sleep(6)
     answers = load.stop()
-    admitted = check_windows(answers)
+    admitted = check_windows(answers, RATE_PER_S, BURST)
     assert len(admitted) >= 0.8 * RATE_PER_S * 6
     refused = {answer.status for answer in answers} - {200}
     assert refused <= {429, 503}
@@ -99,7 +81,7 @@
         threads=2,
     )
     time.sleep(seconds)
-    return len(check_windows(load.stop()))
+    return len(check_windows(load.stop(), RATE_PER_S, BURST))
 
 
 def test_demand_at_one_host_gets_the_whole_rate(site, key):
@@ -126,7 +108,7 @@
         site.fleet.wait_ready('east-h1')
     started = time.monotonic()
     eventually(lambda: admitted_since(load, started) > 40, 40)
-    check_windows(load.stop())
+    check_windows(load.stop(), RATE_PER_S, BURST)
 
 
 def test_frozen_host_wakes_with_an_old_share(site, key):
@@ -141,7 +123,7 @@
     time.sleep(1)
     site.fleet.signal('east-h2', signal.SIGCONT)
     time.sleep(4)
-    check_windows(load.stop())
+    check_windows(load.stop(), RATE_PER_S, BURST)
 
 
 def test_outage_with_a_lost_host(site, key):
@@ -155,4 +137,4 @@
     started = time.monotonic()
     eventually(lambda: admitted_since(load, started) > 10, 10)
     site.fleet.switch(site.fleet.platform_port, outage=False)
-    check_windows(load.stop())
+    check_windows(load.stop(), RATE_PER_S, BURST)
