Serve the account with the fewest running first; use cache events for batch

Cause of a small account's wait beside one over capacity: in deficit round robin a newcomer waits for the turn of the account that already fills the slots, and then for one more slot. The next slot now goes to the account with the fewest requests running for its weight; those with equally many take turns as before. Two random endpoints could also both be full while a third had a slot; those with slots are sampled first.

Ruled out: waiting in the engines, since hosts send no more than their part.

Batch items whose prefix an engine is likely to hold go to it first, among the next 250 of a chunk. The host that runs an engine's batch keeps a book of what it sent there, corrected by the late and gapped cache events; the events are not passed on to other hosts, which would cost more than the affinity by rank, which needs no message.

Watchers tell each change to a part of the hosts instead of all of them; keys still go to all from every watcher. Counts of lost hosts are forgotten when the host is, so that reports need a refresh every 10 s only.

--- a/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
@@ -1,5 +1,6 @@
 """One claimed chunk: its pending items and its result log."""
 
+import json
 from collections import deque
 
 import curio
@@ -22,6 +23,7 @@
     Segment,
     segment_name,
 )
+from jacinthmount.routing import prefix_key, read_prompt
 from jacinthmount.stores import new_write_id, write_definitely
 
 from jacinthmount_node.batches_api import read_results
@@ -44,6 +46,7 @@
         'chunk',
         'line',
         'not_before',
+        'prefix',
         'request',
         'started',
         'target',
@@ -56,6 +59,7 @@
         self.line = line
         self.request = request
         self.target = line_target(request)
+        self.prefix = prefix_key(read_prompt(json.loads(request.body)))
         self.started = False
         self.text = ''
         self.attempts = 0
--- a/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
@@ -1,5 +1,7 @@
 """Batch items on engines with room, and their preemption."""
 
+import itertools
+
 import curio
 from jacinthmount.declarations import Endpoint
 from jacinthmount.errors import EndpointFailed, StoreUnavailable
@@ -11,6 +13,7 @@
 from jacinthmount_node.batch_items import run_item
 from jacinthmount_node.engine_rooms import EngineRooms
 from jacinthmount_node.node import Node
+from jacinthmount_node.prefix_watch import PrefixWatch
 
 __all__ = ('BatchFeed',)
 
@@ -38,7 +41,15 @@
 class BatchFeed:
     """Starts items where engines have room and stops them for online."""
 
-    __slots__ = ('_board', '_node', '_rooms', '_running', '_suspects', '_wake')
+    __slots__ = (
+        '_board',
+        '_node',
+        '_prefixes',
+        '_rooms',
+        '_running',
+        '_suspects',
+        '_wake',
+    )
 
     def __init__(
         self,
@@ -46,8 +57,10 @@
         node: Node,
         rooms: EngineRooms,
         board: BatchBoard,
+        prefixes: PrefixWatch,
     ) -> None:
         """Starts with nothing running."""
+        self._prefixes = prefixes
         self._node = node
         self._rooms = rooms
         self._board = board
@@ -132,15 +145,32 @@
             for one in self._rooms.decided_here()
             if one.service == endpoint.service
         ]
-        for item in chunk.pending:
-            if item.not_before > now:
-                continue
-            if self._board.service_of(item.target) != endpoint.service:
-                continue
-            if self._suspects.may_start(item.name, endpoint.name, names):
-                chunk.pending.remove(item)
-                return item
-        return None
+        found = None
+        look_ahead = self._node.settings.batch_look_ahead
+        book = self._prefixes.book(endpoint.name)
+        for item in itertools.islice(chunk.pending, look_ahead):
+            # What the engine has in its cache costs it less.
+            held = book.holds(item.prefix, now)
+            if (held or not found) and self._may_run(item, endpoint, names):
+                found = item
+                if held:
+                    break
+        if found is not None:
+            chunk.pending.remove(found)
+            book.on_sent(found.prefix, now)
+        return found
+
+    def _may_run(
+        self,
+        item: BatchItem,
+        endpoint: Endpoint,
+        names: list[str],
+    ) -> bool:
+        if item.not_before > self._node.now():
+            return False
+        if self._board.service_of(item.target) != endpoint.service:
+            return False
+        return self._suspects.may_start(item.name, endpoint.name, names)
 
     async def _start(self, item: BatchItem, endpoint: Endpoint) -> None:
         chunk = item.chunk
--- a/packages/jacinthmount-node/jacinthmount_node/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_runner.py
@@ -3,7 +3,7 @@
 import curio
 from jacinthmount.batches import BATCH_PREFIX
 from jacinthmount.errors import StoreConflict, StoreUnavailable
-from jacinthmount.ports import Stored
+from jacinthmount.ports import CacheEvents, Stored
 
 from jacinthmount_node.batch_archive import BatchArchive
 from jacinthmount_node.batch_board import BatchBoard
@@ -14,6 +14,7 @@
 from jacinthmount_node.files_api import FileDesk
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.node import Node
+from jacinthmount_node.prefix_watch import PrefixWatch
 
 __all__ = ('BatchRunner',)
 
@@ -21,7 +22,7 @@
 class BatchRunner:
     """Runs the batch tasks and ends them gracefully."""
 
-    __slots__ = ('_archive', '_board', '_claims', '_feed')
+    __slots__ = ('_archive', '_board', '_claims', '_feed', '_prefixes')
 
     def __init__(
         self,
@@ -30,10 +31,22 @@
         rooms: EngineRooms,
         files: FileDesk,
         sync: ConfigSync,
+        events: CacheEvents,
     ) -> None:
         """Starts with nothing claimed."""
         self._board = BatchBoard(node=node, rooms=rooms)
-        self._feed = BatchFeed(node=node, rooms=rooms, board=self._board)
+        self._prefixes = PrefixWatch(
+            node=node,
+            rooms=rooms,
+            board=self._board,
+            events=events,
+        )
+        self._feed = BatchFeed(
+            node=node,
+            rooms=rooms,
+            board=self._board,
+            prefixes=self._prefixes,
+        )
         self._claims = BatchClaims(
             node=node,
             rooms=rooms,
@@ -49,6 +62,7 @@
             await group.spawn(self._claims.run)
             await group.spawn(self._feed.run)
             await group.spawn(self._archive.run)
+            await group.spawn(self._prefixes.run)
 
     async def on_config(self, changed: list[Stored]) -> None:
         """Stops the chunks of batches that are no longer open."""
--- a/packages/jacinthmount-node/jacinthmount_node/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/config_sync.py
@@ -41,6 +41,16 @@
 WITHDRAW_INTERVAL_S = 2.0
 
 
+class Watched:
+    """Changes that this host saw as one of the watchers."""
+
+    __slots__ = ('push',)
+
+    def __init__(self, *, push: Push) -> None:
+        """Keeps what the other hosts have to be told."""
+        self.push = push
+
+
 class ConfigSync:
     """Keeps the configuration table of one host up to date."""
 
@@ -111,10 +121,8 @@
     async def _changed(self, changed: list[Stored], *, push: bool) -> None:
         self._node.apply(changed)
         await self._on_change(changed)
-        if push and changed:
-            for start in range(0, len(changed), MAX_PUSH_OBJECTS):
-                part = changed[start : start + MAX_PUSH_OBJECTS]
-                await self._outbox.put(Push(objects=part))
+        for part in _parts(changed) if push else ():
+            await self._outbox.put(part)
 
     async def _load_from_peers(self) -> bool:
         for address in self._node.settings.peers:
@@ -150,25 +158,53 @@
             node.table.revision,
             WATCH_WAIT_S,
         )
-        await self.take(objects, push=True)
+        changed = self._node.table.merge(objects)
+        if changed:
+            await self._changed(changed, push=False)
+            await self._push_watched(changed)
+
+    async def _push_watched(self, changed: list[Stored]) -> None:
+        # Keys are told by every watcher, so that none of them is waited for.
+        keys = [one for one in changed if one.name.startswith(KEY_PREFIX)]
+        for part in _parts(keys):
+            await self._outbox.put(part)
+        for part in _parts([one for one in changed if one not in keys]):
+            await self._outbox.put(Watched(push=part))
+
+    def _watchers(self) -> list[str]:
+        ranked = rank_hosts(RANK_SUBJECT, self._node.live_hosts())
+        return ranked[:WATCHERS_PER_DATA_CENTRE]
 
     def _watches(self) -> bool:
-        live = self._node.live_hosts()
-        ranked = rank_hosts(RANK_SUBJECT, live)
         own = self._node.host
-        return own in ranked[:WATCHERS_PER_DATA_CENTRE] or own not in live
+        return own in self._watchers() or own not in self._node.live_hosts()
 
     async def _run_push(self) -> None:
         while True:
             message = await self._outbox.get()
-            # Only withdrawn keys can't wait for digests from elsewhere.
             records = self._others(local=True)
+            if isinstance(message, Watched):
+                message = message.push
+                records = self._own_part(records)
+            # Only withdrawn keys can't wait for digests from elsewhere.
             if isinstance(message, Withdraw):
                 records.extend(self._others(local=False))
             async with curio.TaskGroup(wait=all) as group:
                 for record in records:
                     await group.spawn(self._push_to, record, message)
 
+    def _own_part(self, records: list[HostRecord]) -> list[HostRecord]:
+        # All watchers of the data centre see a change, so each tells a part
+        # of the others; digests mend what a lost watcher leaves out.
+        watchers = self._watchers()
+        own = self._node.host
+        return [
+            record
+            for record in records
+            if record.host not in watchers
+            and rank_hosts(record.host, watchers)[:1] in ([own], [])
+        ]
+
     async def _push_to(
         self,
         record: HostRecord,
@@ -280,3 +316,10 @@
             if record.host != self._node.host
             and (record.data_centre == self._node.data_centre) is local
         ]
+
+
+def _parts(changed: list[Stored]) -> list[Push]:
+    return [
+        Push(objects=changed[start : start + MAX_PUSH_OBJECTS])
+        for start in range(0, len(changed), MAX_PUSH_OBJECTS)
+    ]
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -15,7 +15,7 @@
 from jacinthmount_node.batches_api import BatchDesk
 from jacinthmount_node.calls import PlainRunner
 from jacinthmount_node.config_sync import ConfigSync
-from jacinthmount_node.engine import EngineLoadReports
+from jacinthmount_node.engine import EngineCacheEvents, EngineLoadReports
 from jacinthmount_node.engine_polls import EnginePolls
 from jacinthmount_node.engine_rooms import EngineRooms
 from jacinthmount_node.files_api import FileDesk
@@ -115,6 +115,7 @@
             rooms=self._rooms,
             files=files,
             sync=self._sync,
+            events=EngineCacheEvents(pool=pool),
         )
         batches = BatchDesk(node=node, files=files, sync=self._sync)
         self._front = Front(
--- a/packages/jacinthmount-node/jacinthmount_node/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine.py
@@ -7,10 +7,13 @@
 from jacinthmount.errors import EndpointFailed, PeerUnavailable
 from jacinthmount.ports import (
     BackendCall,
+    CacheEvents,
+    CachePage,
     EngineLoad,
     LoadReports,
     StreamEvent,
 )
+from jacinthmount.records import parse_json
 
 from jacinthmount_node.backends import (
     REQUEST_ID,
@@ -19,7 +22,12 @@
 )
 from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
 
-__all__ = ('EngineExchange', 'EngineLoadReports', 'HttpEngine')
+__all__ = (
+    'EngineCacheEvents',
+    'EngineExchange',
+    'EngineLoadReports',
+    'HttpEngine',
+)
 
 LOAD_ERRORS = (*TRANSPORT_ERRORS, ValueError, LookupError)
 LOAD_TIMEOUT_S = 1.0
@@ -110,16 +118,7 @@
     async def read_load(self, address: str) -> EngineLoad:
         """See the port."""
         try:
-            exchange = await self._pool.fetch(
-                address,
-                'GET',
-                '/load',
-                [],
-                b'',
-                LOAD_TIMEOUT_S,
-            )
-            raw = json.loads(await exchange.read_body())
-            await self._pool.release(exchange)
+            raw = json.loads(await _read(self._pool, address, '/load'))
             return EngineLoad(
                 running=int(raw['running']),
                 waiting=int(raw['waiting']),
@@ -128,3 +127,38 @@
             )
         except LOAD_ERRORS as exc:
             raise PeerUnavailable(detail=f'load of {address}') from exc
+
+
+class EngineCacheEvents(CacheEvents):
+    """Cache events over HTTP."""
+
+    __slots__ = ('_pool',)
+
+    def __init__(self, *, pool: ClientPool) -> None:
+        """Takes the connections to use."""
+        self._pool = pool
+
+    async def read_events(self, address: str, after: int) -> CachePage:
+        """See the port."""
+        target = f'/cache-events?after={after}'
+        try:
+            return parse_json(
+                CachePage,
+                await _read(self._pool, address, target),
+            )
+        except LOAD_ERRORS as exc:
+            raise PeerUnavailable(detail=f'events of {address}') from exc
+
+
+async def _read(pool: ClientPool, address: str, target: str) -> bytes:
+    exchange = await pool.fetch(
+        address,
+        'GET',
+        target,
+        [],
+        b'',
+        LOAD_TIMEOUT_S,
+    )
+    body = await exchange.read_body()
+    await pool.release(exchange)
+    return body
--- a/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
@@ -26,7 +26,7 @@
 __all__ = ('EngineRooms',)
 
 MOVE_CHECK_S = 0.5
-REFRESH_CHECKS = 10
+REFRESH_CHECKS = 20
 CLOSED_VALID_S = 5.0
 
 RoomChange = Callable[[str], Awaitable[None]]
@@ -204,6 +204,7 @@
             for endpoint in self.decided_here():
                 self._share_room(endpoint)
             self._forget_rooms()
+            self._forget_hosts()
             # Reports are sent as counts change; this mends what was lost.
             if checks % REFRESH_CHECKS == 0:
                 await self._note_all(None)
@@ -222,6 +223,11 @@
             self._rooms.pop(engine)
             self._polls.forget(engine)
 
+    def _forget_hosts(self) -> None:
+        live = set(self._node.live_hosts())
+        for room in self._rooms.values():
+            room.keep_only(live)
+
     async def _tell_silent(self, engine: str, silent: bool) -> None:
         message = EngineSilent(engine=engine, silent=silent)
         for host in self._node.live_hosts():
--- a/packages/jacinthmount-node/jacinthmount_node/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/front.py
@@ -15,7 +15,7 @@
 )
 from jacinthmount.files import ROUTE_URL_PREFIX
 from jacinthmount.keys import KeyRecord, holds_key, parse_bearer
-from jacinthmount.routing import prefix_key
+from jacinthmount.routing import prefix_key, read_prompt
 
 from jacinthmount_node.admission import Admission
 from jacinthmount_node.calls import PlainCall, PlainRunner
@@ -197,7 +197,7 @@
         if profile is None or profile.lane != 'online':
             raise MalformedRequest(detail='the model takes batches only')
         account = self._node.catalogue.find(Account, key.account)
-        prompt = str(body.get('messages') or body.get('prompt') or '')
+        prompt = read_prompt(body)
         limit = body.get('max_tokens') or body.get('max_completion_tokens')
         wanted = limit if isinstance(limit, int) else DEFAULT_MAX_TOKENS
         call = OnlineCall(
--- a/packages/jacinthmount-node/jacinthmount_node/gate.py
+++ b/packages/jacinthmount-node/jacinthmount_node/gate.py
@@ -109,12 +109,19 @@
                 retry_after_s=MIN_RETRY_AFTER_S,
             )
         state.online += 1
-        await self._rooms.note_online(state)
+        self._queue.begin(call.account)
+        try:
+            await self._rooms.note_online(state)
+        except BaseException:
+            state.online -= 1
+            self._queue.end(call.account)
+            raise
         return state
 
-    async def release(self, state: EndpointState) -> None:
+    async def release(self, call: OnlineCall, state: EndpointState) -> None:
         """Gives a slot back and lets the next request go."""
         state.online -= 1
+        self._queue.end(call.account)
         await self._rooms.note_online(state)
         await self.pump()
 
--- a/packages/jacinthmount-node/jacinthmount_node/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/online.py
@@ -96,7 +96,7 @@
                     progress,
                 )
             finally:
-                await gate.release(state)
+                await gate.release(call, state)
             if failed is None:
                 return
             progress.tried.add(state.endpoint.name)
--- a/packages/jacinthmount-standin/jacinthmount_standin/bench.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/bench.py
@@ -45,15 +45,18 @@
         slots: int,
         token_s: float,
         accounts: int = 1,
-        relayed: bool = False,
+        **options: Any,
     ) -> None:
-        """Starts everything."""
+        """Starts everything.
+
+        :param options: options of the fleet.
+        """
         shutil.rmtree(folder, ignore_errors=True)
         self.folder = folder
         self.fleet = Fleet(
             folder=folder,
             data_centres=data_centres,
-            relayed=relayed,
+            **options,
         )
         self.fleet.start_platform()
         self.fleet.start_plain()
@@ -142,6 +145,10 @@
             if line.startswith(name)
         )
 
+    def stats(self, port: int) -> dict[str, Any]:
+        """Reads what a stand-in counted."""
+        return json.loads(call_http(port, 'GET', '/stats')[1])
+
     def platform_calls(self) -> int:
         """Counts the calls to the platform."""
         _, answer = call_http(self.fleet.platform_port, 'GET', '/calls')
--- a/packages/jacinthmount-standin/jacinthmount_standin/engine.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/engine.py
@@ -3,12 +3,14 @@
 import json
 import os
 import time
-from collections import OrderedDict, deque
+from collections import deque
 from http import HTTPStatus
 from typing import Any
 
 import curio
 from jacinthmount.hashing import hash_hex
+from jacinthmount.records import serialize_json
+from jacinthmount.routing import prefix_key, read_prompt
 from jacinthmount_node.http_server import (
     HttpRequest,
     HttpServer,
@@ -18,17 +20,17 @@
 from jacinthmount_node.sockets import listen
 
 from jacinthmount_standin.loaded_model import LoadedModel
+from jacinthmount_standin.prefix_cache import PrefixCache
 from jacinthmount_standin.switches import Switches
 
 __all__ = ('Engine', 'answer_text', 'run_engine')
 
 DEFAULT_TOKENS = 16
-PREFIX_CHARS = 256
-PREFIX_CACHE_SIZE = 64
 PREFILL_S = 0.02
 CACHED_PREFILL_S = 0.005
 REPORT_LAG_S = 0.5
 SWAP_WAIT_S = 2.0
+CACHE_SIZE = 64
 POISON = 'kill-engine'
 EXIT_KILLED = 9
 
@@ -43,7 +45,6 @@
 
     __slots__ = (
         '_cache',
-        '_cached',
         '_counts',
         '_model',
         '_partner',
@@ -67,8 +68,7 @@
         self._token_s = token_s
         self._running = 0
         self._waiting: deque[curio.Event] = deque()
-        self._cache: OrderedDict[str, None] = OrderedDict()
-        self._cached = 0
+        self._cache = PrefixCache()
         self._report = {'running': 0, 'waiting': 0, 'at': time.monotonic()}
         self._model = LoadedModel()
         self._partner: _Swap | None = None
@@ -86,6 +86,7 @@
             fenced=True,
             load_s=0.0,
             order_late_s=0.0,
+            cache_size=CACHE_SIZE,
         )
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -97,6 +98,7 @@
             '/load': self._answer_load,
             '/stats': self._answer_stats,
             '/state': self._answer_state,
+            '/cache-events': self._answer_events,
             '/orders': self._take_order,
         }
         answer = answers.get(request.path, self._answer_other)
@@ -170,13 +172,26 @@
             {
                 'counts': self._counts,
                 'keys': self._seen_keys,
-                'cached': self._cached,
+                'cached': self._cache.hits,
+                'prefills': self._cache.uses,
                 'swapped': self._swapped,
                 'running': self._running,
                 **self._model.stats(),
             },
         )
 
+    async def _answer_events(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        page = self._cache.page(int(request.query['after']))
+        await responder.send(
+            HTTPStatus.OK,
+            serialize_json(page).encode(),
+            [('content-type', 'application/json')],
+        )
+
     async def _answer_state(
         self,
         request: HttpRequest,
@@ -221,7 +236,7 @@
                 HTTPStatus.INTERNAL_SERVER_ERROR, {'error': 'failed'}
             )
             return
-        prompt = _prompt(body)
+        prompt = read_prompt(body)
         if self._switches.count_down('crossed'):
             request_id = 'req-of-another-caller'
             prompt = 'prompt of another caller'
@@ -321,13 +336,10 @@
         return self._token_s * (1 + self._running / self._slots / 2)
 
     def _prefill_s(self, prompt: str) -> float:
-        prefix = prompt[:PREFIX_CHARS]
-        hit = prefix in self._cache
-        self._cached += hit
-        self._cache[prefix] = None
-        self._cache.move_to_end(prefix)
-        while len(self._cache) > PREFIX_CACHE_SIZE:
-            self._cache.popitem(last=False)
+        hit = self._cache.use(
+            prefix_key(prompt),
+            self._switches.read('cache_size'),
+        )
         return CACHED_PREFILL_S if hit else PREFILL_S
 
     def _note_keys(self, request: HttpRequest) -> None:
@@ -371,10 +383,6 @@
         await group.spawn(server.run)
 
 
-def _prompt(body: dict[str, Any]) -> str:
-    return json.dumps(body.get('messages') or body.get('prompt') or '')
-
-
 def _token(prompt: str, index: int) -> str:
     return f'{hash_hex(f"{prompt}{index}")[:5]} '
 
--- a/packages/jacinthmount-standin/jacinthmount_standin/experiments.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/experiments.py
@@ -16,6 +16,7 @@
     measure_batch,
     measure_fairness,
 )
+from jacinthmount_standin.measure_prefixes import measure_prefixes
 from jacinthmount_standin.split_study import study_splits
 
 __all__ = ('EXPERIMENTS', 'run_experiment')
@@ -39,6 +40,7 @@
     'fairness': measure_fairness,
     'overload': measure_overload,
     'faults': measure_faults,
+    'prefixes': measure_prefixes,
     'slopes': measure_slopes,
     'spread': measure_spread,
     'splits': _measure_splits,
--- a/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
@@ -23,6 +23,7 @@
 ADMIN_TOKEN = 'operator-token-of-a-test-fleet'
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+LOOK_AHEAD_ITEMS = 250
 
 SETTINGS = """\
 [node]
@@ -30,6 +31,7 @@
 data_centre = {data_centre}
 log_file = {folder}/{host}.log
 drain_delay_s = 0.5
+batch_look_ahead = {look_ahead}
 
 [listen]
 listen = 127.0.0.1:{front}
@@ -70,11 +72,13 @@
         folder: Path,
         data_centres: dict[str, int],
         relayed: bool = False,
+        look_ahead: int = LOOK_AHEAD_ITEMS,
     ) -> None:
         """Writes settings and certificates.
 
         :param data_centres: number of hosts by data centre.
         :param relayed: put a network between that can be cut.
+        :param look_ahead: setting ``batch_look_ahead`` of the hosts.
         """
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
@@ -100,7 +104,7 @@
             reserve=self._reserve,
             relayed=relayed,
         )
-        self._write_settings()
+        self._write_settings(look_ahead)
 
     @property
     def token_path(self) -> Path:
@@ -329,7 +333,7 @@
                 },
             )
 
-    def _write_settings(self) -> None:
+    def _write_settings(self, look_ahead: int) -> None:
         self.token_path.write_text(ADMIN_TOKEN)
         authority = CertificateAuthority(folder=self._folder)
         peers = ', '.join(
@@ -342,6 +346,7 @@
                     host=ports.host,
                     data_centre=ports.data_centre,
                     folder=self._folder,
+                    look_ahead=look_ahead,
                     front=ports.front,
                     ip=ports.ip,
                     peer=ports.peer,
--- a/packages/jacinthmount/jacinthmount/fairness.py
+++ b/packages/jacinthmount/jacinthmount/fairness.py
@@ -1,4 +1,4 @@
-"""Deficit round robin over client accounts."""
+"""Turns of client accounts: fewest running first, then deficit round robin."""
 
 from collections import deque
 from typing import Generic, TypeVar
@@ -21,12 +21,18 @@
 
 
 class FairQueue(Generic[EntryT]):
-    """Entries by account; each account gets tokens by its weight."""
+    """Entries by account; each account gets slots and tokens by its weight.
 
-    __slots__ = ('_flows', '_turns', '_count')
+    The account that has the fewest entries running for its weight is next, so
+    that one that asks seldom waits for one slot only. Those that have equally
+    many take turns by estimated tokens.
+    """
+
+    __slots__ = ('_flows', '_running', '_turns', '_count')
 
     def __init__(self) -> None:
         """Starts empty."""
+        self._running: dict[str, int] = {}
         self._flows: dict[str, _Flow[EntryT]] = {}
         self._turns: deque[str] = deque()
         self._count = 0
@@ -54,9 +60,13 @@
 
     def pop(self) -> EntryT | None:
         """Removes the next entry in turn, or returns None."""
+        least = min(map(self._load, self._turns), default=0)
         while self._turns:
             account = self._turns[0]
             flow = self._flows[account]
+            if self._load(account) > least:
+                self._turns.rotate(-1)
+                continue
             tokens, entry = flow.waiting[0]
             if flow.deficit >= tokens:
                 flow.waiting.popleft()
@@ -84,6 +94,16 @@
                 return True
         return False
 
+    def begin(self, account: str) -> None:
+        """Notes that an entry of an account has begun to run."""
+        self._running[account] = self._running.get(account, 0) + 1
+
+    def end(self, account: str) -> None:
+        """Notes that a running entry of an account has ended."""
+        left = self._running.pop(account) - 1
+        if left:
+            self._running[account] = left
+
     def waiting(self, account: str) -> int:
         """Counts the entries of one account."""
         flow = self._flows.get(account)
@@ -93,6 +113,9 @@
         """Counts the accounts that wait."""
         return len(self._flows)
 
+    def _load(self, account: str) -> float:
+        return self._running.get(account, 0) / self._flows[account].weight
+
     def _drop_if_idle(self, account: str, flow: _Flow[EntryT]) -> None:
         if not flow.waiting:
             self._flows.pop(account)
--- a/packages/jacinthmount/jacinthmount/memory.py
+++ b/packages/jacinthmount/jacinthmount/memory.py
@@ -14,6 +14,8 @@
     Backend,
     BackendCall,
     BackendExchange,
+    CacheEvents,
+    CachePage,
     Clock,
     EngineControl,
     EngineLoad,
@@ -31,6 +33,7 @@
     'BackendReply',
     'ManualClock',
     'MemoryBackend',
+    'MemoryCacheEvents',
     'MemoryEngineControl',
     'MemoryHostList',
     'MemoryLoadReports',
@@ -103,6 +106,24 @@
         return self.loads[address]
 
 
+class MemoryCacheEvents(CacheEvents):
+    """Cache events that are set by hand, by address; the first is number 1."""
+
+    __slots__ = ('pages',)
+
+    def __init__(self) -> None:
+        """Starts without engines."""
+        self.pages: dict[str, CachePage] = {}
+
+    async def read_events(self, address: str, after: int) -> CachePage:
+        """See the port."""
+        page = self.pages.get(address)
+        if page is None:
+            raise PeerUnavailable(detail=f'cache events of {address}')
+        skipped = max(0, after + 1 - page.oldest)
+        return replaced(page, events=page.events[skipped:])
+
+
 class MemoryEngineControl(EngineControl):
     """Engines that carry out an order at once, by address."""
 
--- a/packages/jacinthmount/jacinthmount/permits.py
+++ b/packages/jacinthmount/jacinthmount/permits.py
@@ -6,7 +6,7 @@
 
 __all__ = ('EngineRoom',)
 
-REPORT_VALID_S = 12.0
+REPORT_VALID_S = 24.0
 SETTLE_S = 1.5
 RESERVED_SLOTS = 1
 
@@ -57,6 +57,12 @@
         else:
             self._contenders.pop(host, None)
 
+    def keep_only(self, hosts: set[str]) -> None:
+        """Forgets what hosts reported that are gone."""
+        for host in set(self._online) - hosts:
+            self._online.pop(host)
+            self._contenders.pop(host, None)
+
     def contenders(self, now: float) -> int:
         """Counts the hosts that use the engine for online or wait for it."""
         return sum(
--- a/packages/jacinthmount/jacinthmount/ports.py
+++ b/packages/jacinthmount/jacinthmount/ports.py
@@ -12,6 +12,12 @@
     'Backend',
     'BackendCall',
     'BackendExchange',
+    'CACHE_CLEARED',
+    'CACHE_EVICTED',
+    'CACHE_STORED',
+    'CacheEvent',
+    'CacheEvents',
+    'CachePage',
     'Clock',
     'EngineControl',
     'EngineLoad',
@@ -30,6 +36,9 @@
 ABSENT = 0
 FLEET_PREFIX = 'fleet/'
 MAX_VALUE_BYTES = 1_000_000
+CACHE_STORED = 'stored'
+CACHE_EVICTED = 'evicted'
+CACHE_CLEARED = 'cleared'
 
 
 class Stored(Record):
@@ -200,6 +209,41 @@
         raise NotImplementedError
 
 
+class CacheEvent(Record):
+    """A change of an engine's prefix cache, ``age_s`` seconds ago."""
+
+    __slots__ = ('kind', 'prefix', 'age_s')
+
+    kind: str
+    prefix: str
+    age_s: float
+
+
+class CachePage(Record):
+    """Cache events after a number.
+
+    ``oldest`` and ``newest`` are the numbers of the events that the engine
+    still has; a gap shows by an oldest one that is not the next.
+    """
+
+    __slots__ = ('events', 'oldest', 'newest')
+
+    events: list[CacheEvent]
+    oldest: int
+    newest: int
+
+
+class CacheEvents:
+    """Cache events of engines, which come late and with gaps."""
+
+    async def read_events(self, address: str, after: int) -> CachePage:
+        """Reads the events after a number, 0 for all there are.
+
+        :raises PeerUnavailable: no answer.
+        """
+        raise NotImplementedError
+
+
 class BackendCall(Record):
     """One request to an endpoint.
 
--- a/packages/jacinthmount/jacinthmount/routing.py
+++ b/packages/jacinthmount/jacinthmount/routing.py
@@ -1,13 +1,15 @@
 """Choice of an endpoint by its estimated load."""
 
+import json
 import random
+from typing import Any
 
 from jacinthmount.declarations import Endpoint
 from jacinthmount.dispatch import Stage
 from jacinthmount.hashing import hash_hex, hash_text
 from jacinthmount.ports import EngineLoad
 
-__all__ = ('EndpointState', 'Router', 'prefix_key')
+__all__ = ('EndpointState', 'Router', 'prefix_key', 'read_prompt')
 
 PREFIX_CHARS = 256
 AFFINITY_LOAD_RATIO = 1.25
@@ -172,7 +174,10 @@
         preferred = _affine(prefix, candidates)
         if _near_mean(preferred, candidates, now):
             return preferred
-        pair = self._rng.sample(candidates, min(2, len(candidates)))
+        # Two random ones can both be full while another has a slot.
+        roomy = [state for state in candidates if state.free_slots() > 0]
+        pool = roomy or candidates
+        pair = self._rng.sample(pool, min(2, len(pool)))
         return min(pair, key=lambda state: _finish_estimate(state, now))
 
     def worth_retry(self, stage: Stage, tried: set[str], now: float) -> bool:
@@ -200,6 +205,11 @@
         return mean * ahead / slots
 
 
+def read_prompt(body: dict[str, Any]) -> str:
+    """Reads the prompt of a request as one text."""
+    return json.dumps(body.get('messages') or body.get('prompt') or '')
+
+
 def prefix_key(prompt: str) -> str:
     """Makes the key under which requests share a cached prefix."""
     return hash_hex(prompt[:PREFIX_CHARS])
--- a/packages/jacinthmount/jacinthmount/settings.py
+++ b/packages/jacinthmount/jacinthmount/settings.py
@@ -31,6 +31,7 @@
         'log_file',
         'drain_delay_s',
         'batch_streams',
+        'batch_look_ahead',
     )
 
     host: str
@@ -49,6 +50,7 @@
     log_file: str
     drain_delay_s: float
     batch_streams: int
+    batch_look_ahead: int
 
     def peer_address(self) -> str:
         """Names the address that other hosts connect to."""
@@ -84,6 +86,15 @@
             low=0,
             high=4096,
         ),
+        make_option(
+            'batch_look_ahead',
+            'int',
+            'items',
+            'Items of a chunk among which a cached prefix is looked for.',
+            default='250',
+            low=1,
+            high=250,
+        ),
     ),
     'listen': (
         make_option('listen', 'text', 'IP:port', 'Address for callers.'),
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -35,6 +35,34 @@
     assert 90 <= served.count('small') <= 110
 
 
+def test_account_with_the_fewest_running_is_next():
+    """One that asks seldom waits for one slot, not for a turn of others."""
+    queue = FairQueue()
+    for number in range(4):
+        queue.push('large', 1, 10, f'large {number}')
+    queue.begin('large')
+    queue.push('small', 1, 1000, 'small')
+    assert queue.pop() == 'small'
+    queue.begin('small')
+    assert queue.pop() == 'large 0'
+
+
+def test_running_entries_count_by_weight():
+    """An account of twice the weight may run twice as many."""
+    queue = FairQueue()
+    for account, weight in (('heavy', 2), ('light', 1)):
+        for number in range(6):
+            queue.push(account, weight, 10, account)
+    started = []
+    for _ in range(6):
+        account = queue.pop()
+        queue.begin(account)
+        started.append(account)
+    assert started.count('heavy') == 4
+    queue.end('light')
+    assert queue.pop() == 'light'
+
+
 def test_fair_queue_counts_tokens_not_entries():
     """Few very long requests get the same tokens as many short ones."""
     queue = FairQueue()
@@ -71,6 +99,16 @@
     assert not EngineRoom(slots=8, batch_share=1, now=10).room(10.1)
 
 
+def test_room_forgets_hosts_that_are_gone():
+    """What a lost host had in flight keeps no batch item out."""
+    room = EngineRoom(slots=8, batch_share=1, now=0)
+    room.on_report('a', 2, SETTLE_S, waiting=False)
+    room.on_report('b', 3, SETTLE_S, waiting=True)
+    room.keep_only({'a'})
+    assert room.online(SETTLE_S) == 2
+    assert room.contenders(SETTLE_S) == 1
+
+
 @pytest.mark.parametrize(
     ('stage', 'idempotent', 'relayed', 'expected'),
     [
@@ -216,6 +254,19 @@
     return made
 
 
+def test_slot_is_found_wherever_it_is():
+    """An endpoint with a slot is chosen before any full one."""
+    router = Router(rng=random.Random(3))
+    router.set_endpoints([make_endpoint(f'e{number}') for number in range(9)])
+    for state in router.states():
+        state.online = 0 if state.endpoint.name == 'e7' else 4
+    chosen = {
+        router.choose(f'p{number}', set(), 0).endpoint.name
+        for number in range(50)
+    }
+    assert chosen == {'e7'}
+
+
 def test_prefix_sticks_while_load_is_even(router):
     """The same prefix goes to the same endpoint."""
     chosen = {router.choose('prefix', set(), 0).endpoint.name for _ in range(9)}
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -17,20 +17,29 @@
     BackendReply,
     ManualClock,
     MemoryBackend,
+    MemoryCacheEvents,
     MemoryEngineControl,
     MemoryHostList,
     MemoryLoadReports,
     MemoryWeightStore,
 )
 from jacinthmount.ports import (
+    CACHE_STORED,
     BackendCall,
+    CacheEvent,
+    CachePage,
     EngineLoad,
     EngineOrder,
     EngineState,
     HostState,
     StreamEvent,
 )
-from jacinthmount_node.engine import EngineLoadReports, HttpEngine
+from jacinthmount.routing import prefix_key
+from jacinthmount_node.engine import (
+    EngineCacheEvents,
+    EngineLoadReports,
+    HttpEngine,
+)
 from jacinthmount_node.engine_control import HttpEngineControl
 from jacinthmount_node.http_client import ClientPool
 from jacinthmount_node.object_api import HttpHostList, HttpWeightStore
@@ -40,6 +49,8 @@
 from jacinthmount_standin.engine import answer_text
 from jacinthmount_standin.fleet import Fleet
 
+from tests.site import eventually
+
 MEMORY_ADDRESS = '192.0.2.1:1'
 TOKENS = 6
 PROMPT = json.dumps([{'role': 'user', 'content': 'bale'}])
@@ -139,6 +150,48 @@
         curio.run(port.read_load, unused)
 
 
+@pytest.fixture(params=KINDS)
+def cache_events(request, fleet):
+    """Cache events and the address of an engine that answered once."""
+    prefix = prefix_key(PROMPT)
+    if request.param == 'memory':
+        made = MemoryCacheEvents()
+        stored = CacheEvent(kind=CACHE_STORED, prefix=prefix, age_s=1.0)
+        made.pages[MEMORY_ADDRESS] = CachePage(
+            events=[stored],
+            oldest=1,
+            newest=1,
+        )
+        return made, MEMORY_ADDRESS
+    fleet.start_engine('cached')
+    address = f'127.0.0.1:{fleet.engine_port("cached")}'
+    engine = Endpoints(
+        backend=HttpEngine(pool=ClientPool()),
+        address=address,
+        fail=None,
+    )
+    curio.run(read_stream, engine, make_call(), [])
+    return EngineCacheEvents(pool=ClientPool()), address
+
+
+def test_cache_events_come_late_and_once(cache_events, unused):
+    """The event of a request is told, and not again after its number."""
+    port, address = cache_events
+
+    def read(after):
+        return curio.run(port.read_events, address, after)
+
+    eventually(lambda: read(0).newest == 1)
+    page = read(0)
+    assert [(one.kind, one.prefix) for one in page.events] == [
+        (CACHE_STORED, prefix_key(PROMPT)),
+    ]
+    assert page.events[0].age_s > 0
+    assert not read(1).events
+    with pytest.raises(PeerUnavailable):
+        curio.run(port.read_events, unused, 0)
+
+
 @pytest.fixture(params=KINDS)
 def control(request, fleet):
     """Orders and the address of an engine with nothing loaded."""
