Let whole answers of batch items take long; show endpoints in status

Cause: an item whose answer can't be put together from a stream (tools, logprobs, several choices) was given 10 s for its whole answer, the limit for a stream without a sign of life. One that took longer counted as a death of its endpoint, ran again and was failed as poison. The new test, two items of 13 s, failed before and passes now; each runs once.

A stream's head goes out with its first event, its end with the last. `jacinthmount status` also shows endpoints; with `--output json` it is one object, where it was two arrays one after the other.

--- a/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
@@ -80,6 +80,14 @@
             table.add_row(*(str(cell) for cell in row.values()))
         self._console.print(table)
 
+    def show_all(self, tables: dict[str, list[dict[str, Any]]]) -> None:
+        """Shows several tables, or one JSON object of them."""
+        if self.options.output == 'json':
+            self.say(json.dumps(tables, indent=2))
+            return
+        for title, rows in tables.items():
+            self.show(title, rows)
+
     def say(self, line: str) -> None:
         """Writes one line."""
         sys.stdout.write(f'{line}\n')
@@ -187,27 +195,17 @@
         context.store(),
         context.token(),
     )
-    context.show(
-        'hosts',
-        [_host_row(host, status) for host, status in sorted(statuses.items())],
-    )
     listing = curio.run(context.store().list_names, BATCH_PREFIX)
     batches = [
         parse_json(BatchManifest, one.body or '') for one in listing.objects
     ]
-    context.show(
-        'batches',
-        [
-            {
-                'batch': batch.batch_id,
-                'account': batch.account,
-                'state': batch.state,
-                'lines': batch.lines,
-                'seconds to deadline': round(batch.deadline_s - time.time()),
-            }
-            for batch in batches
+    context.show_all({
+        'hosts': [
+            _host_row(host, status) for host, status in sorted(statuses.items())
         ],
-    )
+        'endpoints': porcelain.sum_endpoints(statuses),
+        'batches': [_deadline_row(batch) for batch in batches],
+    })
     return 0
 
 
@@ -402,3 +400,13 @@
         for name in record.__slots__
         if name != 'write_id'
     }
+
+
+def _deadline_row(batch: BatchManifest) -> dict[str, Any]:
+    return {
+        'batch': batch.batch_id,
+        'account': batch.account,
+        'state': batch.state,
+        'lines': batch.lines,
+        'seconds to deadline': round(batch.deadline_s - time.time()),
+    }
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
@@ -44,6 +44,7 @@
     'read_declarations',
     'read_objects',
     'read_status',
+    'sum_endpoints',
     'wait_in_force',
     'withdraw_key',
 )
@@ -169,6 +170,31 @@
     return statuses
 
 
+def sum_endpoints(
+    statuses: dict[str, dict[str, Any] | None],
+) -> list[dict[str, Any]]:
+    """Sums up what the hosts of its data centre know of each endpoint."""
+    found: dict[str, dict[str, Any]] = {}
+    for status in statuses.values():
+        for row in status['endpoints'] if status else ():
+            total = found.setdefault(
+                row['name'],
+                {
+                    'endpoint': row['name'],
+                    'service': row['service'],
+                    'hosts that use it': 0,
+                    'closed': False,
+                    'online': 0,
+                    'batch': 0,
+                },
+            )
+            total['hosts that use it'] += row['available']
+            total['closed'] = total['closed'] or row['closed']
+            total['online'] += row['online']
+            total['batch'] += row['batch']
+    return [found[name] for name in sorted(found)]
+
+
 async def grant_key(store: ObjectStore, account: str) -> tuple[str, str]:
     """Grants a new key to an account.
 
--- a/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
@@ -1,6 +1,7 @@
 """Batch items on engines with room, and their preemption."""
 
 import itertools
+import math
 
 import curio
 from jacinthmount.declarations import Endpoint
@@ -146,15 +147,15 @@
             if one.service == endpoint.service
         ]
         found = None
+        newest = -math.inf
         look_ahead = self._node.settings.batch_look_ahead
         book = self._prefixes.book(endpoint.name)
         for item in itertools.islice(chunk.pending, look_ahead):
             # What the engine has in its cache costs it less.
-            held = book.holds(item.prefix, now)
-            if (held or not found) and self._may_run(item, endpoint, names):
+            used_at = book.used_at(item.prefix, now) or 0
+            if used_at > newest and self._may_run(item, endpoint, names):
                 found = item
-                if held:
-                    break
+                newest = used_at
         if found is not None:
             chunk.pending.remove(found)
             book.on_sent(found.prefix, now)
--- a/packages/jacinthmount-node/jacinthmount_node/batch_items.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batch_items.py
@@ -20,6 +20,8 @@
 __all__ = ('ItemOutcome', 'run_item')
 
 STALL_TIMEOUT_S = 10.0
+# Nothing shows that a whole answer is still coming.
+WHOLE_TIMEOUT_S = 600.0
 # Answers to these can't be put together from the text of a stream.
 WHOLE_ANSWER_FIELDS = frozenset(('tools', 'logprobs', 'n', 'functions'))
 
@@ -114,16 +116,14 @@
     streamed = not WHOLE_ANSWER_FIELDS & set(body)
     body['stream'] = streamed
     packed = json.dumps(body).encode()
+    timeout_s = STALL_TIMEOUT_S if streamed else WHOLE_TIMEOUT_S
     await bounded(
-        STALL_TIMEOUT_S,
+        timeout_s,
         exchange.send,
         _make_call(item, item.request.url, packed),
     )
     if exchange.status >= HTTPStatus.BAD_REQUEST or not streamed:
-        answer = await bounded(
-            STALL_TIMEOUT_S,
-            exchange.read_body,
-        )
+        answer = await bounded(timeout_s, exchange.read_body)
         return _whole_record(item, exchange.status, answer)
     events = exchange.iter_events()
     while True:
--- a/packages/jacinthmount-node/jacinthmount_node/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_server.py
@@ -101,21 +101,33 @@
         self.started = False
         self.status = 0
 
-    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Sends status and headers; the body follows in chunks."""
+    async def start(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        first: bytes = b'',
+    ) -> None:
+        """Sends status and headers; the body follows in chunks.
+
+        :param first: piece of the body that goes out in the same write.
+        """
         self.started = True
         self.status = status
         await self._conn.send(
             h11.Response(status_code=status, headers=headers),
+            h11.Data(data=first),
         )
 
     async def write(self, piece: bytes) -> None:
         """Sends a piece of the body."""
         await self._conn.send(h11.Data(data=piece))
 
-    async def finish(self) -> None:
-        """Ends the answer."""
-        await self._conn.send(h11.EndOfMessage())
+    async def finish(self, last: bytes = b'') -> None:
+        """Ends the answer.
+
+        :param last: piece of the body that goes out in the same write.
+        """
+        await self._conn.send(h11.Data(data=last), h11.EndOfMessage())
 
     async def send(
         self,
--- a/packages/jacinthmount-node/jacinthmount_node/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/online.py
@@ -14,9 +14,10 @@
     JacinthmountError,
     OutcomeUnknown,
 )
-from jacinthmount.ports import BackendCall, BackendExchange
+from jacinthmount.ports import BackendCall, BackendExchange, StreamEvent
 from jacinthmount.routing import EndpointState
 
+from jacinthmount_node.backends import REQUEST_ID
 from jacinthmount_node.engine_rooms import EngineRooms
 from jacinthmount_node.gate import Gate, OnlineCall
 from jacinthmount_node.http_client import ATTEMPT_ERRORS
@@ -222,7 +223,7 @@
             for name in FORWARDED_HEADERS
             if name in exchange.headers
         ]
-        headers.append(('x-request-id', call.request_id))
+        headers.append((REQUEST_ID, call.request_id))
         await responder.send(exchange.status, answer, headers)
 
     async def _relay_stream(
@@ -241,20 +242,25 @@
             )
             if event is None:
                 break
-            if not responder.started:
-                await responder.start(
-                    HTTPStatus.OK,
-                    [
-                        *SSE_HEADERS,
-                        ('x-request-id', call.request_id),
-                    ],
-                )
-                self._first_token(call, progress)
-            await responder.write(f'data: {event.payload}\n\n'.encode())
-            progress.offset += len(event.text)
-            self._token(progress)
-        await responder.write(b'data: [DONE]\n\n')
-        await responder.finish()
+            await self._relay_event(call, event, responder, progress)
+        await responder.finish(b'data: [DONE]\n\n')
+
+    async def _relay_event(
+        self,
+        call: OnlineCall,
+        event: StreamEvent,
+        responder: Responder,
+        progress: _Progress,
+    ) -> None:
+        piece = f'data: {event.payload}\n\n'.encode()
+        if responder.started:
+            await responder.write(piece)
+        else:
+            headers = [*SSE_HEADERS, (REQUEST_ID, call.request_id)]
+            await responder.start(HTTPStatus.OK, headers, piece)
+            self._first_token(call, progress)
+        progress.offset += len(event.text)
+        self._token(progress)
 
     def _first_token(self, call: OnlineCall, progress: _Progress) -> None:
         now = self._node.now()
--- a/packages/jacinthmount/jacinthmount/prefixes.py
+++ b/packages/jacinthmount/jacinthmount/prefixes.py
@@ -45,10 +45,14 @@
             else:
                 self.on_sent(event.prefix, at)
 
-    def holds(self, prefix: str, now: float) -> bool:
-        """Tells whether the engine is likely to hold a prefix."""
+    def used_at(self, prefix: str, now: float) -> float | None:
+        """Tells when a prefix was used last, or None where it is not held.
+
+        The one used last is the likeliest to be still there, since evictions
+        are heard of late.
+        """
         at = self._held.get(prefix)
-        return at is not None and now - at < HELD_S
+        return at if at is not None and now - at < HELD_S else None
 
     def _evict(self, prefix: str, at: float) -> None:
         if self._held.get(prefix, at) < at:
--- a/tests/test_batch_failures.py
+++ b/tests/test_batch_failures.py
@@ -270,3 +270,27 @@
     assert batch is not None
     site.wait_batch('east-h1', key, batch['id'], 90)
     check_results(site, 'east-h2', key, batch['id'], 60)
+
+
+@pytest.fixture
+def slow_site(tmp_path):
+    """One host and an engine that takes a second for a token."""
+    made = Site(
+        folder=tmp_path,
+        data_centres={'east': 1},
+        engines={'engine-1': 'east'},
+        accounts={'gin': (500, 500)},
+        token_s=1.0,
+    )
+    yield made
+    made.fleet.stop()
+
+
+def test_long_whole_answers_run_once(slow_site):
+    """An answer that is not streamed may take long without a sign of life."""
+    key = slow_site.grant('gin')[1]
+    lines = make_lines(2, max_tokens=12, tools=[])
+    batch = slow_site.caller('east-h1', key).submit(lines, '1h', '')
+    ended = slow_site.wait_batch('east-h1', key, batch['id'], 60)
+    assert ended['request_counts']['completed'] == 2
+    assert set(slow_site.engine_runs('engine-1').values()) == {1}
--- a/tests/test_config_failures.py
+++ b/tests/test_config_failures.py
@@ -293,6 +293,10 @@
     assert json.loads(shown.stdout)[0]['name'] == 'gin'
     status = run('status')
     assert all(host in status.stdout for host in HOSTS)
+    told = json.loads(run('--output', 'json', 'status').stdout)
+    engines = {row['endpoint'] for row in told['endpoints']}
+    assert engines > {'engine-1', 'engine-2', 'engine-3'}
+    assert {row['host'] for row in told['hosts']} == set(HOSTS)
     assert run('diff', str(site.folder / 'declarations')).stdout == ''
     site.fleet.switch(site.fleet.platform_port, outage=True)
     assert run('get', 'account').returncode == 5
