--- a/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
@@ -27,7 +27,7 @@
 
 MOVE_CHECK_S = 0.5
 REFRESH_CHECKS = 20
-CLOSED_VALID_S = 5.0
+CLOSED_VALID_S = 30.0
 
 RoomChange = Callable[[str], Awaitable[None]]
 
--- a/packages/jacinthmount-node/jacinthmount_node/order_task.py
+++ b/packages/jacinthmount-node/jacinthmount_node/order_task.py
@@ -68,7 +68,8 @@
         self.state: EngineState | None = None
         self.slot: HeldSlot | None = None
         self.closing = False
-        self.shut = False
+        # An earlier decider may have closed it, so hosts are told either way.
+        self.shut = True
         self.closed_at = 0.0
         self.acknowledged: set[str] = set()
         self.ordered_at: float | None = None
@@ -122,23 +123,29 @@
         engine = self._engines.get(endpoint.name)
         target = self._target(endpoint)
         if engine is None or engine.endpoint.address != endpoint.address:
-            if target is None:
-                return
             engine = _Engine(endpoint=endpoint)
-            self._engines[endpoint.name] = engine
-        engine.endpoint = endpoint
         changed = engine.target != target
+        engine.endpoint = endpoint
         engine.target = target
+        if target is None:
+            await self._let_go(engine)
+            return
+        self._engines[endpoint.name] = engine
         now = self._node.now()
-        if engine.settled() and not changed:
-            if now - engine.polled_at < IDLE_POLL_S:
-                return
+        waited = now - engine.polled_at >= IDLE_POLL_S
+        if engine.settled() and not changed and not waited:
+            return
         engine.polled_at = now
         try:
             await self._advance(engine)
         except JacinthmountError as exc:
             log_event('order_waits', engine=endpoint.name, error=str(exc))
 
+    async def _let_go(self, engine: _Engine) -> None:
+        # Nothing is declared any more: it serves as it is.
+        if self._engines.pop(engine.endpoint.name, None) is not None:
+            await self._tell_closed(engine)
+
     async def _advance(self, engine: _Engine) -> None:
         await self._read_state(engine)
         if is_reached(engine.target, engine.state):
--- a/tests/test_order_failures.py
+++ b/tests/test_order_failures.py
@@ -154,3 +154,29 @@
         'order_waits' in (site.folder / f'{host}.log').read_text()
         for host in site.hosts
     )
+
+
+def test_declaration_taken_back_while_an_engine_loads(site, key):
+    """Without declared weights the engines serve as they are."""
+    declare(site, '2')
+    eventually(
+        lambda: any(one['version'] == '2' for one in engine_stats(site)),
+        IN_FORCE_S,
+    )
+    declare(site, '')
+    eventually(lambda: not closed_engines(site))
+    eventually(
+        lambda: site.chat(site.hosts[0], key, 'bale').status == 200,
+    )
+    versions = {one['version'] for one in engine_stats(site)}
+    assert versions == {'1', '2'}
+
+
+def closed_engines(site):
+    """Lists the engines that some host sends nothing to."""
+    return [
+        row['name']
+        for host in site.hosts
+        for row in site.fleet.status(host)['endpoints']
+        if row['closed']
+    ]
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -1,6 +1,7 @@
 """Tests that hold for each port, in memory and over HTTP."""
 
 import contextlib
+import functools
 import json
 
 import curio
@@ -293,24 +294,26 @@
         self.fail = fail
 
 
+FAILURES = {'crossed': {'request_id': 'another'}, 'cut': {'lost': True}}
+
+
+def make_memory_endpoint(reply):
+    """Makes an endpoint in memory that answers by a function."""
+    backend = MemoryBackend()
+    backend.replies[MEMORY_ADDRESS] = reply
+
+    def fail(how):
+        changes = FAILURES[how]
+        backend.replies[MEMORY_ADDRESS] = functools.partial(reply, **changes)
+
+    return Endpoints(backend=backend, address=MEMORY_ADDRESS, fail=fail)
+
+
 @pytest.fixture(params=KINDS)
 def engine(request, fleet):
     """An engine of each kind."""
     if request.param == 'memory':
-        backend = MemoryBackend()
-        backend.replies[MEMORY_ADDRESS] = reply_of
-
-        def fail(how):
-            changes = {
-                'crossed': {'request_id': 'another'},
-                'cut': {'lost': True},
-            }[how]
-            backend.replies[MEMORY_ADDRESS] = lambda call: reply_of(
-                call,
-                **changes,
-            )
-
-        return Endpoints(backend=backend, address=MEMORY_ADDRESS, fail=fail)
+        return make_memory_endpoint(reply_of)
     port = fleet.engine_port('engine-1')
 
     def switch(how):
@@ -382,34 +385,22 @@
     assert not texts
 
 
+def echo_of(call, *, request_id='', lost=False):
+    """Builds the answer of a plain service in memory."""
+    return BackendReply(
+        status=200,
+        headers={'x-request-id': request_id or call.request_id},
+        body=json.dumps({'echo': call.body.decode()}).encode(),
+        events=[],
+        lost=lost,
+    )
+
+
 @pytest.fixture(params=KINDS)
 def service(request, fleet):
     """A plain service of each kind."""
     if request.param == 'memory':
-        backend = MemoryBackend()
-
-        def respond(call, *, request_id='', lost=False):
-            return BackendReply(
-                status=200,
-                headers={'x-request-id': request_id or call.request_id},
-                body=json.dumps({'echo': call.body.decode()}).encode(),
-                events=[],
-                lost=lost,
-            )
-
-        backend.replies[MEMORY_ADDRESS] = respond
-
-        def fail(how):
-            changes = {
-                'crossed': {'request_id': 'another'},
-                'cut': {'lost': True},
-            }[how]
-            backend.replies[MEMORY_ADDRESS] = lambda call: respond(
-                call,
-                **changes,
-            )
-
-        return Endpoints(backend=backend, address=MEMORY_ADDRESS, fail=fail)
+        return make_memory_endpoint(echo_of)
 
     def switch(how):
         name = {'crossed': 'crossed', 'cut': 'cut_before_answer'}[how]
