Fuzz the INI and HTTP boundaries with fixed seeds

Peer messages had such a test, INI texts and HTTP requests had single bad examples only. 400 texts and 200 damaged requests give a list of problems, a coded answer or a closed connection; a good request is answered afterwards.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,6 +1,8 @@
 """Tests of callers' routes on a running fleet."""
 
+import contextlib
 import json
+import random
 import socket
 
 import openai
@@ -259,6 +261,40 @@
     assert json.loads(body)['error']['code'] == code
 
 
+REQUEST = (
+    b'POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n'
+    b'Authorization: Bearer none\r\nContent-Length: 13\r\n\r\n{"model": "a"'
+)
+DAMAGES = 200
+
+
+def damaged(rng):
+    """Changes, repeats, drops or adds bytes of a request."""
+    packed = REQUEST
+    for _ in range(rng.randint(1, 6)):
+        place = rng.randrange(len(packed))
+        piece = rng.choice([b'', rng.randbytes(3), b'\r\n', b'\x00', b':'])
+        rest = packed[place + rng.randint(0, 4) :]
+        packed = packed[:place] + piece + rest
+    return packed
+
+
+def test_damaged_requests_are_refused(site, key):
+    """Any bytes give a coded error or a closed connection, to nobody else."""
+    rng = random.Random(20261204)
+    port = site.fleet.hosts['east-h1'].front
+    for _ in range(DAMAGES):
+        with socket.create_connection(('127.0.0.1', port), 5) as sock:
+            sock.sendall(damaged(rng))
+            sock.shutdown(socket.SHUT_WR)
+            received = b''
+            with contextlib.suppress(ConnectionResetError):
+                while piece := sock.recv(65536):
+                    received += piece
+        assert not received or received.startswith(b'HTTP/1.1 4'), received
+    assert site.chat('east-h1', key, 'still here').status == 200
+
+
 def test_slow_sender_affects_nobody(site, key):
     """A connection that sends nothing more does not hold up others."""
     port = site.fleet.hosts['east-h1'].front
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
 from jacinthmount.declarations import SCHEMAS, parse_declarations
 from jacinthmount.errors import InvalidDeclarations, KeyMissing, KeyUnknown
 from jacinthmount.keys import Keyring, holds_key, parse_bearer
@@ -157,3 +159,39 @@
     for schema in schemas:
         for option in schema:
             assert f'| `{option.name}` | {option.unit} |' in text
+
+
+INI_LINES = st.lists(
+    st.sampled_from([
+        *DECLARATIONS.splitlines(),
+        *NODE_SCHEMA,
+        '[node]',
+        '[peers]',
+        '[account gin',
+        ']',
+        '[]',
+        '= 1',
+        'share',
+        'rate_per_s = 1e999',
+        'burst = -0',
+        '  weight = %(x)s',
+    ])
+    | st.text(max_size=30),
+    max_size=30,
+)
+
+
+@seed(20261204)
+@settings(max_examples=400, deadline=None)
+@given(INI_LINES)
+def test_any_ini_text_is_parsed_or_refused_with_problems(lines):
+    """Damaged files give a list of problems and no other error."""
+    text = '\n'.join(lines)
+    for parse in (
+        lambda: parse_declarations({'any.ini': text}),
+        lambda: parse_settings(text, 'any.ini'),
+    ):
+        try:
+            parse()
+        except InvalidDeclarations as exc:
+            assert all(exc.problems)
