--- a/packages/jacinthmount-standin/jacinthmount_standin/plots.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/plots.py
@@ -11,6 +11,7 @@
 MICROSECONDS_PER_MS = 1000
 SIZE_INCHES = (8, 4.5)
 GRID_ALPHA = 0.3
+LEGEND_COLUMNS = 3
 
 
 def plot_latencies(
@@ -38,5 +39,5 @@
     axes.set_yscale('log')
     axes.grid(visible=True, alpha=GRID_ALPHA)
     axes.set_title(title)
-    axes.legend()
+    figure.legend(loc='outside lower center', ncols=LEGEND_COLUMNS)
     figure.savefig(path)
