--- a/packages/jacinthmount-node/jacinthmount_node/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/config_sync.py
@@ -165,10 +165,14 @@
 
     async def _push_watched(self, changed: list[Stored]) -> None:
         # Keys are told by every watcher, so that none of them is waited for.
-        keys = [one for one in changed if one.name.startswith(KEY_PREFIX)]
+        keys: list[Stored] = []
+        others: list[Stored] = []
+        for one in changed:
+            is_key = one.name.startswith(KEY_PREFIX)
+            (keys if is_key else others).append(one)
         for part in _parts(keys):
             await self._outbox.put(part)
-        for part in _parts([one for one in changed if one not in keys]):
+        for part in _parts(others):
             await self._outbox.put(Watched(push=part))
 
     def _watchers(self) -> list[str]:
--- a/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
@@ -1,14 +1,13 @@
 """Load of the engines, and batch room on those that this host decides about."""
 
-import contextlib
 from collections.abc import Awaitable, Callable
 
 import curio
 from jacinthmount.declarations import Endpoint
-from jacinthmount.errors import PeerUnavailable
 from jacinthmount.permits import EngineRoom
 from jacinthmount.routing import EndpointState
 
+from jacinthmount_node.broadcast import tell_host
 from jacinthmount_node.deciders import Deciders
 from jacinthmount_node.engine_polls import EnginePolls
 from jacinthmount_node.engine_reports import REPORT_TIMEOUT_S, EngineReporter
@@ -232,10 +231,13 @@
         message = EngineSilent(engine=engine, silent=silent)
         for host in self._node.live_hosts():
             if host != self._node.host:
-                await curio.spawn(self._tell_host, host, message, daemon=True)
-
-    async def _tell_host(self, host: str, message: EngineSilent) -> None:
-        # A host that misses it learns of it with its next report.
-        record = self._node.members[host]
-        with contextlib.suppress(PeerUnavailable):
-            await self._links.request(record, message, REPORT_TIMEOUT_S)
+                # A host that misses it learns of it with its next report.
+                await curio.spawn(
+                    tell_host,
+                    self._node,
+                    self._links,
+                    host,
+                    message,
+                    REPORT_TIMEOUT_S,
+                    daemon=True,
+                )
--- a/packages/jacinthmount-node/jacinthmount_node/order_task.py
+++ b/packages/jacinthmount-node/jacinthmount_node/order_task.py
@@ -32,6 +32,7 @@
 from jacinthmount.records import parse_json, serialize_json
 from jacinthmount.stores import new_write_id, write_definitely
 
+from jacinthmount_node.broadcast import tell_host
 from jacinthmount_node.engine_rooms import EngineRooms
 from jacinthmount_node.load_slots import HeldSlot, LoadSlots
 from jacinthmount_node.logs import log_event
@@ -122,14 +123,14 @@
     async def _look_at(self, endpoint: Endpoint) -> None:
         engine = self._engines.get(endpoint.name)
         target = self._target(endpoint)
+        if target is None:
+            await self._let_go(endpoint)
+            return
         if engine is None or engine.endpoint.address != endpoint.address:
             engine = _Engine(endpoint=endpoint)
         changed = engine.target != target
         engine.endpoint = endpoint
         engine.target = target
-        if target is None:
-            await self._let_go(engine)
-            return
         self._engines[endpoint.name] = engine
         now = self._node.now()
         waited = now - engine.polled_at >= IDLE_POLL_S
@@ -141,10 +142,12 @@
         except JacinthmountError as exc:
             log_event('order_waits', engine=endpoint.name, error=str(exc))
 
-    async def _let_go(self, engine: _Engine) -> None:
+    async def _let_go(self, endpoint: Endpoint) -> None:
         # Nothing is declared any more: it serves as it is.
-        engine.closing = False
-        if self._engines.pop(engine.endpoint.name, None) is not None:
+        engine = self._engines.pop(endpoint.name, None)
+        if engine is not None:
+            engine.target = None
+            engine.closing = False
             await self._tell_closed(engine)
 
     async def _advance(self, engine: _Engine) -> None:
@@ -240,13 +243,17 @@
         host: str,
         message: EngineClosed,
     ) -> None:
-        record = self._node.members[host]
-        try:
-            await self._links.request(record, message, CLOSE_TIMEOUT_S)
-        except PeerUnavailable:
+        heard = await tell_host(
+            self._node,
+            self._links,
+            host,
+            message,
+            CLOSE_TIMEOUT_S,
+        )
+        if heard:
+            engine.acknowledged.add(host)
+        else:
             engine.acknowledged.discard(host)
-            return
-        engine.acknowledged.add(host)
 
     async def _take_slot(self, engine: _Engine) -> None:
         target = engine.target
