--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,18 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := jacinthmount jacinthmount-node jacinthmount-ctl jacinthmount-standin
+MEMBERS := packages/jacinthmount packages/jacinthmount-node packages/jacinthmount-ctl packages/jacinthmount-standin platform
 DEMO := run/demo
 
 .PHONY: setup demo demo-up demo-down test lint format clean
 
 setup: $(VENV)/ready
 
-$(VENV)/ready: requirements.txt $(foreach name,$(PACKAGES),packages/$(name)/pyproject.toml)
+$(VENV)/ready: requirements.txt $(addsuffix /pyproject.toml,$(MEMBERS))
 	python3.11 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.txt
-	for name in $(PACKAGES); do \
+	for member in $(MEMBERS); do \
 		$(PYTHON) -m pip install --quiet --disable-pip-version-check \
-			--no-deps --no-build-isolation -e packages/$$name || exit 1; \
+			--no-deps --no-build-isolation -e ./$$member || exit 1; \
 	done
 	touch $@
 
@@ -29,14 +29,14 @@
 	$(PYTHON) -m pytest -n 3 --dist loadfile
 
 lint: setup
-	$(VENV)/bin/ruff format --check packages tests spec
-	$(VENV)/bin/ruff check packages tests spec
-	$(VENV)/bin/flake8 packages tests spec
+	$(VENV)/bin/ruff format --check packages tests spec platform
+	$(VENV)/bin/ruff check packages tests spec platform
+	$(VENV)/bin/flake8 packages tests spec platform
 	$(VENV)/bin/mypy
 
 format: setup
-	$(VENV)/bin/ruff check --fix packages tests spec
-	$(VENV)/bin/ruff format packages tests spec
+	$(VENV)/bin/ruff check --fix packages tests spec platform
+	$(VENV)/bin/ruff format packages tests spec platform
 
 clean:
 	rm -rf $(VENV) run build .pytest_cache .mypy_cache .ruff_cache
--- a/packages/jacinthmount-node/jacinthmount_node/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_client.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 client on h11 that knows how far each exchange came."""
 
+import math
 import socket as std_socket
+import time
 from typing import Any
 
 import curio
@@ -17,6 +19,7 @@
 MAX_ANSWER_BYTES = 33_554_432
 READ_BYTES = 65_536
 MAX_IDLE_PER_ADDRESS = 32
+UNLIMITED_S = math.inf
 
 TRANSPORT_ERRORS = (OSError, h11.ProtocolError, curio.TaskTimeout)
 ATTEMPT_ERRORS = (*TRANSPORT_ERRORS, EndpointFailed)
@@ -25,13 +28,32 @@
 class Exchange:
     """One request and its answer on one connection."""
 
-    __slots__ = ('_sock', '_wire', 'address', 'headers', 'stage', 'status')
+    __slots__ = (
+        '_sock',
+        '_wire',
+        'address',
+        'headers',
+        'reused',
+        'stage',
+        'status',
+        'unusable_at',
+    )
 
     def __init__(
-        self, *, address: str, sock: Any, wire: h11.Connection
+        self,
+        *,
+        address: str,
+        sock: Any,
+        wire: h11.Connection,
+        reused: bool = False,
     ) -> None:
-        """Takes a connected socket."""
+        """Takes a connected socket.
+
+        :param reused: whether another exchange went before on it.
+        """
         self.address = address
+        self.reused = reused
+        self.unusable_at = UNLIMITED_S
         self._sock = sock
         self._wire = wire
         self.stage = Stage.CONNECTING
@@ -46,23 +68,19 @@
         body: bytes,
     ) -> None:
         """Sends the whole request."""
-        request = h11.Request(
-            method=method,
-            target=target,
-            headers=[
-                ('host', self.address),
-                ('content-length', str(len(body))),
-                *headers,
-            ],
-        )
+        rows = [('content-length', str(len(body))), *headers]
+        if all(name != 'host' for name, _ in headers):
+            rows.insert(0, ('host', self.address))
+        request = h11.Request(method=method, target=target, headers=rows)
         events = [request, h11.Data(data=body), h11.EndOfMessage()]
         packed = b''.join(self._wire.send(event) or b'' for event in events)
         self.stage = Stage.SENT
         await self._sock.sendall(packed)
 
-    async def read_head(self) -> None:
+    async def read_head(self, *, framed: bool = True) -> None:
         """Reads status and headers.
 
+        :param framed: refuse an answer that ends with its connection.
         :raises EndpointFailed: the answer has no framing that shows its end.
         """
         event = await self._next_event()
@@ -76,7 +94,7 @@
             name.decode('ascii'): content.decode('latin-1')
             for name, content in event.headers
         }
-        if not _is_framed(self.status, self.headers):
+        if framed and not _is_framed(self.status, self.headers):
             raise EndpointFailed(detail='answer without framing')
 
     async def iter_body(self):
@@ -104,6 +122,9 @@
 
     def reusable(self) -> bool:
         """Tells whether another exchange may follow on the connection."""
+        if self._wire.trailing_data[0]:
+            # Bytes after the end belong to no request.
+            return False
         done = h11.DONE
         return self._wire.our_state is done and self._wire.their_state is done
 
@@ -122,7 +143,12 @@
     def next_exchange(self) -> 'Exchange':
         """Starts another exchange on the same connection."""
         self._wire.start_next_cycle()
-        return Exchange(address=self.address, sock=self._sock, wire=self._wire)
+        return Exchange(
+            address=self.address,
+            sock=self._sock,
+            wire=self._wire,
+            reused=True,
+        )
 
     async def close(self) -> None:
         """Closes the connection."""
@@ -148,6 +174,8 @@
     async def open(self, address: str, *, fresh: bool) -> Exchange:
         """Opens an exchange.
 
+        The connection used last is taken first.
+
         :param fresh: never reuse a connection, since an idle one may be lost
             after the request has left.
         :raises OSError: the endpoint can't be reached.
@@ -155,7 +183,8 @@
         idle = self._idle.get(address, [])
         while idle and not fresh:
             exchange = idle.pop()
-            if not exchange.is_stale():
+            expired = time.monotonic() >= exchange.unusable_at
+            if not expired and not exchange.is_stale():
                 return exchange.next_exchange()
             await exchange.close()
         sock = await bounded(CONNECT_TIMEOUT_S, connect, address)
@@ -165,8 +194,16 @@
         )
         return Exchange(address=address, sock=sock, wire=wire)
 
-    async def release(self, exchange: Exchange) -> None:
-        """Takes an exchange back; closes one that did not end whole."""
+    async def release(
+        self,
+        exchange: Exchange,
+        idle_s: float = UNLIMITED_S,
+    ) -> None:
+        """Takes an exchange back; closes one that did not end whole.
+
+        :param idle_s: seconds after which the connection is not used again.
+        """
+        exchange.unusable_at = time.monotonic() + idle_s
         idle = self._idle.setdefault(exchange.address, [])
         if exchange.reusable() and len(idle) < MAX_IDLE_PER_ADDRESS:
             idle.append(exchange)
--- a/packages/jacinthmount-node/jacinthmount_node/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_server.py
@@ -25,6 +25,7 @@
     'HttpRequest',
     'HttpServer',
     'Responder',
+    'ServerLimits',
     'list_page',
     'parse_object',
 )
@@ -37,38 +38,80 @@
 WRITE_TIMEOUT_S = 30.0
 READ_BYTES = 65_536
 POLL_S = 0.05
+# A caller that will close the connection goes from its body to MUST_CLOSE.
+BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
+
+
+class ServerLimits:
+    """What callers may send, and how long they may take.
+
+    The settings of a listener may change while it serves, so connections look
+    here each time.
+    """
+
+    __slots__ = ('body_bytes', 'header_bytes', 'header_s', 'idle_s')
+
+    def __init__(
+        self,
+        *,
+        header_bytes: int = MAX_HEADER_BYTES,
+        body_bytes: int = MAX_BODY_BYTES,
+        header_s: float = HEADER_TIMEOUT_S,
+        idle_s: float = IDLE_TIMEOUT_S,
+    ) -> None:
+        """Keeps sizes in bytes and times in seconds."""
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_s = header_s
+        self.idle_s = idle_s
 
 
 class HttpRequest:
     """A request whose body is read on demand."""
 
-    __slots__ = ('_conn', 'headers', 'method', 'path', 'query')
+    __slots__ = (
+        '_conn',
+        'header_rows',
+        'headers',
+        'method',
+        'path',
+        'query',
+        'target',
+    )
 
     def __init__(
         self,
         *,
         method: str,
         target: str,
-        headers: dict[str, str],
+        header_rows: list[tuple[str, str]],
         conn: '_Connection',
     ) -> None:
-        """Splits the target into path and query."""
+        """Splits the target into path and query.
+
+        :param header_rows: names in lower case and values, in order.
+        """
         path, _, query = target.partition('?')
         self.method = method
+        self.target = target
         self.path = path
         self.query = {
             name: found[-1] for name, found in parse_qs(query).items()
         }
-        self.headers = headers
+        self.header_rows = header_rows
+        self.headers = dict(header_rows)
         self._conn = conn
 
-    async def iter_body(self, limit: int = MAX_BODY_BYTES):
+    async def iter_body(self, limit: int | None = None):
         """Yields the body in pieces.
 
+        :param limit: most bytes, or None for the limit of the listener.
         :raises BodyTooLarge: the body exceeds the limit in bytes.
         :raises RequestTimeout: the caller sends too slowly.
         """
         size = 0
+        if limit is None:
+            limit = self._conn.limits.body_bytes
         while True:
             event = await self._conn.next_body_event()
             if isinstance(event, h11.EndOfMessage):
@@ -78,7 +121,7 @@
                 raise BodyTooLarge(detail=f'body exceeds {limit} bytes')
             yield bytes(event.data)
 
-    async def read_body(self, limit: int = MAX_BODY_BYTES) -> bytes:
+    async def read_body(self, limit: int | None = None) -> bytes:
         """Reads the whole body."""
         return b''.join([piece async for piece in self.iter_body(limit)])
 
@@ -114,7 +157,10 @@
         self.started = True
         self.status = status
         await self._conn.send(
-            h11.Response(status_code=status, headers=headers),
+            h11.Response(
+                status_code=status,
+                headers=[*headers, *self._conn.connection_headers()],
+            ),
             h11.Data(data=first),
         )
 
@@ -141,7 +187,11 @@
         await self._conn.send(
             h11.Response(
                 status_code=status,
-                headers=[*headers, ('content-length', str(len(body)))],
+                headers=[
+                    *headers,
+                    *self._conn.connection_headers(),
+                    ('content-length', str(len(body))),
+                ],
             ),
             h11.Data(data=body),
             h11.EndOfMessage(),
@@ -222,31 +272,53 @@
 class HttpServer:
     """Accepts connections and passes requests to a handler."""
 
-    __slots__ = ('_closing', '_connections', '_handler', '_sock')
+    __slots__ = (
+        '_accepting',
+        '_closing',
+        '_connections',
+        '_handler',
+        '_sock',
+        'limits',
+    )
 
-    def __init__(self, *, sock, handler: Handler) -> None:
+    def __init__(
+        self,
+        *,
+        sock,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+    ) -> None:
         """Takes a listening socket."""
         self._sock = sock
         self._handler = handler
+        self.limits = limits or ServerLimits()
         self._closing = False
+        self._accepting: curio.Task | None = None
         self._connections: set[_Connection] = set()
 
     async def run(self) -> None:
-        """Accepts until cancelled."""
+        """Accepts until drained or cancelled."""
         async with curio.TaskGroup(wait=None) as group:
-            while True:
-                sock, _ = await self._sock.accept()
-                conn = _Connection(
-                    sock=sock,
-                    handler=self._handler,
-                    server=self,
-                )
-                self._connections.add(conn)
-                await group.spawn(self._serve, conn, daemon=True)
+            self._accepting = await curio.spawn(self._accept, group)
+            try:
+                await self._accepting.wait()
+            finally:
+                await self._accepting.cancel()
+            if not self._closing:
+                raise self._accepting.exception
+            # Answers under way go on until the process ends.
+            await curio.Event().wait()
+
+    def close_after_answers(self) -> None:
+        """Closes each connection after its next answer, listener open."""
+        self._closing = True
 
     async def drain(self) -> None:
         """Closes the listener and waits for the requests in flight."""
         self._closing = True
+        if self._accepting is not None:
+            # A socket must not be closed under a task that waits for it.
+            await self._accepting.cancel()
         await self._sock.close()
         while any(conn.busy for conn in self._connections):
             await curio.sleep(POLL_S)
@@ -256,6 +328,17 @@
         """Tells whether connections close after their current answer."""
         return self._closing
 
+    async def _accept(self, group: curio.TaskGroup) -> None:
+        while True:
+            sock, _ = await self._sock.accept()
+            conn = _Connection(
+                sock=sock,
+                handler=self._handler,
+                server=self,
+            )
+            self._connections.add(conn)
+            await group.spawn(self._serve, conn, daemon=True)
+
     async def _serve(self, conn: '_Connection') -> None:
         try:
             await conn.run()
@@ -274,15 +357,17 @@
         '_wire',
         'broken',
         'busy',
+        'limits',
     )
 
     def __init__(self, *, sock, handler: Handler, server: HttpServer) -> None:
         self._sock = sock
         self._handler = handler
         self._server = server
+        self.limits = server.limits
         self._wire = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=MAX_HEADER_BYTES,
+            max_incomplete_event_size=self.limits.header_bytes,
         )
         self.broken = False
         self.busy = False
@@ -304,6 +389,11 @@
     async def close(self) -> None:
         await self._sock.close()
 
+    def connection_headers(self) -> list[tuple[str, str]]:
+        if self._server.closing:
+            return [('connection', 'close')]
+        return []
+
     async def send(self, *events: h11.Event) -> None:
         packed = b''.join(self._wire.send(event) or b'' for event in events)
         try:
@@ -317,7 +407,7 @@
             raise
 
     async def next_body_event(self) -> h11.Data | h11.EndOfMessage:
-        if self._wire.their_state is h11.DONE:
+        if self._wire.their_state in BODY_ENDED:
             return h11.EndOfMessage()
         try:
             return await bounded(
@@ -337,20 +427,20 @@
             return None
         try:
             event = await bounded(
-                HEADER_TIMEOUT_S,
+                self.limits.header_s,
                 self._next_event,
             )
             return self._check_head(event)
         except TimeoutError:
             await self._reject(RequestTimeout(detail='headers too slow'))
         except h11.RemoteProtocolError as exc:
-            await self._reject(_head_error(exc))
+            await self._reject(_head_error(exc, self.limits.header_bytes))
         except MalformedRequest as exc:
             await self._reject(exc)
         return None
 
     async def _await_first_byte(self) -> bool:
-        async with curio.ignore_after(IDLE_TIMEOUT_S):
+        async with curio.ignore_after(self.limits.idle_s):
             received = await self._sock.recv(READ_BYTES)
             self._wire.receive_data(received)
             return bool(received)
@@ -362,20 +452,21 @@
         size = len(event.target) + sum(
             len(name) + len(text) for name, text in event.headers
         )
-        if size > MAX_HEADER_BYTES:
+        if size > self.limits.header_bytes:
             # The parser limits only heads that are still incomplete.
             raise HeadersTooLarge(
-                detail=f'headers exceed {MAX_HEADER_BYTES} bytes',
+                detail=f'headers exceed {self.limits.header_bytes} bytes',
             )
         names = [name for name, _ in event.headers]
         if b'content-length' in names and b'transfer-encoding' in names:
             raise AmbiguousFraming(
                 detail='both Content-Length and Transfer-Encoding',
             )
-        headers = {
-            name.decode('ascii'): content.decode('latin-1')
+        header_rows = [
+            (name.decode('ascii'), content.decode('latin-1'))
             for name, content in event.headers
-        }
+        ]
+        headers = dict(header_rows)
         if headers.get('content-length', '0') == '0' and (
             'transfer-encoding' not in headers
         ):
@@ -384,7 +475,7 @@
         return HttpRequest(
             method=event.method.decode('ascii'),
             target=event.target.decode('ascii'),
-            headers=headers,
+            header_rows=header_rows,
             conn=self,
         )
 
@@ -427,7 +518,7 @@
     async def _cancel_on_close(self, task: curio.Task) -> None:
         # Reads only while the body is complete, so that a caller that goes
         # away stops its request.
-        while self._wire.their_state not in {h11.DONE, h11.MUST_CLOSE}:
+        while self._wire.their_state not in BODY_ENDED:
             await curio.sleep(POLL_S)
         try:
             received = await self._sock.recv(READ_BYTES)
@@ -458,9 +549,10 @@
             self._wire.receive_data(await self._sock.recv(READ_BYTES))
 
 
-def _head_error(exc: h11.RemoteProtocolError) -> JacinthmountError:
+def _head_error(
+    exc: h11.RemoteProtocolError,
+    limit: int,
+) -> JacinthmountError:
     if exc.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
-        return HeadersTooLarge(
-            detail=f'headers exceed {MAX_HEADER_BYTES} bytes'
-        )
+        return HeadersTooLarge(detail=f'headers exceed {limit} bytes')
     return MalformedRequest(detail=str(exc))
--- a/packages/jacinthmount-node/jacinthmount_node/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/peers.py
@@ -1,4 +1,7 @@
-"""Peer streams: msgpack records over TLS, both ends certified by the fleet."""
+"""Peer streams: msgpack records over TLS, both ends certified by the fleet.
+
+Where the network of the hosts is closed to others, links may go without TLS.
+"""
 
 import contextlib
 import socket as std_socket
@@ -92,7 +95,10 @@
         handler: PeerHandler,
         metrics: Metrics,
     ) -> None:
-        """Takes a listening socket and a handler for messages."""
+        """Takes a listening socket and a handler for messages.
+
+        :param context: TLS context, or None for plain TCP.
+        """
         self._sock = sock
         self._context = context
         self._handler = handler
@@ -114,13 +120,19 @@
             finally:
                 await raw.close()
 
-    async def _serve_stream(self, raw, group: curio.TaskGroup) -> None:
+    async def _secure(self, raw):
+        if self._context is None:
+            return raw
         sock = await self._context.wrap_socket(
             raw,
             server_side=True,
             do_handshake_on_connect=False,
         )
         await bounded(CONNECT_TIMEOUT_S, sock.do_handshake)
+        return sock
+
+    async def _serve_stream(self, raw, group: curio.TaskGroup) -> None:
+        sock = await self._secure(raw)
         stream = _Stream(sock=sock, metrics=self._metrics)
         outgoing = curio.Queue()
         await group.spawn(_write_all, stream, outgoing, daemon=True)
@@ -128,7 +140,7 @@
         try:
             async for envelope in stream.iter_envelopes():
                 if hello is None:
-                    hello = _check_hello(envelope, sock)
+                    hello = self._greet(envelope, sock)
                     continue
                 await group.spawn(
                     self._answer,
@@ -140,6 +152,12 @@
         finally:
             await stream.close()
 
+    def _greet(self, envelope: Envelope, sock) -> Hello:
+        hello = _parse_hello(envelope)
+        if self._context is not None:
+            _check_certificate(hello, sock)
+        return hello
+
     async def _answer(
         self,
         envelope: Envelope,
@@ -189,7 +207,10 @@
         hello: Hello,
         metrics: Metrics,
     ) -> None:
-        """Takes the address of the other host, and the IP to come from."""
+        """Takes the address of the other host, and the IP to come from.
+
+        :param context: TLS context, or None for plain TCP.
+        """
         self._address = address
         self._local_ip = local_ip
         self._context = context
@@ -276,6 +297,8 @@
             self._address,
             self._local_ip,
         )
+        if self._context is None:
+            return _Stream(sock=raw, metrics=self._metrics)
         try:
             sock = await self._context.wrap_socket(
                 raw,
@@ -373,13 +396,16 @@
             return
 
 
-def _check_hello(envelope: Envelope, sock) -> Hello:
+def _parse_hello(envelope: Envelope) -> Hello:
     hello = envelope.body
     if not isinstance(hello, Hello):
         raise MalformedRecord(detail='stream does not start with a hello')
+    return hello
+
+
+def _check_certificate(hello: Hello, sock) -> None:
     subject = dict(
         pair for row in sock.getpeercert()['subject'] for pair in row
     )
     if subject.get('commonName') != hello.host:
         raise MalformedRecord(detail='host is not the one certified')
-    return hello
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -0,0 +1,176 @@
+"""Batches that this runner works on, and what of them is still open."""
+
+import base64
+import binascii
+
+import curio
+from jacinthmount.batch_order import ItemRun
+from jacinthmount.errors import MalformedRecord, StoreConflict
+from jacinthmount.item_batches import (
+    BatchItem,
+    BatchLog,
+    BatchManifest,
+    BodyChunk,
+    ItemResult,
+    ResultSegment,
+    chunk_name,
+    join_chunks,
+    result_segment_name,
+)
+from jacinthmount.ports import ABSENT, ObjectStore
+from jacinthmount.records import parse_json, serialize_json
+from jacinthmount.stores import new_write_id, write_definitely
+
+__all__ = ('BatchJob', 'read_items', 'read_log', 'write_results')
+
+SEGMENT_BYTES = 500_000
+READ_RETRY_S = 0.3
+
+
+class BatchJob:
+    """One batch with its items that have no result yet."""
+
+    __slots__ = (
+        'key',
+        'log',
+        'manifest',
+        'pending',
+        'ready',
+        'runs',
+        'writing',
+    )
+
+    def __init__(self, *, key: str, manifest: BatchManifest) -> None:
+        """Starts before its items and results are read."""
+        self.key = key
+        self.manifest = manifest
+        self.log = BatchLog(total=len(manifest.item_ids))
+        self.runs: dict[str, ItemRun] = {}
+        self.pending: list[ItemResult] = []
+        self.ready = False
+        self.writing = False
+
+    def waiting_tokens(self) -> int:
+        """Counts the tokens of the items that no endpoint has finished."""
+        if self.manifest.ended:
+            return 0
+        if not self.ready:
+            return sum(self.manifest.token_counts)
+        return sum(run.tokens for run in self.runs.values())
+
+    def fill(self, items: list[BatchItem], due_at: float) -> list[ItemRun]:
+        """Makes the runs of the items that have no result."""
+        for item in items:
+            if not self.log.holds(item.item_id):
+                self.runs[item.item_id] = _make_run(
+                    self.key, self.manifest, item, due_at
+                )
+        self.ready = True
+        return list(self.runs.values())
+
+    def finish(self, run: ItemRun, *, completed: bool) -> None:
+        """Takes the final result of an item, to be written."""
+        if self.runs.pop(run.item_id, None) is None:
+            return
+        text = '\n'.join(run.texts) if completed else ''
+        self.pending.append(
+            ItemResult(item_id=run.item_id, completed=completed, text=text),
+        )
+
+    def next_segment(self) -> list[ItemResult]:
+        """Takes pending results that fit one segment."""
+        taken: list[ItemResult] = []
+        size = 0
+        for one in self.pending:
+            size += len(one.text)
+            if taken and size > SEGMENT_BYTES:
+                break
+            taken.append(one)
+        return taken
+
+
+def _make_run(
+    key: str,
+    manifest: BatchManifest,
+    item: BatchItem,
+    due_at: float,
+) -> ItemRun:
+    try:
+        body = base64.b64decode(item.body)
+    except binascii.Error:
+        body = b''
+    return ItemRun(
+        batch=key,
+        item_id=item.item_id,
+        account=manifest.account,
+        host_name=manifest.host_name,
+        path=item.path,
+        headers=item.headers,
+        body=body,
+        tokens=item.tokens,
+        due_at=due_at,
+    )
+
+
+async def read_items(
+    store: ObjectStore,
+    key: str,
+    chunks: int,
+) -> list[BatchItem]:
+    """Reads the items of a batch.
+
+    :raises StoreUnavailable: no answer.
+    :raises MalformedRecord: a chunk can't be read.
+    """
+    found = []
+    for index in range(chunks):
+        stored = await store.read(chunk_name(key, index))
+        if stored is None or stored.body is None:
+            raise MalformedRecord(detail=f'no chunk {index} of {key}')
+        found.append(parse_json(BodyChunk, stored.body))
+    return join_chunks(found)
+
+
+async def read_log(store: ObjectStore, key: str, log: BatchLog) -> None:
+    """Reads the segments that a log does not hold yet.
+
+    :raises StoreUnavailable: no answer.
+    """
+    while not log.complete:
+        index = log.next_index
+        stored = await store.read(result_segment_name(key, index))
+        if stored is None or stored.body is None:
+            return
+        log.append(index, parse_json(ResultSegment, stored.body))
+
+
+async def write_results(store: ObjectStore, job: BatchJob) -> None:
+    """Writes pending results, behind those that others have written.
+
+    :raises StoreUnavailable: no answer; what is pending stays so.
+    """
+    while job.pending:
+        taken = job.next_segment()
+        segment = ResultSegment(results=taken, write_id=new_write_id())
+        index = job.log.next_index
+        name = result_segment_name(job.key, index)
+        try:
+            await write_definitely(store, name, serialize_json(segment), ABSENT)
+        except StoreConflict:
+            await _read_next(store, job)
+        else:
+            job.log.append(index, segment)
+        job.pending = [
+            one for one in job.pending if not job.log.holds(one.item_id)
+        ]
+
+
+async def _read_next(store: ObjectStore, job: BatchJob) -> None:
+    before = job.log.next_index
+    await read_log(store, job.key, job.log)
+    if job.log.next_index == before:
+        # The segment was created, but this reading did not show it.
+        await curio.sleep(READ_RETRY_S)
+    for item_id in list(job.runs):
+        if job.log.holds(item_id):
+            job.runs.pop(item_id)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -0,0 +1,307 @@
+"""Open batches and their results while this host is the active runner."""
+
+import time
+
+import curio
+from jacinthmount.admissions import BatchAdmissions
+from jacinthmount.batch_order import ItemRun
+from jacinthmount.errors import MalformedRecord, StoreUnavailable
+from jacinthmount.item_batches import BATCH_PREFIX, BatchManifest
+from jacinthmount.ports import Stored
+from jacinthmount.records import parse_json
+
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.batch_jobs import (
+    BatchJob,
+    read_items,
+    read_log,
+    write_results,
+)
+from jacinthmount_node.relay.item_runs import ItemRunner, RunEnd
+from jacinthmount_node.relay.messages import (
+    BatchAdmission,
+    BatchAdmissionReply,
+)
+from jacinthmount_node.relay.object_watch import ObjectWatch
+from jacinthmount_node.relay.run_scheduler import RunScheduler
+from jacinthmount_node.relay.runner_rooms import RunnerRooms
+from jacinthmount_node.relay.state import RelayState
+
+__all__ = ('RelayBatchRunner',)
+
+GROUP_RESULTS_S = 0.15
+CHECK_S = 0.1
+LOAD_RETRY_S = 0.3
+MS = 1000
+
+
+class RelayBatchRunner:
+    """Jobs of open batches, their runs and their results."""
+
+    __slots__ = (
+        '_admissions',
+        '_jobs',
+        '_rooms',
+        '_scheduler',
+        '_state',
+        '_watch',
+    )
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        rooms: RunnerRooms,
+        item_runner: ItemRunner,
+    ) -> None:
+        """Starts without jobs."""
+        self._state = state
+        self._rooms = rooms
+        self._jobs: dict[str, BatchJob] = {}
+        self._admissions = BatchAdmissions()
+        self._scheduler = RunScheduler(
+            state=state,
+            rooms=rooms,
+            item_runner=item_runner,
+            find_service=self._find_service,
+            on_end=self._on_end,
+        )
+        self._watch = ObjectWatch(
+            store=state.store,
+            prefix=BATCH_PREFIX,
+            on_change=self._on_manifests,
+            rng=state.rng,
+        )
+
+    async def run(self) -> None:
+        """Works until cancelled."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._watch.run)
+            await group.spawn(self._run_checks)
+
+    async def stop(self) -> None:
+        """Ends all runs, writes the results at hand and stays inactive."""
+        self._scheduler.stopped = True
+        await self._scheduler.clear()
+        for job in list(self._jobs.values()):
+            await self._write_once(job)
+
+    @property
+    def stopped(self) -> bool:
+        """Tells whether this runner takes no more work."""
+        return self._scheduler.stopped
+
+    async def on_load_change(self) -> None:
+        """Brings what runs in line with the load of the endpoints."""
+        if self._state.leadership.active:
+            await self._scheduler.on_load_change()
+
+    def admit(self, asked: BatchAdmission) -> BatchAdmissionReply:
+        """Tells whether a batch fits the waiting tokens of its account."""
+        if asked.key in self._jobs:
+            return BatchAdmissionReply(fits=True, known=True)
+        waiting = sum(
+            job.waiting_tokens()
+            for job in self._jobs.values()
+            if job.manifest.account == asked.account
+            and job.manifest.route == asked.route
+        )
+        fits = self._admissions.admit(
+            asked.key,
+            f'{asked.account}/{asked.route}',
+            tokens=asked.tokens,
+            waiting=waiting,
+            cap=asked.cap,
+            now=self._state.now(),
+        )
+        return BatchAdmissionReply(fits=fits, known=False)
+
+    @property
+    def knows_batches(self) -> bool:
+        """Tells whether all manifests were read and are followed."""
+        return bool(self._watch.revision) and not self._watch.in_outage
+
+    async def _on_manifests(
+        self,
+        watch: ObjectWatch,
+        changed: list[Stored],
+    ) -> None:
+        if self._state.leadership.active:
+            for one in changed:
+                await self._take_manifest(one)
+
+    async def _take_manifest(self, one: Stored) -> None:
+        key = one.name.removeprefix(BATCH_PREFIX)
+        if one.body is None:
+            await self._drop(key)
+            return
+        try:
+            manifest = parse_json(BatchManifest, one.body)
+        except MalformedRecord as exc:
+            log_event('bad_object', name=one.name, detail=exc.detail)
+            return
+        if manifest.ended:
+            await self._drop(key)
+        elif key not in self._jobs:
+            job = BatchJob(key=key, manifest=manifest)
+            self._jobs[key] = job
+            self._admissions.settle(key)
+            await curio.spawn(self._load, job, daemon=True)
+
+    async def _load(self, job: BatchJob) -> None:
+        items = None
+        while items is None and self._jobs.get(job.key) is job:
+            try:
+                items = await self._read(job)
+            except StoreUnavailable as exc:
+                log_event('batch_unread', batch=job.key, detail=exc.detail)
+                await curio.sleep(LOAD_RETRY_S)
+            except MalformedRecord as exc:
+                log_event('bad_batch', batch=job.key, detail=exc.detail)
+                return
+        if items is None or self._jobs.get(job.key) is not job:
+            return
+        due_in_s = job.manifest.due_at_ms / MS - time.time()
+        for run in job.fill(items, self._state.now() + due_in_s):
+            self._scheduler.add(run)
+        log_event(
+            'batch_open',
+            batch=job.manifest.batch_id,
+            items=len(job.runs),
+            due_in_s=round(due_in_s, 2),
+        )
+        await self._scheduler.pump()
+
+    async def _read(self, job: BatchJob):
+        await read_log(self._state.store, job.key, job.log)
+        if job.log.complete:
+            return []
+        return await read_items(
+            self._state.store,
+            job.key,
+            job.manifest.chunks,
+        )
+
+    async def _drop(self, key: str) -> None:
+        job = self._jobs.pop(key, None)
+        if job is None:
+            return
+        for run in list(job.runs.values()):
+            await self._scheduler.remove(run)
+        log_event('batch_closed', batch=job.manifest.batch_id)
+
+    def _find_service(self, run: ItemRun) -> str | None:
+        job = self._jobs.get(run.batch)
+        if job is None or not self._state.configured:
+            return None
+        route = self._state.config.find_route_named(job.manifest.route)
+        return route.pick_service(self._state.rng) if route else None
+
+    async def _on_end(self, run: ItemRun, outcome: RunEnd) -> None:
+        job = self._jobs.get(run.batch)
+        if job is None or run.item_id not in job.runs:
+            return
+        if outcome is RunEnd.FAILED:
+            run.failures += 1
+        hopeless = outcome is RunEnd.IMPOSSIBLE or (
+            run.failures >= max(1, job.manifest.max_attempts)
+        )
+        if outcome is RunEnd.COMPLETED or hopeless:
+            self._log_end(run, completed=not hopeless)
+            await self._finish(job, run, completed=not hopeless)
+        else:
+            self._scheduler.add(run)
+
+    def _log_end(self, run: ItemRun, *, completed: bool) -> None:
+        now = self._state.now()
+        state = 'completed' if completed else 'failed'
+        self._state.metrics.batch_items.labels(run.account, state).inc()
+        log_event(
+            'item_done',
+            item=run.item_id,
+            completed=completed,
+            failures=run.failures,
+            last_run_s=round(now - run.started_at, 2),
+            slack_s=round(run.due_at - now, 2),
+        )
+
+    async def _finish(
+        self,
+        job: BatchJob,
+        run: ItemRun,
+        *,
+        completed: bool,
+    ) -> None:
+        job.finish(run, completed=completed)
+        if not job.writing:
+            job.writing = True
+            await curio.spawn(self._write, job, daemon=True)
+
+    async def _write(self, job: BatchJob) -> None:
+        try:
+            while job.pending and self._jobs.get(job.key) is job:
+                if job.runs:
+                    await curio.sleep(GROUP_RESULTS_S)
+                if not await self._write_once(job):
+                    await curio.sleep(LOAD_RETRY_S)
+        finally:
+            job.writing = False
+        if job.log.complete:
+            for run in list(job.runs.values()):
+                await self._scheduler.remove(run)
+            job.runs.clear()
+            log_event('batch_done', batch=job.manifest.batch_id)
+
+    async def _write_once(self, job: BatchJob) -> bool:
+        try:
+            await write_results(self._state.store, job)
+        except StoreUnavailable as exc:
+            log_event('results_wait', batch=job.key, detail=exc.detail)
+            return False
+        return True
+
+    async def _run_checks(self) -> None:
+        leadership = self._state.leadership
+        was_active = False
+        while True:
+            await curio.sleep(CHECK_S)
+            leadership.store_reached = (
+                not self._watch.in_outage and not self.stopped
+            )
+            active = leadership.decide(self._state.now())
+            if active is not was_active:
+                log_event('runner', active=active)
+                await self._on_role(active=active)
+            was_active = active
+            self._rooms.forget_silent()
+            if active:
+                await self._scheduler.stop_stalled()
+                await self._give_up()
+                await self._scheduler.on_load_change()
+
+    async def _on_role(self, *, active: bool) -> None:
+        if active:
+            for one in self._watch.objects():
+                await self._take_manifest(one)
+            return
+        await self._scheduler.clear()
+        self._jobs.clear()
+
+    async def _give_up(self) -> None:
+        now_ms = time.time() * MS
+        for job in list(self._jobs.values()):
+            late = now_ms > job.manifest.keep_until_ms
+            if late or self._route_gone(job):
+                await self._give_up_job(job)
+
+    async def _give_up_job(self, job: BatchJob) -> None:
+        for run in list(job.runs.values()):
+            log_event('item_given_up', item=run.item_id)
+            await self._scheduler.remove(run)
+            await self._finish(job, run, completed=False)
+
+    def _route_gone(self, job: BatchJob) -> bool:
+        if not self._state.configured:
+            return False
+        found = self._state.config.find_route_named(job.manifest.route)
+        return found is None
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -0,0 +1,235 @@
+"""Requests of callers: route, account, rate, then relay or batch."""
+
+from functools import singledispatch
+from http import HTTPStatus
+
+from jacinthmount.errors import (
+    JacinthmountError,
+    KeyMissing,
+    KeyUnknown,
+    MalformedRequest,
+    NotFound,
+)
+from jacinthmount.fleet_config import AccountRule, RouteRule
+from jacinthmount.records import Record
+
+from jacinthmount_node.http_server import HttpRequest, Responder, error_body
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.batch_desk import BatchDesk
+from jacinthmount_node.relay.online import OnlineCall, OnlineRelay
+from jacinthmount_node.relay.protocols import (
+    CallerProtocol,
+    EndBatch,
+    ReadItemBody,
+    ReadResults,
+    RelayedRequest,
+)
+from jacinthmount_node.relay.quota import AccountQuota
+from jacinthmount_node.relay.state import RelayState
+
+__all__ = ('RelayFront',)
+
+MAX_ITEMS = 200
+DEFAULT_WAIT_S = 30.0
+
+
+class RelayFront:
+    """Answers callers."""
+
+    __slots__ = (
+        'batches',
+        'protocol',
+        'quota',
+        'relay',
+        'state',
+    )
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        protocol: CallerProtocol,
+        quota: AccountQuota,
+        relay: OnlineRelay,
+        batches: BatchDesk,
+    ) -> None:
+        """Takes what serves each kind of request."""
+        self.state = state
+        self.protocol = protocol
+        self.quota = quota
+        self.relay = relay
+        self.batches = batches
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answers one request."""
+        try:
+            call = self.protocol.parse_call(request)
+            await _answer(call, self, request, responder)
+        except JacinthmountError as exc:
+            log_event(
+                'refused',
+                path=request.path,
+                code=exc.code,
+                status=exc.http_status,
+                detail=exc.detail,
+                request=self.protocol.read_id(request),
+            )
+            if responder.started:
+                responder.abort()
+                return
+            await responder.send_json(
+                exc.http_status,
+                error_body(exc),
+                self.protocol.make_error_headers(exc),
+            )
+
+    def find_account(self, key: str) -> AccountRule:
+        """Finds the account of a key.
+
+        :raises KeyMissing: there is no key, or no account has it.
+        """
+        if not key:
+            raise KeyMissing(detail='no key')
+        account = self.state.config.account_of_key(key)
+        if account is None:
+            raise KeyUnknown(detail='unknown key')
+        return account
+
+
+@singledispatch
+async def _answer(
+    call: Record,
+    front: RelayFront,
+    request: HttpRequest,
+    responder: Responder,
+) -> None:
+    raise NotFound(detail='no such call')
+
+
+@_answer.register
+async def _(
+    call: RelayedRequest,
+    front: RelayFront,
+    request: HttpRequest,
+    responder: Responder,
+) -> None:
+    arrived_at = front.state.now()
+    route = front.state.config.find_route(call.host_name, call.path)
+    if route is None:
+        raise NotFound(detail='no route')
+    account = None
+    if front.state.config.has_accounts and not route.public:
+        account = front.find_account(call.key)
+    body = await request.read_body()
+    if route.takes_batches:
+        await _submit(call, front, route, account, body, responder)
+        return
+    if account is not None:
+        await front.quota.take(account)
+    left_s = DEFAULT_WAIT_S if call.left_s is None else call.left_s
+    if route.timeout_s:
+        left_s = min(left_s, route.timeout_s)
+    online = OnlineCall(
+        request=call,
+        route=route,
+        account=account.name if account else '',
+        body=body,
+        arrived_at=arrived_at,
+        deadline=arrived_at + left_s,
+    )
+    await front.relay.answer(online, responder)
+    _log_served(front, online, responder)
+
+
+def _log_served(
+    front: RelayFront,
+    online: OnlineCall,
+    responder: Responder,
+) -> None:
+    took_s = front.state.now() - online.arrived_at
+    log_event(
+        'served',
+        request=online.request.request_id,
+        account=online.account,
+        route=online.route.name,
+        status=responder.status,
+        attempts=online.attempts,
+        took_s=round(took_s, 3),
+    )
+
+
+async def _submit(
+    call: RelayedRequest,
+    front: RelayFront,
+    route: RouteRule,
+    account: AccountRule | None,
+    body: bytes,
+    responder: Responder,
+) -> None:
+    if not call.request_id:
+        raise MalformedRequest(detail='a batch needs an id')
+    items = front.protocol.parse_items(body)
+    if not items or len(items) > MAX_ITEMS:
+        raise MalformedRequest(detail=f'a batch has 1 to {MAX_ITEMS} items')
+    if len({item.item_id for item in items}) < len(items):
+        raise MalformedRequest(detail='two items have one id')
+    await front.batches.submit(
+        account.name if account else '',
+        route,
+        call.request_id,
+        call.host_name,
+        items,
+    )
+    await responder.send_json(HTTPStatus.ACCEPTED, {})
+
+
+@_answer.register
+async def _(
+    call: ReadResults,
+    front: RelayFront,
+    request: HttpRequest,
+    responder: Responder,
+) -> None:
+    account = front.find_account(call.key)
+    total, found = await front.batches.read_results(
+        account.name,
+        call.batch_id,
+        call.after,
+        call.wait_s,
+    )
+    await responder.send_json(
+        HTTPStatus.OK,
+        front.protocol.make_results(total, call.after, found),
+    )
+
+
+@_answer.register
+async def _(
+    call: ReadItemBody,
+    front: RelayFront,
+    request: HttpRequest,
+    responder: Responder,
+) -> None:
+    account = front.find_account(call.key)
+    body = await front.batches.read_item(
+        account.name,
+        call.batch_id,
+        call.item_id,
+    )
+    await responder.send(
+        HTTPStatus.OK,
+        body,
+        [('content-type', 'application/octet-stream')],
+    )
+
+
+@_answer.register
+async def _(
+    call: EndBatch,
+    front: RelayFront,
+    request: HttpRequest,
+    responder: Responder,
+) -> None:
+    account = front.find_account(call.key)
+    await front.batches.end(account.name, call.batch_id)
+    await responder.send_json(HTTPStatus.OK, {})
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -0,0 +1,169 @@
+"""One run of a batch item at an endpoint."""
+
+import enum
+from http import HTTPStatus
+
+from jacinthmount.batch_order import ItemRun
+from jacinthmount.errors import EndpointFailed
+from jacinthmount.event_stream import EventChecker
+from jacinthmount.placement import EndpointUse
+
+from jacinthmount_node.http_client import (
+    ATTEMPT_ERRORS,
+    ClientPool,
+    Exchange,
+)
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.protocols import (
+    EndpointAnswer,
+    EndpointProtocol,
+    EndpointRequest,
+)
+from jacinthmount_node.relay.state import RelayState
+from jacinthmount_node.sockets import bounded
+
+__all__ = ('ItemRunner', 'RunEnd', 'idle_limit')
+
+HEAD_TIMEOUT_S = 3.0
+IDLE_PART = 0.5
+IDLE_UNKNOWN_S = 1.0
+
+
+class RunEnd(enum.Enum):
+    """How a run ended."""
+
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    IMPOSSIBLE = 'impossible'
+    REFUSED = 'refused'
+    LOST = 'lost'
+
+
+class ItemRunner:
+    """Sends items and collects their events."""
+
+    __slots__ = ('_pool', '_protocol', '_state')
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        pool: ClientPool,
+        protocol: EndpointProtocol,
+    ) -> None:
+        """Takes the connections to use, apart from those of others."""
+        self._state = state
+        self._pool = pool
+        self._protocol = protocol
+
+    async def run(self, run: ItemRun, use: EndpointUse) -> RunEnd:
+        """Runs an item from its last event on; cancelling it ends the run."""
+        exchange = None
+        try:
+            exchange = await self._pool.open(use.entry.address, fresh=False)
+            outcome, idle_s = await self._exchange(run, use, exchange)
+        except ATTEMPT_ERRORS as exc:
+            use.on_failure(self._state.now())
+            log_event(
+                'item_lost',
+                item=run.item_id,
+                endpoint=use.entry.endpoint_id,
+                events=len(run.texts),
+                error=f'{type(exc).__name__}: {exc}',
+            )
+            if exchange is not None:
+                await exchange.close()
+            return RunEnd.LOST
+        except BaseException:
+            if exchange is not None:
+                await exchange.close()
+            raise
+        await self._pool.release(exchange, idle_s)
+        return outcome
+
+    async def _exchange(
+        self,
+        run: ItemRun,
+        use: EndpointUse,
+        exchange: Exchange,
+    ) -> tuple[RunEnd, float]:
+        request = EndpointRequest(
+            request_id=run.item_id,
+            endpoint_id=use.entry.endpoint_id,
+            account=run.account,
+            host_name=run.host_name,
+            headers=list(run.headers.items()),
+            left_s=None,
+            after_event=run.last_event,
+        )
+        await exchange.send(
+            'POST',
+            run.path,
+            self._protocol.make_headers(request),
+            run.body,
+        )
+        await bounded(HEAD_TIMEOUT_S, _read_head, exchange)
+        answer = self._protocol.parse_answer(
+            run.item_id,
+            exchange.status,
+            exchange.headers,
+        )
+        if not answer.own:
+            raise EndpointFailed(detail='answer to another request')
+        if exchange.status >= HTTPStatus.MULTIPLE_CHOICES:
+            await exchange.read_body()
+            outcome = self._classify(run, use, exchange.status, answer)
+            return outcome, idle_limit(answer)
+        if not answer.signed:
+            raise EndpointFailed(detail='answer without a signature')
+        await self._collect(run, exchange)
+        use.on_success()
+        return RunEnd.COMPLETED, idle_limit(answer)
+
+    def _classify(
+        self,
+        run: ItemRun,
+        use: EndpointUse,
+        status: int,
+        answer: EndpointAnswer,
+    ) -> RunEnd:
+        log_event(
+            'item_refused',
+            item=run.item_id,
+            endpoint=use.entry.endpoint_id,
+            status=status,
+            not_run=answer.not_run,
+        )
+        if status == HTTPStatus.UNPROCESSABLE_ENTITY:
+            return RunEnd.IMPOSSIBLE
+        if answer.not_run:
+            run.refusals += 1
+            use.on_failure(self._state.now())
+            return RunEnd.REFUSED
+        if status == HTTPStatus.INTERNAL_SERVER_ERROR:
+            return RunEnd.FAILED
+        use.on_failure(self._state.now())
+        return RunEnd.LOST
+
+    async def _collect(self, run: ItemRun, exchange: Exchange) -> None:
+        checker = EventChecker(last=run.last_event)
+        async for received in exchange.iter_body():
+            run.heard_at = self._state.now()
+            for event in checker.feed(received):
+                if event.number is None:
+                    continue
+                run.texts.append(event.read_data())
+                run.last_event = event.number
+        if not checker.is_between_events:
+            raise EndpointFailed(detail='stream ended inside an event')
+
+
+def idle_limit(answer: EndpointAnswer) -> float:
+    """Tells how long a connection may stay idle and be used again."""
+    if answer.idle_s is None:
+        return IDLE_UNKNOWN_S
+    return answer.idle_s * IDLE_PART
+
+
+async def _read_head(exchange: Exchange) -> None:
+    await exchange.read_head(framed=False)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -0,0 +1,170 @@
+"""Watches of object prefixes that survive outages and lost history."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import curio
+from jacinthmount.errors import HistoryGone, StoreUnavailable
+from jacinthmount.ports import Listing, ObjectStore, Stored
+from jacinthmount.records import Record
+
+from jacinthmount_node.logs import log_event
+
+__all__ = ('ObjectWatch', 'PrefixSnapshot')
+
+WATCH_WAIT_S = 20.0
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 0.8
+RETRY_SPREAD = (0.7, 1.3)
+
+OnChange = Callable[['ObjectWatch', list[Stored]], Awaitable[None]]
+
+
+class PrefixSnapshot(Record):
+    """All objects under a prefix as of a revision."""
+
+    __slots__ = ('prefix', 'revision', 'objects')
+
+    prefix: str
+    revision: int
+    objects: list[Stored]
+
+
+class ObjectWatch:
+    """Holds the objects under one prefix; never goes back to an older state.
+
+    The callback gets what changed; a removed object has no body.
+    """
+
+    __slots__ = (
+        '_objects',
+        '_on_change',
+        '_rng',
+        '_store',
+        'in_outage',
+        'prefix',
+        'revision',
+    )
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        prefix: str,
+        on_change: OnChange,
+        rng: random.Random,
+    ) -> None:
+        """Starts with nothing known."""
+        self._store = store
+        self._on_change = on_change
+        self._rng = rng
+        self._objects: dict[str, Stored] = {}
+        self.prefix = prefix
+        self.revision = 0
+        self.in_outage = True
+
+    def objects(self) -> list[Stored]:
+        """Lists the objects known."""
+        return list(self._objects.values())
+
+    def snapshot(self) -> PrefixSnapshot:
+        """Copies what is known for another host."""
+        return PrefixSnapshot(
+            prefix=self.prefix,
+            revision=self.revision,
+            objects=self.objects(),
+        )
+
+    async def run(self) -> None:
+        """Follows the store until cancelled."""
+        while True:
+            await self._relist_until_done()
+            try:
+                await self._follow()
+            except HistoryGone:
+                log_event('history_gone', prefix=self.prefix)
+            except StoreUnavailable as exc:
+                self._note_outage(exc)
+
+    async def take_snapshot(self, snapshot: PrefixSnapshot) -> None:
+        """Takes the state of another host if it is newer."""
+        if snapshot.revision > self.revision:
+            await self._take_listing(
+                Listing(
+                    objects=snapshot.objects,
+                    revision=snapshot.revision,
+                ),
+            )
+
+    async def _follow(self) -> None:
+        while True:
+            page = await self._store.watch_page(
+                self.prefix,
+                self.revision,
+                WATCH_WAIT_S,
+            )
+            await self._take_changes(page)
+
+    async def _relist_until_done(self) -> None:
+        # A listing answers at once, so that the end of an outage is noticed.
+        pause_s = RETRY_MIN_S
+        while True:
+            try:
+                await self._relist()
+            except StoreUnavailable as exc:
+                self._note_outage(exc)
+                await curio.sleep(pause_s * self._rng.uniform(*RETRY_SPREAD))
+                pause_s = min(RETRY_MAX_S, pause_s * 2)
+            else:
+                return
+
+    async def _relist(self) -> None:
+        listing = await self._store.list_names(self.prefix)
+        self._note_return()
+        await self._take_listing(listing)
+
+    async def _take_listing(self, listing: Listing) -> None:
+        if listing.revision < self.revision:
+            return
+        changed = [one for one in listing.objects if self._is_newer(one)]
+        listed = {one.name for one in listing.objects}
+        changed.extend(
+            Stored(name=name, version=listing.revision, body=None)
+            for name in self._objects
+            if name not in listed
+        )
+        self.revision = listing.revision
+        await self._apply(changed)
+
+    async def _take_changes(self, page: Listing) -> None:
+        # Another source may have brought a newer state meanwhile.
+        changed = [one for one in page.objects if self._is_newer(one)]
+        self.revision = max(self.revision, page.revision)
+        await self._apply(changed)
+
+    def _is_newer(self, one: Stored) -> bool:
+        known = self._objects.get(one.name)
+        if known is None:
+            return one.body is not None
+        return one.version > known.version or (
+            one.body is None and one.version >= known.version
+        )
+
+    async def _apply(self, changed: list[Stored]) -> None:
+        for one in changed:
+            if one.body is None:
+                self._objects.pop(one.name, None)
+            else:
+                self._objects[one.name] = one
+        if changed:
+            await self._on_change(self, changed)
+
+    def _note_outage(self, exc: StoreUnavailable) -> None:
+        if not self.in_outage:
+            log_event('store_lost', prefix=self.prefix, detail=exc.detail)
+        self.in_outage = True
+
+    def _note_return(self) -> None:
+        if self.in_outage:
+            log_event('store_reached', prefix=self.prefix)
+        self.in_outage = False
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -0,0 +1,398 @@
+"""Requests relayed to one endpoint at a time, with their whole answer."""
+
+from http import HTTPStatus
+
+import curio
+from jacinthmount.dispatch import Attempt, Next, Stage, decide
+from jacinthmount.errors import (
+    DeadlineExceeded,
+    EndpointFailed,
+    EndpointsFull,
+    JacinthmountError,
+    KeyUnknown,
+    OutcomeUnknown,
+)
+from jacinthmount.event_stream import EventChecker
+from jacinthmount.fleet_config import RouteRule
+from jacinthmount.placement import EndpointUse
+
+from jacinthmount_node.http_client import (
+    ATTEMPT_ERRORS,
+    ClientPool,
+    Exchange,
+)
+from jacinthmount_node.http_server import Responder
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.item_runs import idle_limit
+from jacinthmount_node.relay.online_queue import OnlineQueue
+from jacinthmount_node.relay.protocols import (
+    EndpointAnswer,
+    EndpointProtocol,
+    EndpointRequest,
+    RelayedRequest,
+)
+from jacinthmount_node.relay.reports import HostReporter
+from jacinthmount_node.relay.state import RelayState
+
+__all__ = ('OnlineCall', 'OnlineRelay')
+
+MAX_REFUSALS = 4
+WAIT_PART = 0.7
+MIN_ATTEMPT_S = 0.02
+PUMP_INTERVAL_S = 0.05
+LANE = 'online'
+PROMISES = frozenset((
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+))
+
+
+class OnlineCall:
+    """An admitted request and how far it came."""
+
+    __slots__ = (
+        'account',
+        'arrived_at',
+        'attempts',
+        'body',
+        'deadline',
+        'key',
+        'last_event',
+        'refusals',
+        'request',
+        'route',
+        'tried',
+    )
+
+    def __init__(
+        self,
+        *,
+        request: RelayedRequest,
+        route: RouteRule,
+        account: str,
+        body: bytes,
+        arrived_at: float,
+        deadline: float,
+    ) -> None:
+        """Keeps the facts; times are monotonic seconds."""
+        self.request = request
+        self.route = route
+        self.account = account
+        self.body = body
+        self.arrived_at = arrived_at
+        self.deadline = deadline
+        self.last_event = request.received_events
+        self.attempts = 0
+        self.refusals = 0
+        self.tried: set[str] = set()
+
+
+class _Refused(Exception):
+    """An endpoint said that it did not run the request."""
+
+
+class OnlineRelay:
+    """Runs online requests of all services on this host."""
+
+    __slots__ = ('_pool', '_protocol', '_queues', '_reporter', '_state')
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        pool: ClientPool,
+        protocol: EndpointProtocol,
+        reporter: HostReporter,
+    ) -> None:
+        """Starts without queues."""
+        self._state = state
+        self._pool = pool
+        self._protocol = protocol
+        self._reporter = reporter
+        self._queues: dict[str, OnlineQueue] = {}
+
+    async def run(self) -> None:
+        """Lets waiting requests go when endpoints come back."""
+        while True:
+            await curio.sleep(PUMP_INTERVAL_S)
+            await self.pump()
+
+    async def pump(self) -> None:
+        """Lets waiting requests go where there is room."""
+        for queue in self._queues.values():
+            await queue.pump()
+
+    async def answer(self, call: OnlineCall, responder: Responder) -> None:
+        """Runs a request and sends its whole answer.
+
+        :raises JacinthmountError: the request is refused or failed before
+            any part of an answer was sent.
+        """
+        while True:
+            service = call.route.pick_service(self._state.rng)
+            queue = self._queue(service)
+            use = await self._acquire(call, queue, responder)
+            started_at = self._state.now()
+            try:
+                await self._reporter.note_change()
+                self._recheck(call)
+                stage = await self._attempt(call, use, responder)
+            finally:
+                took_s = self._state.now() - started_at
+                await self._release(queue, call, use, took_s)
+            if stage is None:
+                return
+            call.tried.add(use.entry.endpoint_id)
+            self._settle(call, stage, responder)
+
+    async def _release(
+        self,
+        queue: OnlineQueue,
+        call: OnlineCall,
+        use: EndpointUse,
+        took_s: float,
+    ) -> None:
+        queue.release(call.account, use, took_s)
+        await self._reporter.note_change()
+        await queue.pump()
+
+    async def _acquire(
+        self,
+        call: OnlineCall,
+        queue: OnlineQueue,
+        responder: Responder,
+    ) -> EndpointUse:
+        try:
+            return await queue.acquire(
+                call.account,
+                call.tried,
+                self._wait_limit_s(call),
+            )
+        except EndpointsFull as exc:
+            if responder.started:
+                responder.abort()
+            if call.attempts:
+                # It may have run before, so it must not be called not run.
+                raise EndpointFailed(detail=exc.detail) from exc
+            raise
+
+    def _wait_limit_s(self, call: OnlineCall) -> float:
+        now = self._state.now()
+        aim = call.arrived_at + call.route.target_s * WAIT_PART
+        return max(MIN_ATTEMPT_S, min(aim, call.deadline) - now)
+
+    def _recheck(self, call: OnlineCall) -> None:
+        # The key may have been withdrawn while the request waited.
+        if call.route.public or not self._state.config.has_accounts:
+            return
+        if self._state.config.account_of_key(call.request.key) is None:
+            raise KeyUnknown(detail='key is not valid any more')
+
+    async def _attempt(
+        self,
+        call: OnlineCall,
+        use: EndpointUse,
+        responder: Responder,
+    ) -> Stage | None:
+        exchange = None
+        stage = Stage.CONNECTING
+        try:
+            async with curio.timeout_after(
+                max(MIN_ATTEMPT_S, call.deadline - self._state.now()),
+            ):
+                exchange = await self._pool.open(
+                    use.entry.address,
+                    fresh=False,
+                )
+                idle_s = await self._relay(call, use, exchange, responder)
+        except _Refused:
+            use.on_failure(self._state.now())
+            call.refusals += 1
+            if exchange is not None:
+                await exchange.close()
+            return Stage.CONNECTING
+        except ATTEMPT_ERRORS as exc:
+            if responder.broken:
+                raise
+            use.on_failure(self._state.now())
+            if exchange is not None:
+                stage = exchange.stage
+                await exchange.close()
+            self._log_loss(call, use, stage, exc, exchange)
+            return stage
+        except BaseException:
+            if exchange is not None:
+                await exchange.close()
+            raise
+        use.on_success()
+        await self._pool.release(exchange, idle_s)
+        return None
+
+    def _log_loss(
+        self,
+        call: OnlineCall,
+        use: EndpointUse,
+        stage: Stage,
+        exc: BaseException,
+        exchange: Exchange | None,
+    ) -> None:
+        log_event(
+            'attempt_lost',
+            request=call.request.request_id,
+            endpoint=use.entry.endpoint_id,
+            stage=Stage(stage).name,
+            reused=bool(exchange and exchange.reused),
+            error=f'{type(exc).__name__}: {exc}',
+            after_s=round(self._state.now() - call.arrived_at, 3),
+        )
+
+    async def _relay(
+        self,
+        call: OnlineCall,
+        use: EndpointUse,
+        exchange: Exchange,
+        responder: Responder,
+    ) -> float:
+        call.attempts += 1
+        request = EndpointRequest(
+            request_id=call.request.request_id,
+            endpoint_id=use.entry.endpoint_id,
+            account=call.account,
+            host_name=call.request.host_name,
+            headers=call.request.headers,
+            left_s=call.deadline - self._state.now(),
+            after_event=call.last_event,
+        )
+        await exchange.send(
+            call.request.method,
+            call.request.target,
+            self._protocol.make_headers(request),
+            call.body,
+        )
+        await exchange.read_head(framed=False)
+        answer = self._protocol.parse_answer(
+            call.request.request_id,
+            exchange.status,
+            exchange.headers,
+        )
+        if not answer.own:
+            raise EndpointFailed(detail='answer to another request')
+        if answer.not_run:
+            call.attempts -= 1
+            raise _Refused
+        if exchange.status < HTTPStatus.MULTIPLE_CHOICES:
+            if not answer.signed:
+                raise EndpointFailed(detail='answer without a signature')
+            if call.route.streams:
+                await self._relay_stream(call, exchange, answer, responder)
+                return idle_limit(answer)
+        await self._relay_whole(call, exchange, answer, responder)
+        return idle_limit(answer)
+
+    async def _relay_whole(
+        self,
+        call: OnlineCall,
+        exchange: Exchange,
+        answer: EndpointAnswer,
+        responder: Responder,
+    ) -> None:
+        body = await exchange.read_body()
+        status = exchange.status
+        if responder.started:
+            raise EndpointFailed(detail=f'status {status} on resuming')
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR and self._again(call):
+            raise EndpointFailed(detail=f'status {status}')
+        if status in PROMISES:
+            # The endpoint does not promise that the request has not run.
+            raise EndpointFailed(detail=f'status {status} without promise')
+        self._first_event(call)
+        await responder.send(status, body, answer.headers)
+
+    async def _relay_stream(
+        self,
+        call: OnlineCall,
+        exchange: Exchange,
+        answer: EndpointAnswer,
+        responder: Responder,
+    ) -> None:
+        checker = EventChecker(last=call.last_event)
+        async for received in exchange.iter_body():
+            events = checker.feed(received)
+            if not events:
+                continue
+            packed = b''.join(event.packed for event in events)
+            if responder.started:
+                await responder.write(packed)
+            else:
+                await responder.start(HTTPStatus.OK, answer.headers, packed)
+                self._first_event(call)
+            call.last_event = checker.last
+        if not checker.is_between_events:
+            raise EndpointFailed(detail='stream ended inside an event')
+        if not responder.started:
+            await responder.start(HTTPStatus.OK, answer.headers)
+        await responder.finish()
+
+    def _first_event(self, call: OnlineCall) -> None:
+        metric = self._state.metrics.first_token_s
+        took_s = self._state.now() - call.arrived_at
+        metric.labels(call.account, LANE).observe(took_s)
+
+    def _again(self, call: OnlineCall) -> bool:
+        return (
+            call.route.idempotent
+            and call.attempts < call.route.max_attempts
+            and call.deadline > self._state.now()
+        )
+
+    def _settle(
+        self,
+        call: OnlineCall,
+        stage: Stage,
+        responder: Responder,
+    ) -> None:
+        time_left = call.deadline - self._state.now() > MIN_ATTEMPT_S
+        attempts_left = call.attempts < call.route.max_attempts
+        if stage < Stage.SENT:
+            attempts_left = len(call.tried) <= MAX_REFUSALS
+        outcome = decide(
+            Attempt(
+                stage=stage,
+                idempotent=call.route.idempotent,
+                relayed=responder.started,
+                resumable=call.route.resumable,
+                may_retry=attempts_left,
+                time_left=time_left,
+            ),
+        )
+        # What a run before has left behind is not undone by a refusal.
+        if outcome is Next.NOT_RUN and call.attempts:
+            outcome = Next.FAILED
+        if outcome in {Next.RETRY, Next.RESUME}:
+            self._state.metrics.retries.labels(call.route.name).inc()
+            return
+        if responder.started:
+            responder.abort()
+        raise _failure(outcome, time_left=time_left)
+
+    def _queue(self, service: str) -> OnlineQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = OnlineQueue(state=self._state, service=service)
+            self._queues[service] = queue
+        return queue
+
+
+def _failure(outcome: Next, *, time_left: bool) -> JacinthmountError:
+    if outcome is Next.NOT_RUN:
+        return EndpointsFull(
+            detail='no endpoint took the request',
+            retry_after_s=0.5,
+        )
+    if outcome is Next.UNKNOWN:
+        return OutcomeUnknown(detail='the connection was lost')
+    if not time_left:
+        return DeadlineExceeded(detail='no whole answer before the deadline')
+    return EndpointFailed(detail='endpoints failed')
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
@@ -0,0 +1,147 @@
+"""Online requests that wait for an endpoint, fair over accounts."""
+
+import curio
+from jacinthmount.errors import EndpointsFull
+from jacinthmount.fairness import FairQueue
+from jacinthmount.overload import OverloadGuard
+from jacinthmount.placement import EndpointUse, Placement
+
+from jacinthmount_node.relay.state import RelayState
+from jacinthmount_node.sockets import bounded
+
+__all__ = ('OnlineQueue',)
+
+WEIGHT = 1.0
+TOKENS = 1.0
+
+
+class _Waiter:
+    __slots__ = ('ready', 'tried', 'use')
+
+    def __init__(self, *, tried: set[str]) -> None:
+        self.ready = curio.Event()
+        self.tried = tried
+        self.use: EndpointUse | None = None
+
+
+class OnlineQueue:
+    """Waiting requests of one service on this host."""
+
+    __slots__ = ('_guard', '_placement', '_queue', '_state')
+
+    def __init__(self, *, state: RelayState, service: str) -> None:
+        """Starts with nobody waiting."""
+        self._state = state
+        self._placement: Placement = state.placement(service)
+        self._queue: FairQueue[_Waiter] = FairQueue()
+        self._guard = OverloadGuard()
+
+    async def acquire(
+        self,
+        account: str,
+        tried: set[str],
+        wait_limit_s: float,
+    ) -> EndpointUse:
+        """Takes a place on an endpoint, waiting if that is worth it.
+
+        :param wait_limit_s: seconds that the request may wait at most.
+        :raises EndpointsFull: no place in time; told as soon as it is known.
+        """
+        now = self._state.now()
+        use = None
+        if not len(self._queue):
+            use = self._placement.choose(tried, now)
+        if use is None:
+            self._refuse_hopeless(account, tried, wait_limit_s, now)
+            use = await self._wait(account, tried, wait_limit_s)
+        else:
+            use.online += 1
+        self._queue.begin(account)
+        return use
+
+    def release(self, account: str, use: EndpointUse, took_s: float) -> None:
+        """Gives a place back.
+
+        :param took_s: seconds for which it was held.
+        """
+        use.online -= 1
+        self._queue.end(account)
+        self._guard.on_release(took_s)
+
+    async def pump(self) -> None:
+        """Lets waiting requests go while there are places."""
+        while len(self._queue):
+            now = self._state.now()
+            if self._placement.choose(set(), now) is None:
+                return
+            waiter = self._queue.pop()
+            if waiter is None:
+                return
+            self._note()
+            use = self._placement.choose(waiter.tried, now)
+            if use is not None:
+                use.online += 1
+                waiter.use = use
+            await waiter.ready.set()
+
+    def _refuse_hopeless(
+        self,
+        account: str,
+        tried: set[str],
+        wait_limit_s: float,
+        now: float,
+    ) -> None:
+        ahead = self._guard.ahead(
+            waiting=len(self._queue),
+            own=self._queue.waiting(account),
+            accounts=self._queue.accounts(),
+        )
+        uses = self._placement.available(tried, now)
+        wait_s = self._guard.estimate_wait_s(
+            ahead,
+            sum(use.online for use in uses),
+        )
+        if not uses or wait_s > wait_limit_s:
+            raise EndpointsFull(
+                detail=f'{ahead} wait, expected wait {wait_s:.2f} s',
+                retry_after_s=self._guard.retry_after_s(
+                    wait_s, self._state.rng
+                ),
+            )
+
+    async def _wait(
+        self,
+        account: str,
+        tried: set[str],
+        wait_limit_s: float,
+    ) -> EndpointUse:
+        waiter = _Waiter(tried=tried)
+        self._queue.push(account, WEIGHT, TOKENS, waiter)
+        self._note()
+        try:
+            await bounded(wait_limit_s, waiter.ready.wait)
+        except TimeoutError:
+            if waiter.use is not None:
+                return waiter.use
+            raise EndpointsFull(
+                detail=f'waited {wait_limit_s:.2f} s',
+                retry_after_s=self._guard.retry_after_s(
+                    wait_limit_s, self._state.rng
+                ),
+            ) from None
+        except BaseException:
+            if waiter.use is not None:
+                waiter.use.online -= 1
+            raise
+        finally:
+            self._queue.remove(account, waiter)
+            self._note()
+        if waiter.use is None:
+            raise EndpointsFull(
+                detail='no endpoint is left to try',
+                retry_after_s=self._guard.retry_after_s(0, self._state.rng),
+            )
+        return waiter.use
+
+    def _note(self) -> None:
+        self._state.waiting = len(self._queue)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -0,0 +1,181 @@
+"""Places waiting batch items on endpoints beside online requests."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+from jacinthmount.batch_order import ItemRun, choose_preempted, order_waiting
+from jacinthmount.placement import EndpointUse
+
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.item_runs import ItemRunner, RunEnd
+from jacinthmount_node.relay.runner_rooms import RunnerRooms
+from jacinthmount_node.relay.state import RelayState
+
+__all__ = ('RunScheduler',)
+
+STALL_S = 2.5
+
+FindService = Callable[[ItemRun], str | None]
+OnEnd = Callable[[ItemRun, RunEnd], Awaitable[None]]
+
+
+class RunScheduler:
+    """Waiting and running items.
+
+    :param find_service: names the service of an item, or None where it may
+        not run.
+    :param on_end: told of each run that ended, also of cancelled ones.
+    """
+
+    __slots__ = (
+        '_find_service',
+        '_item_runner',
+        '_on_end',
+        '_rooms',
+        '_state',
+        '_tasks',
+        '_waiting',
+        'stopped',
+    )
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        rooms: RunnerRooms,
+        item_runner: ItemRunner,
+        find_service: FindService,
+        on_end: OnEnd,
+    ) -> None:
+        """Starts with nothing waiting."""
+        self._state = state
+        self._rooms = rooms
+        self._item_runner = item_runner
+        self._find_service = find_service
+        self._on_end = on_end
+        self._waiting: dict[str, ItemRun] = {}
+        self._tasks: dict[str, curio.Task] = {}
+        self.stopped = False
+
+    def add(self, run: ItemRun) -> None:
+        """Adds an item that waits."""
+        self._waiting[run.item_id] = run
+
+    async def remove(self, run: ItemRun) -> None:
+        """Stops an item, whether it waits or runs."""
+        self._waiting.pop(run.item_id, None)
+        task = self._tasks.get(run.item_id)
+        if task is not None:
+            await task.cancel(blocking=False)
+
+    async def clear(self) -> None:
+        """Stops all items."""
+        self._waiting.clear()
+        for task in list(self._tasks.values()):
+            await task.cancel(blocking=False)
+
+    async def on_load_change(self) -> None:
+        """Gives slots back to online requests, and uses free ones."""
+        for entry in self._state.endpoints.entries():
+            excess = -self._rooms.free(entry.endpoint_id)
+            if excess > 0:
+                await self._preempt(entry.endpoint_id, excess)
+        await self.pump()
+
+    async def pump(self) -> None:
+        """Starts waiting items where there is room."""
+        if not self._waiting or self.stopped:
+            return
+        now = self._state.now()
+        open_ids = {
+            entry.endpoint_id
+            for entry in self._state.endpoints.entries()
+            if not entry.leaving and self._rooms.free(entry.endpoint_id) > 0
+        }
+        if not open_ids:
+            return
+        for run in order_waiting(self._waiting.values(), now):
+            use = self._choose(run, open_ids, now)
+            if use is None:
+                continue
+            await self._start(run, use)
+            if self._rooms.free(run.endpoint_id) <= 0:
+                open_ids.discard(run.endpoint_id)
+            if not open_ids:
+                return
+
+    async def stop_stalled(self) -> None:
+        """Stops runs of which nothing was heard; they go on elsewhere."""
+        now = self._state.now()
+        for entry in self._state.endpoints.entries():
+            for run in self._rooms.running(entry.endpoint_id):
+                if now - run.heard_at > STALL_S:
+                    await self._stop_stalled(run, now)
+
+    async def _stop_stalled(self, run: ItemRun, now: float) -> None:
+        log_event('item_stalled', item=run.item_id, endpoint=run.endpoint_id)
+        use = self._state.find_use(run.endpoint_id)
+        if use is not None:
+            use.on_failure(now)
+        task = self._tasks.get(run.item_id)
+        if task is not None:
+            await task.cancel(blocking=False)
+
+    def _choose(
+        self,
+        run: ItemRun,
+        open_ids: set[str],
+        now: float,
+    ) -> EndpointUse | None:
+        service = self._find_service(run)
+        if service is None:
+            return None
+        uses = [
+            use
+            for use in self._state.placement(service).uses()
+            if use.entry.endpoint_id in open_ids and now >= use.ejected_until
+        ]
+        if not uses:
+            return None
+        return max(
+            uses,
+            key=lambda use: self._rooms.free(use.entry.endpoint_id),
+        )
+
+    async def _start(self, run: ItemRun, use: EndpointUse) -> None:
+        now = self._state.now()
+        self._waiting.pop(run.item_id, None)
+        run.endpoint_id = use.entry.endpoint_id
+        run.service = use.entry.service
+        run.started_at = now
+        run.heard_at = now
+        self._rooms.begin(run)
+        self._tasks[run.item_id] = await curio.spawn(
+            self._run_item,
+            run,
+            use,
+            daemon=True,
+        )
+
+    async def _run_item(self, run: ItemRun, use: EndpointUse) -> None:
+        outcome = RunEnd.LOST
+        try:
+            outcome = await self._item_runner.run(run, use)
+        except curio.CancelledError:
+            # Given way, stalled or no longer wanted; its events are kept.
+            outcome = RunEnd.LOST
+        self._rooms.end(run)
+        self._tasks.pop(run.item_id, None)
+        await self._on_end(run, outcome)
+        await self.pump()
+
+    async def _preempt(self, endpoint_id: str, count: int) -> None:
+        runs = self._rooms.running(endpoint_id)
+        for run in choose_preempted(runs, count, self._state.now()):
+            task = self._tasks.get(run.item_id)
+            if task is None:
+                continue
+            self._state.metrics.batch_preempted.labels(run.service).inc()
+            # The count must not wait for the end of the task.
+            self._rooms.end(run)
+            await task.cancel(blocking=False)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -0,0 +1,133 @@
+"""State that the tasks of one relay process share."""
+
+import random
+import uuid
+
+from jacinthmount.endpoint_table import EndpointTable
+from jacinthmount.errors import NotConfigured
+from jacinthmount.fleet_config import FleetConfig
+from jacinthmount.leadership import Leadership
+from jacinthmount.placement import EndpointUse, Placement
+from jacinthmount.ports import Clock, ObjectStore
+
+from jacinthmount_node.metrics import Metrics
+from jacinthmount_node.relay.messages import RelayHost
+from jacinthmount_node.relay.settings import RelaySettings
+
+__all__ = ('RelayState',)
+
+UUID_BITS = 128
+
+
+class RelayState:
+    """Configuration, endpoints and hosts as this process knows them."""
+
+    __slots__ = (
+        '_config',
+        'active_runner',
+        'clock',
+        'config_revision',
+        'endpoints',
+        'hosts',
+        'incarnation',
+        'leadership',
+        'leaving',
+        'metrics',
+        'placements',
+        'rng',
+        'settings',
+        'store',
+        'waiting',
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        store: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Starts without configuration."""
+        self.settings = settings
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.metrics = Metrics()
+        self.incarnation = uuid.UUID(int=rng.getrandbits(UUID_BITS)).hex
+        self._config: FleetConfig | None = None
+        self.config_revision = 0
+        self.endpoints = EndpointTable()
+        self.placements: dict[str, Placement] = {}
+        self.hosts: dict[str, RelayHost] = {}
+        self.leadership = Leadership(host=settings.host, now=clock.now())
+        self.active_runner = ''
+        self.waiting = 0
+        self.leaving = False
+
+    def now(self) -> float:
+        """Reads monotonic time in seconds."""
+        return self.clock.now()
+
+    @property
+    def host(self) -> str:
+        """Names this host."""
+        return self.settings.host
+
+    @property
+    def configured(self) -> bool:
+        """Tells whether a configuration is in force."""
+        return self._config is not None
+
+    @property
+    def config(self) -> FleetConfig:
+        """Gives the configuration in force.
+
+        :raises NotConfigured: none is known yet.
+        """
+        if self._config is None:
+            raise NotConfigured(
+                detail='no configuration is known yet',
+                retry_after_s=0.5,
+            )
+        return self._config
+
+    def apply_config(self, config: FleetConfig, revision: int) -> bool:
+        """Puts a configuration in force unless a newer one is.
+
+        :returns: whether it is in force now.
+        """
+        if revision <= self.config_revision:
+            return False
+        self._config = config
+        self.config_revision = revision
+        return True
+
+    def placement(self, service: str) -> Placement:
+        """Finds the endpoints of a service."""
+        found = self.placements.get(service)
+        if found is None:
+            found = Placement(rng=self.rng)
+            found.set_entries(self.endpoints.usable(service))
+            self.placements[service] = found
+        return found
+
+    def refresh_placements(self) -> None:
+        """Brings all placements in line with the registrations."""
+        for service, placement in self.placements.items():
+            placement.set_entries(self.endpoints.usable(service))
+
+    def find_use(self, endpoint_id: str) -> EndpointUse | None:
+        """Finds what is known of the load of an endpoint."""
+        entry = self.endpoints.find(endpoint_id)
+        if entry is None:
+            return None
+        return self.placement(entry.service).find(endpoint_id)
+
+    def runners(self) -> list[RelayHost]:
+        """Lists the other hosts that can run batch items."""
+        return [
+            one
+            for one in self.hosts.values()
+            if one.runs_batches and one.host != self.host
+        ]
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -0,0 +1,269 @@
+"""Configuration, registrations and hosts, from the store or from peers."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import curio
+from jacinthmount.endpoint_table import EndpointEntry
+from jacinthmount.errors import (
+    MalformedRecord,
+    PeerUnavailable,
+    StoreConflict,
+    StoreUnavailable,
+)
+from jacinthmount.fleet_config import FleetConfig
+from jacinthmount.ports import ABSENT, Stored
+from jacinthmount.records import parse_json, serialize_json
+
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.peers import PeerLinks
+from jacinthmount_node.relay.messages import RelayHost, Snapshot, SnapshotAsk
+from jacinthmount_node.relay.object_watch import ObjectWatch
+from jacinthmount_node.relay.state import RelayState
+
+__all__ = ('HOST_PREFIX', 'FleetDecoder', 'RelaySync')
+
+HOST_PREFIX = 'hosts/'
+PEER_ASK_S = 0.5
+PEER_TIMEOUT_S = 0.5
+SETTLE_CHECK_S = 0.1
+REGISTER_RETRY_S = 0.5
+
+
+class FleetDecoder(Protocol):
+    """Decodes what operator and endpoints write into the store."""
+
+    def parse_config(self, body: str) -> FleetConfig:
+        """Decodes the configuration.
+
+        :raises MalformedRecord: it can't be read.
+        """
+
+    def parse_endpoint(self, name: str, body: str) -> EndpointEntry | None:
+        """Decodes a registration, or None where it names no endpoint."""
+
+
+class RelaySync:
+    """Keeps the shared state in line with the store."""
+
+    __slots__ = (
+        '_config_watch',
+        '_decoder',
+        '_endpoint_watch',
+        '_host_watch',
+        '_links',
+        '_on_config',
+        '_state',
+    )
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        links: PeerLinks,
+        decoder: FleetDecoder,
+        on_config: Callable[[], None],
+    ) -> None:
+        """Takes the state to keep.
+
+        :param on_config: called after another configuration is in force.
+        """
+        self._state = state
+        self._links = links
+        self._decoder = decoder
+        self._on_config = on_config
+        cfg = state.settings
+        config_prefix = cfg.config_object.partition('/')[0]
+        self._config_watch = self._make_watch(
+            f'{config_prefix}/', self._take_config
+        )
+        self._endpoint_watch = self._make_watch(
+            cfg.endpoint_prefix, self._take_endpoints
+        )
+        self._host_watch = self._make_watch(HOST_PREFIX, self._take_hosts)
+
+    async def run(self) -> None:
+        """Follows the store, and peers while it is away, until cancelled."""
+        async with curio.TaskGroup() as group:
+            for watch in self._watches():
+                await group.spawn(watch.run)
+            await group.spawn(self._run_register)
+            await group.spawn(self._run_settle)
+            await group.spawn(self._run_peer_asks)
+
+    @property
+    def in_outage(self) -> bool:
+        """Tells whether the store does not answer this host."""
+        return self._config_watch.in_outage
+
+    @property
+    def is_loaded(self) -> bool:
+        """Tells whether configuration and endpoints are known."""
+        return self._state.configured and bool(self._endpoint_watch.revision)
+
+    def make_snapshot(self) -> Snapshot:
+        """Copies what is known for another host."""
+        return Snapshot(parts=[one.snapshot() for one in self._watches()])
+
+    async def deregister(self) -> None:
+        """Removes the registration of this host."""
+        name = f'{HOST_PREFIX}{self._state.host}'
+        try:
+            found = await self._state.store.read(name)
+            if found and self._state.incarnation in (found.body or ''):
+                await self._state.store.delete(name, found.version)
+        except (StoreUnavailable, StoreConflict) as exc:
+            log_event('deregister_failed', detail=exc.detail)
+
+    def _make_watch(self, prefix: str, on_change) -> ObjectWatch:
+        return ObjectWatch(
+            store=self._state.store,
+            prefix=prefix,
+            on_change=on_change,
+            rng=self._state.rng,
+        )
+
+    def _watches(self) -> tuple[ObjectWatch, ...]:
+        return self._config_watch, self._endpoint_watch, self._host_watch
+
+    async def _take_config(
+        self,
+        watch: ObjectWatch,
+        changed: list[Stored],
+    ) -> None:
+        for one in changed:
+            if one.name != self._state.settings.config_object or not one.body:
+                continue
+            try:
+                config = self._decoder.parse_config(one.body)
+            except MalformedRecord as exc:
+                log_event('bad_object', name=one.name, detail=exc.detail)
+                continue
+            if self._state.apply_config(config, one.version):
+                self._state.metrics.table_revision.set(one.version)
+                log_event(
+                    'config_in_force',
+                    version=config.version,
+                    revision=one.version,
+                    from_store=not watch.in_outage,
+                )
+                self._on_config()
+
+    async def _take_endpoints(
+        self,
+        watch: ObjectWatch,
+        changed: list[Stored],
+    ) -> None:
+        table = self._state.endpoints
+        now = self._state.now()
+        for one in changed:
+            endpoint_id = one.name.removeprefix(watch.prefix)
+            entry = None
+            if one.body is not None:
+                entry = self._decoder.parse_endpoint(endpoint_id, one.body)
+            if entry is None:
+                table.remove(endpoint_id, one.version, now)
+            else:
+                table.put(entry, one.version)
+            log_event(
+                'endpoint',
+                endpoint=endpoint_id,
+                usable=bool(entry and not entry.leaving),
+                version=one.version,
+            )
+        self._state.refresh_placements()
+
+    async def _take_hosts(
+        self,
+        watch: ObjectWatch,
+        changed: list[Stored],
+    ) -> None:
+        hosts = {}
+        for one in watch.objects():
+            try:
+                record = parse_json(RelayHost, one.body or '')
+            except MalformedRecord:
+                log_event('bad_object', name=one.name)
+                continue
+            hosts[record.host] = record
+        self._state.hosts = hosts
+        log_event('hosts', known=len(hosts))
+
+    async def _run_settle(self) -> None:
+        table = self._state.endpoints
+        was_away = True
+        while True:
+            await curio.sleep(SETTLE_CHECK_S)
+            away = self._endpoint_watch.in_outage
+            if away and not was_away:
+                table.on_outage()
+            elif was_away and not away:
+                table.on_return(self._state.now())
+            was_away = away
+            if table.settle(self._state.now()):
+                self._state.refresh_placements()
+
+    async def _run_register(self) -> None:
+        cfg = self._state.settings
+        record = RelayHost(
+            host=cfg.host,
+            incarnation=self._state.incarnation,
+            data_centre=cfg.data_centre,
+            peer_address=cfg.peer_listen,
+            runs_batches=cfg.runs_batches,
+        )
+        while True:
+            known = self._state.hosts.get(cfg.host)
+            if known != record and not self._state.leaving:
+                await self._register(serialize_json(record))
+            await curio.sleep(REGISTER_RETRY_S)
+
+    async def _register(self, body: str) -> None:
+        name = f'{HOST_PREFIX}{self._state.host}'
+        store = self._state.store
+        known = {one.name: one for one in self._host_watch.objects()}
+        found = known.get(name)
+        try:
+            await store.write(name, body, found.version if found else ABSENT)
+        except StoreConflict:
+            log_event('register_raced', name=name)
+        except StoreUnavailable as exc:
+            log_event('register_failed', detail=exc.detail)
+
+    async def _run_peer_asks(self) -> None:
+        while True:
+            await curio.sleep(PEER_ASK_S)
+            if any(watch.in_outage for watch in self._watches()):
+                await self._ask_peer()
+
+    async def _ask_peer(self) -> None:
+        addresses = {
+            one.peer_address
+            for one in self._state.hosts.values()
+            if one.host != self._state.host
+        }
+        known = sorted(addresses) or self._state.settings.seeds
+        others = [
+            one for one in known if one != self._state.settings.peer_listen
+        ]
+        if not others:
+            return
+        address = self._state.rng.choice(others)
+        try:
+            reply = await self._links.request_at(
+                address,
+                SnapshotAsk(config_revision=self._state.config_revision),
+                PEER_TIMEOUT_S,
+            )
+        except PeerUnavailable as exc:
+            log_event('peer_silent', address=address, detail=exc.detail)
+            return
+        if isinstance(reply, Snapshot):
+            await self._take_snapshot(reply)
+
+    async def _take_snapshot(self, snapshot: Snapshot) -> None:
+        watches = {watch.prefix: watch for watch in self._watches()}
+        for part in snapshot.parts:
+            watch = watches.get(part.prefix)
+            if watch is not None:
+                await watch.take_snapshot(part)
--- a/packages/jacinthmount-node/jacinthmount_node/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/sockets.py
@@ -12,6 +12,8 @@
 __all__ = ('SystemClock', 'bounded', 'connect', 'listen', 'parse_address')
 
 LISTEN_BACKLOG = 512
+# Sent bytes that nobody acknowledges end a connection after this time.
+UNACKNOWLEDGED_MS = 3000
 
 
 class SystemClock(Clock):
@@ -57,6 +59,11 @@
     sock = curio_socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
     try:
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            std_socket.IPPROTO_TCP,
+            std_socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_MS,
+        )
         if local_ip:
             sock.bind((local_ip, 0))
         await sock.connect(parse_address(address))
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -10,7 +10,9 @@
     'DeadlineUnreachable',
     'EndpointFailed',
     'EndpointLost',
+    'EndpointsFull',
     'HeadersTooLarge',
+    'HistoryGone',
     'IdempotencyMismatch',
     'InvalidDeclarations',
     'JacinthmountError',
@@ -18,10 +20,12 @@
     'KeyUnknown',
     'MalformedRecord',
     'MalformedRequest',
+    'NotConfigured',
     'NotFound',
     'OrderFenced',
     'OutcomeUnknown',
     'PeerUnavailable',
+    'QuotaExceeded',
     'RateExceeded',
     'RequestCancelled',
     'RequestTimeout',
@@ -258,6 +262,14 @@
     run_state = NOT_RUN
 
 
+class HistoryGone(JacinthmountError):
+    """The object API no longer knows the changes that a watch asked for."""
+
+    code = 1604
+    http_status = 503
+    run_state = NOT_RUN
+
+
 class InvalidDeclarations(JacinthmountError):
     """Settings or declarations are not valid.
 
@@ -274,6 +286,30 @@
         self.problems = problems
 
 
+class NotConfigured(JacinthmountError):
+    """The host has no configuration yet."""
+
+    code = 1305
+    http_status = 503
+    run_state = NOT_RUN
+
+
+class EndpointsFull(JacinthmountError):
+    """No endpoint can start the request in time."""
+
+    code = 1306
+    http_status = 503
+    run_state = NOT_RUN
+
+
+class QuotaExceeded(JacinthmountError):
+    """Too many tokens of the account already wait in batches."""
+
+    code = 1307
+    http_status = 429
+    run_state = NOT_RUN
+
+
 class PeerUnavailable(JacinthmountError):
     """A peer host did not answer in time."""
 
--- /dev/null
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -0,0 +1,77 @@
+"""Which of the hosts that can run batch items does so.
+
+One runner at a time knows the load of every endpoint, so that batch room is
+decided in one place. Two runners for a moment cost repeated work; results stay
+right because each segment of a log is a conditional create.
+"""
+
+from jacinthmount.members import rank_hosts
+from jacinthmount.records import Record
+
+__all__ = ('Leadership', 'RunnerState')
+
+RUNNER_LIVE_S = 1.2
+START_WAIT_S = 0.8
+
+
+class RunnerState(Record):
+    """What a runner says of itself."""
+
+    __slots__ = ('host', 'active', 'store_reached')
+
+    host: str
+    active: bool
+    store_reached: bool
+
+
+class Leadership:
+    """Decides whether this runner is the active one."""
+
+    __slots__ = ('_heard', '_host', '_started_at', 'active', 'store_reached')
+
+    def __init__(self, *, host: str, now: float) -> None:
+        """Starts inactive."""
+        self._host = host
+        self._started_at = now
+        self._heard: dict[str, tuple[RunnerState, float]] = {}
+        self.active = False
+        self.store_reached = False
+
+    def on_state(self, state: RunnerState, now: float) -> None:
+        """Takes what another runner says of itself."""
+        self._heard[state.host] = (state, now)
+
+    def on_lost(self, host: str) -> None:
+        """Notes that another runner can't be reached."""
+        self._heard.pop(host, None)
+
+    def state(self) -> RunnerState:
+        """Describes this runner to others."""
+        return RunnerState(
+            host=self._host,
+            active=self.active,
+            store_reached=self.store_reached,
+        )
+
+    def decide(self, now: float) -> bool:
+        """Decides whether this runner is active from now on.
+
+        A runner that reaches the store goes before one that does not, the one
+        that is active stays, and rank decides the rest.
+        """
+        candidates = [self.state(), *self._live(now)]
+        reaching = [one for one in candidates if one.store_reached]
+        eligible = reaching or candidates
+        holders = [one.host for one in eligible if one.active]
+        hosts = holders or [one.host for one in eligible]
+        first = rank_hosts('batch', hosts)[0] == self._host
+        waited = now - self._started_at >= START_WAIT_S
+        self.active = first and waited
+        return self.active
+
+    def _live(self, now: float) -> list[RunnerState]:
+        return [
+            state
+            for state, at in self._heard.values()
+            if now - at < RUNNER_LIVE_S
+        ]
--- a/packages/jacinthmount/jacinthmount/ports.py
+++ b/packages/jacinthmount/jacinthmount/ports.py
@@ -116,9 +116,23 @@
         after: int,
         wait_s: float,
     ) -> list[Stored]:
-        """Waits for changes later than a version; deletions have no body."""
+        """Waits for changes later than a version; deletions have no body.
+
+        :raises HistoryGone: changes after that version are no longer known.
+        """
         raise NotImplementedError
 
+    async def watch_page(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+    ) -> Listing:
+        """Waits like ``watch`` and tells the version to go on from."""
+        changed = await self.watch(prefix, after, wait_s)
+        newest = max((one.version for one in changed), default=after)
+        return Listing(objects=changed, revision=newest)
+
 
 class HostList:
     """The platform's lagging list of live and leaving hosts."""
