--- a/packages/jacinthmount-node/jacinthmount_node/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_client.py
@@ -10,7 +10,7 @@
 from jacinthmount.dispatch import Stage
 from jacinthmount.errors import EndpointFailed
 
-from jacinthmount_node.sockets import bounded, connect
+from jacinthmount_node.sockets import abort_socket, bounded, connect
 
 __all__ = ('ATTEMPT_ERRORS', 'ClientPool', 'Exchange', 'TRANSPORT_ERRORS')
 
@@ -150,6 +150,10 @@
             reused=True,
         )
 
+    def abort(self) -> None:
+        """Breaks the connection off under the task that reads it."""
+        abort_socket(self._sock)
+
     async def close(self) -> None:
         """Closes the connection."""
         await self._sock.close()
@@ -171,7 +175,13 @@
         """Starts without connections."""
         self._idle: dict[str, list[Exchange]] = {}
 
-    async def open(self, address: str, *, fresh: bool) -> Exchange:
+    async def open(
+        self,
+        address: str,
+        *,
+        fresh: bool,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> Exchange:
         """Opens an exchange.
 
         The connection used last is taken first.
@@ -187,7 +197,7 @@
             if not expired and not exchange.is_stale():
                 return exchange.next_exchange()
             await exchange.close()
-        sock = await bounded(CONNECT_TIMEOUT_S, connect, address)
+        sock = await bounded(timeout_s, connect, address)
         wire = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=MAX_HEADER_BYTES,
--- a/packages/jacinthmount-node/jacinthmount_node/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/peers.py
@@ -3,8 +3,6 @@
 Where the network of the hosts is closed to others, links may go without TLS.
 """
 
-import contextlib
-import socket as std_socket
 import ssl as std_ssl
 from collections.abc import Awaitable, Callable
 
@@ -17,7 +15,7 @@
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.messages import Envelope, Hello
 from jacinthmount_node.metrics import Metrics
-from jacinthmount_node.sockets import bounded, connect
+from jacinthmount_node.sockets import abort_socket, bounded, connect
 
 __all__ = ('PeerLink', 'PeerLinks', 'PeerServer', 'make_contexts')
 
@@ -78,8 +76,7 @@
 
     def abort(self) -> None:
         # The reading task sees the end of the stream and closes the socket.
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(std_socket.SHUT_RDWR)
+        abort_socket(self._sock)
 
 
 class PeerServer:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
@@ -30,13 +30,12 @@
 from jacinthmount.stores import new_write_id, write_definitely
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.peers import PeerLinks
 from jacinthmount_node.relay.batch_jobs import read_items, read_log
 from jacinthmount_node.relay.messages import (
     BatchAdmission,
     BatchAdmissionReply,
 )
-from jacinthmount_node.relay.reports import HostReporter
+from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('BatchDesk',)
@@ -46,6 +45,7 @@
 CACHED_BYTES = 16_000_000
 PAGE_BYTES = 900_000
 WAIT_MARGIN_S = 0.05
+WAIT_CHECK_S = 0.15
 RETRY_AFTER_S = 1.0
 MS = 1000
 
@@ -53,19 +53,17 @@
 class BatchDesk:
     """Serves the callers' side of batches; keeps nothing that must last."""
 
-    __slots__ = ('_links', '_logs', '_manifests', '_reporter', '_state')
+    __slots__ = ('_logs', '_manifests', '_runner_link', '_state')
 
     def __init__(
         self,
         *,
         state: RelayState,
-        links: PeerLinks,
-        reporter: HostReporter,
+        runner_link: RunnerLink,
     ) -> None:
         """Starts with nothing cached."""
         self._state = state
-        self._links = links
-        self._reporter = reporter
+        self._runner_link = runner_link
         self._logs: OrderedDict[str, BatchLog] = OrderedDict()
         self._manifests: OrderedDict[str, BatchManifest] = OrderedDict()
 
@@ -134,11 +132,14 @@
         """
         key = batch_key(account, batch_id)
         log = await self._log(key)
-        if after >= len(log.results):
-            await read_log(self._state.store, key, log)
-        if after >= len(log.results) and not log.complete and wait_s:
-            await curio.sleep(max(0, wait_s - WAIT_MARGIN_S))
-            await read_log(self._state.store, key, log)
+        until = self._state.now() + wait_s - WAIT_MARGIN_S
+        await self._refresh(key, log, after)
+        while after >= len(log.results) and not log.complete:
+            if self._state.now() >= until:
+                break
+            await curio.sleep(WAIT_CHECK_S)
+            if not self._is_current(key, log) or self._state.now() >= until:
+                await self._refresh(key, log, after)
         self._trim()
         return log.total, log.page(after, PAGE_BYTES)
 
@@ -190,6 +191,18 @@
             log_event('batch_ended', batch=batch_id, account=account)
             return
 
+    def _is_current(self, key: str, log: BatchLog) -> bool:
+        return self._state.segments.is_current(
+            key,
+            log.next_index,
+            self._state.now(),
+        )
+
+    async def _refresh(self, key: str, log: BatchLog, after: int) -> None:
+        if after < len(log.results) or self._is_current(key, log):
+            return
+        await read_log(self._state.store, key, log)
+
     async def _is_accepted(
         self,
         key: str,
@@ -219,15 +232,8 @@
         return False
 
     async def _ask(self, asked: BatchAdmission) -> BatchAdmissionReply | None:
-        runner = self._reporter.find_active()
-        if runner is None:
-            return None
         try:
-            reply = await self._links.request_at(
-                runner.peer_address,
-                asked,
-                ADMISSION_TIMEOUT_S,
-            )
+            reply = await self._runner_link.ask(asked, ADMISSION_TIMEOUT_S)
         except PeerUnavailable as exc:
             log_event('admission_unasked', detail=exc.detail)
             return None
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -121,6 +121,20 @@
         """Tells whether all manifests were read and are followed."""
         return bool(self._watch.revision) and not self._watch.in_outage
 
+    def open_segments(self) -> dict[str, int]:
+        """Counts the result segments of the batches that are not complete.
+
+        Nothing is said while the store is out of reach, when another runner
+        may have taken over.
+        """
+        if self._watch.in_outage:
+            return {}
+        return {
+            job.key: job.log.next_index
+            for job in self._jobs.values()
+            if job.ready and not job.log.complete
+        }
+
     async def _on_manifests(
         self,
         watch: ObjectWatch,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -8,6 +8,7 @@
 import curio
 from jacinthmount.errors import StoreUnavailable
 from jacinthmount.ports import Clock, ObjectStore, Stored
+from jacinthmount.rate_shares import HeldShares
 
 from jacinthmount_node.http_client import ClientPool
 from jacinthmount_node.http_server import (
@@ -22,6 +23,7 @@
 from jacinthmount_node.relay.batch_desk import BatchDesk
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
 from jacinthmount_node.relay.desk import RelayDesk
+from jacinthmount_node.relay.fallback_store import FallbackStore
 from jacinthmount_node.relay.front import RelayFront
 from jacinthmount_node.relay.item_runs import ItemRunner
 from jacinthmount_node.relay.object_watch import ObjectWatch
@@ -33,6 +35,7 @@
 )
 from jacinthmount_node.relay.quota import AccountQuota
 from jacinthmount_node.relay.reports import HostReporter
+from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.runner_rooms import RunnerRooms
 from jacinthmount_node.relay.settings import RelaySettings
 from jacinthmount_node.relay.state import RelayState
@@ -90,6 +93,8 @@
         '_ports',
         '_reporter',
         '_runner',
+        '_runner_link',
+        '_shares',
         '_state',
         '_stopping',
         '_sync',
@@ -122,13 +127,29 @@
             ),
             metrics=state.metrics,
         )
+        state.store = FallbackStore(
+            direct=ports.store,
+            state=state,
+            links=links,
+        )
         self._sync = RelaySync(
             state=state,
             links=links,
             decoder=ports.decoder,
             on_config=self._on_config,
         )
-        self._reporter = HostReporter(state=state, links=links)
+        self._shares = HeldShares(now=state.now())
+        self._reporter = HostReporter(
+            state=state,
+            links=links,
+            sync=self._sync,
+            shares=self._shares,
+        )
+        self._runner_link = RunnerLink(
+            state=state,
+            links=links,
+            reporter=self._reporter,
+        )
         self._parts: dict[str, Part] = {
             'sync': self._sync.run,
             'reports': self._reporter.run,
@@ -137,10 +158,12 @@
         if settings.runs_batches:
             rooms = self._make_runner()
         if settings.front_listen:
-            self._make_front(links)
+            self._make_front()
         desk = RelayDesk(
             state=state,
+            store=ports.store,
             sync=self._sync,
+            runner_link=self._runner_link,
             rooms=rooms,
             runner=self._runner,
         )
@@ -191,7 +214,7 @@
         self._parts['retirement'] = self._run_retirement
         return rooms
 
-    def _make_front(self, links: PeerLinks) -> None:
+    def _make_front(self) -> None:
         state = self._state
         relay = OnlineRelay(
             state=state,
@@ -204,14 +227,13 @@
             protocol=self._ports.callers,
             quota=AccountQuota(
                 state=state,
-                links=links,
-                reporter=self._reporter,
+                runner_link=self._runner_link,
+                shares=self._shares,
             ),
             relay=relay,
             batches=BatchDesk(
                 state=state,
-                links=links,
-                reporter=self._reporter,
+                runner_link=self._runner_link,
             ),
         )
         self._reporter.on_view = relay.pump
@@ -222,6 +244,7 @@
         )
         self._parts['front'] = self._front_server.run
         self._parts['online'] = relay.run
+        self._parts['probes'] = relay.run_probes
         if state.settings.ready_listen:
             self._add_http(
                 'ready', state.settings.ready_listen, self._readiness
--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -2,59 +2,113 @@
 
 from functools import singledispatch
 
-from jacinthmount.credits import GrantBook
 from jacinthmount.errors import MalformedRecord, PeerUnavailable
+from jacinthmount.ports import ObjectStore
+from jacinthmount.rate_shares import (
+    AccountDemand,
+    AccountPart,
+    ShareAllotment,
+)
 from jacinthmount.records import Record
 
 from jacinthmount_node.messages import Hello
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
+from jacinthmount_node.relay.fallback_store import answer_store_call
 from jacinthmount_node.relay.messages import (
     BatchAdmission,
+    Forward,
     HostReport,
     HostReportReply,
     SnapshotAsk,
+    StoreRead,
+    StoreWrite,
     TokenAsk,
     TokenGrant,
 )
+from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.runner_rooms import RunnerRooms
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.sync import RelaySync
 
 __all__ = ('RelayDesk',)
 
+PASS_ON_TIMEOUT_S = 0.2
+
 
 class RelayDesk:
     """What this host does for others; runner parts are None elsewhere."""
 
-    __slots__ = ('grants', 'rooms', 'runner', 'state', 'sync')
+    __slots__ = (
+        'allotment',
+        'rooms',
+        'runner',
+        'runner_link',
+        'state',
+        'store',
+        'sync',
+    )
 
     def __init__(
         self,
         *,
         state: RelayState,
+        store: ObjectStore,
         sync: RelaySync,
+        runner_link: RunnerLink,
         rooms: RunnerRooms | None,
         runner: RelayBatchRunner | None,
     ) -> None:
-        """Takes the tasks to hand messages to."""
+        """Takes the tasks to hand messages to.
+
+        :param store: the store as this host itself reaches it.
+        """
         self.state = state
+        self.store = store
         self.sync = sync
+        self.runner_link = runner_link
         self.rooms = rooms
         self.runner = runner
-        self.grants = GrantBook()
+        self.allotment = ShareAllotment()
 
     async def handle(self, body: Record, hello: Hello) -> Record | None:
         """Answers one message."""
         return await _answer(body, self)
 
-    def may_grant(self) -> bool:
-        """Tells whether this host grants tokens.
+    def may_allot(self) -> bool:
+        """Tells whether this host allots rates.
 
-        Only the active runner does, and only while it hears a majority.
+        Only the active runner does, and only while it hears a majority. What
+        it knew counts no more once that was not so.
         """
-        if self.rooms is None or not self.state.leadership.active:
-            return False
-        return self.rooms.heard_hosts() * 2 >= len(self.state.hosts)
+        allots = (
+            self.rooms is not None
+            and self.state.leadership.active
+            and self.rooms.heard_hosts() * 2 >= len(self.state.hosts)
+        )
+        if not allots:
+            self.allotment.clear()
+        return allots
+
+    def allot(
+        self,
+        host: str,
+        demands: list[AccountDemand],
+    ) -> list[AccountPart]:
+        """Allots parts of rates to a host that reports its demand."""
+        if not self.may_allot() or not self.state.configured:
+            return []
+        fronts = {
+            one.host
+            for one in self.state.hosts.values()
+            if not one.runs_batches
+        }
+        self.allotment.keep_hosts(fronts)
+        self.allotment.on_report(host, demands)
+        return self.allotment.parts_of(
+            host,
+            demands,
+            self.state.config.bursts(),
+        )
 
 
 @singledispatch
@@ -65,35 +119,56 @@
 @_answer.register
 async def _(body: HostReport, desk: RelayDesk) -> Record | None:
     now = desk.state.now()
+    leadership = desk.state.leadership
     if body.state is not None:
-        desk.state.leadership.on_state(body.state, now)
-    views = []
-    if desk.rooms is not None and desk.runner is not None:
-        desk.rooms.take_report(body)
-        await desk.runner.on_load_change()
-        if desk.state.leadership.active:
-            views = desk.rooms.views(body.host)
-    return HostReportReply(
-        state=desk.state.leadership.state(),
-        config_revision=desk.state.config_revision,
-        views=views,
+        leadership.on_state(body.state, now)
+    if body.active is not None:
+        leadership.on_named(body.active, now)
+    reply = HostReportReply(
+        state=leadership.state(),
+        revisions={},
+        views=[],
+        parts=[],
+        segments={},
     )
+    if desk.rooms is None or desk.runner is None:
+        return reply
+    desk.rooms.take_report(body)
+    if leadership.active:
+        await desk.runner.on_load_change()
+        reply.views = desk.rooms.views(body.host)
+        reply.revisions = desk.sync.revisions()
+        if body.demands is not None and body.state is None:
+            reply.parts = desk.allot(body.host, body.demands)
+            reply.segments = desk.runner.open_segments()
+    return reply
+
+
+@_answer.register(StoreRead)
+@_answer.register(StoreWrite)
+async def _(body: StoreRead | StoreWrite, desk: RelayDesk) -> Record | None:
+    return await answer_store_call(desk.store, body)
+
+
+@_answer.register
+async def _(body: Forward, desk: RelayDesk) -> Record | None:
+    return await desk.runner_link.pass_on(body.body, PASS_ON_TIMEOUT_S)
 
 
 @_answer.register
 async def _(body: SnapshotAsk, desk: RelayDesk) -> Record | None:
-    return desk.sync.make_snapshot()
+    return desk.sync.make_snapshot(body)
 
 
 @_answer.register
 async def _(body: TokenAsk, desk: RelayDesk) -> Record | None:
     account = None
-    if desk.may_grant() and desk.state.configured:
+    if desk.may_allot() and desk.state.configured:
         account = desk.state.config.find_account(body.account)
     if account is None:
         return TokenGrant(granted=0, wait_s=0.5)
     now = desk.state.now()
-    granted = desk.grants.grant(
+    granted = desk.allotment.grant(
         account.name,
         account.rate_per_s,
         account.burst,
@@ -102,7 +177,7 @@
     )
     return TokenGrant(
         granted=granted,
-        wait_s=desk.grants.wait_s(account.name, now),
+        wait_s=desk.allotment.wait_s(account.name, now),
     )
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -24,6 +24,7 @@
 
 __all__ = ('ItemRunner', 'RunEnd', 'idle_limit')
 
+CONNECT_TIMEOUT_S = 0.4
 HEAD_TIMEOUT_S = 3.0
 IDLE_PART = 0.5
 IDLE_UNKNOWN_S = 1.0
@@ -60,7 +61,11 @@
         """Runs an item from its last event on; cancelling it ends the run."""
         exchange = None
         try:
-            exchange = await self._pool.open(use.entry.address, fresh=False)
+            exchange = await self._pool.open(
+                use.entry.address,
+                fresh=False,
+                timeout_s=CONNECT_TIMEOUT_S,
+            )
             outcome, idle_s = await self._exchange(run, use, exchange)
         except ATTEMPT_ERRORS as exc:
             use.on_failure(self._state.now())
@@ -116,7 +121,7 @@
             return outcome, idle_limit(answer)
         if not answer.signed:
             raise EndpointFailed(detail='answer without a signature')
-        await self._collect(run, exchange)
+        await self._collect(run, exchange, use.entry.data_centre)
         use.on_success()
         return RunEnd.COMPLETED, idle_limit(answer)
 
@@ -145,10 +150,13 @@
         use.on_failure(self._state.now())
         return RunEnd.LOST
 
-    async def _collect(self, run: ItemRun, exchange: Exchange) -> None:
+    async def _collect(
+        self, run: ItemRun, exchange: Exchange, data_centre: str
+    ) -> None:
         checker = EventChecker(last=run.last_event)
         async for received in exchange.iter_body():
             run.heard_at = self._state.now()
+            self._state.centres.on_heard(data_centre, run.heard_at)
             for event in checker.feed(received):
                 if event.number is None:
                     continue
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -1,6 +1,8 @@
 """Messages between the hosts of the relay."""
 
 from jacinthmount.leadership import RunnerState
+from jacinthmount.ports import Stored
+from jacinthmount.rate_shares import AccountDemand, AccountPart
 from jacinthmount.records import Record
 
 from jacinthmount_node.relay.object_watch import PrefixSnapshot
@@ -11,11 +13,17 @@
     'BatchAdmissionReply',
     'EndpointUseReport',
     'EndpointView',
+    'Forward',
     'HostReport',
     'HostReportReply',
     'RelayHost',
     'Snapshot',
     'SnapshotAsk',
+    'StoreFailed',
+    'StoreFound',
+    'StoreRead',
+    'StoreWrite',
+    'StoreWritten',
     'TokenAsk',
     'TokenGrant',
 )
@@ -51,15 +59,19 @@
 class HostReport(Record):
     """What a host has in flight; sent to runners as it changes.
 
-    ``waiting`` counts online requests that wait for an endpoint.
+    ``state`` is what a runner says of itself, ``active`` the runner that the
+    host takes for the active one. ``waiting`` counts online requests that wait
+    for an endpoint. ``demands`` is None except at intervals.
     """
 
-    __slots__ = ('host', 'state', 'waiting', 'uses')
+    __slots__ = ('host', 'state', 'active', 'waiting', 'uses', 'demands')
 
     host: str
     state: RunnerState | None
+    active: RunnerState | None
     waiting: int
     uses: list[EndpointUseReport]
+    demands: list[AccountDemand] | None
 
 
 class EndpointView(Record):
@@ -73,13 +85,21 @@
 
 
 class HostReportReply(Record):
-    """What a runner knows; ``views`` is empty unless it is the active one."""
+    """What a runner knows; only the active one fills more than its state.
 
-    __slots__ = ('state', 'config_revision', 'views')
+    ``revisions`` tells by prefix how new the objects are that it holds,
+    ``parts`` which parts of rates the host may use. ``segments`` counts the
+    result segments of open batches by key. The last two are empty except in
+    answers to reports with demands.
+    """
+
+    __slots__ = ('state', 'revisions', 'views', 'parts', 'segments')
 
     state: RunnerState
-    config_revision: int
+    revisions: dict[str, int]
     views: list[EndpointView]
+    parts: list[AccountPart]
+    segments: dict[str, int]
 
 
 class TokenAsk(Record):
@@ -129,12 +149,20 @@
     key: str
 
 
+class Forward(Record):
+    """Asks a host to pass a question on to the active runner."""
+
+    __slots__ = ('body',)
+
+    body: Record
+
+
 class SnapshotAsk(Record):
-    """Asks for configuration and registrations newer than what is known."""
+    """Asks for objects newer than the revisions known, by prefix."""
 
-    __slots__ = ('config_revision',)
+    __slots__ = ('known',)
 
-    config_revision: int
+    known: dict[str, int]
 
 
 class Snapshot(Record):
@@ -143,3 +171,44 @@
     __slots__ = ('parts',)
 
     parts: list[PrefixSnapshot]
+
+
+class StoreRead(Record):
+    """Asks a host to read an object for another one."""
+
+    __slots__ = ('name',)
+
+    name: str
+
+
+class StoreFound(Record):
+    """The object read, or None where it does not exist."""
+
+    __slots__ = ('stored',)
+
+    stored: Stored | None
+
+
+class StoreWrite(Record):
+    """Asks a host to write an object for another one, conditionally."""
+
+    __slots__ = ('name', 'body', 'expected')
+
+    name: str
+    body: str
+    expected: int
+
+
+class StoreWritten(Record):
+    """The version written, or the one found where it is another."""
+
+    __slots__ = ('version', 'conflict')
+
+    version: int
+    conflict: bool
+
+
+class StoreFailed(Record):
+    """The store gave no answer; a write may take effect."""
+
+    __slots__ = ()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -17,26 +17,36 @@
 RETRY_MAX_S = 0.8
 RETRY_SPREAD = (0.7, 1.3)
 
+FED_CHECK_S = 0.1
+
+IsFed = Callable[[], bool]
 OnChange = Callable[['ObjectWatch', list[Stored]], Awaitable[None]]
 
 
 class PrefixSnapshot(Record):
-    """All objects under a prefix as of a revision."""
+    """The objects under a prefix as of a revision.
+
+    ``names`` lists all of them, ``objects`` holds those that the asking host
+    does not know.
+    """
 
-    __slots__ = ('prefix', 'revision', 'objects')
+    __slots__ = ('prefix', 'revision', 'names', 'objects')
 
     prefix: str
     revision: int
+    names: list[str]
     objects: list[Stored]
 
 
 class ObjectWatch:
     """Holds the objects under one prefix; never goes back to an older state.
 
-    The callback gets what changed; a removed object has no body.
+    The callback gets what changed; a removed object has no body. While the
+    host is fed by another one it makes no calls.
     """
 
     __slots__ = (
+        '_is_fed',
         '_objects',
         '_on_change',
         '_rng',
@@ -53,8 +63,10 @@
         prefix: str,
         on_change: OnChange,
         rng: random.Random,
+        is_fed: IsFed | None = None,
     ) -> None:
         """Starts with nothing known."""
+        self._is_fed = is_fed
         self._store = store
         self._on_change = on_change
         self._rng = rng
@@ -67,12 +79,15 @@
         """Lists the objects known."""
         return list(self._objects.values())
 
-    def snapshot(self) -> PrefixSnapshot:
-        """Copies what is known for another host."""
+    def snapshot(self, after: int) -> PrefixSnapshot:
+        """Copies for another host what is newer than a revision."""
         return PrefixSnapshot(
             prefix=self.prefix,
             revision=self.revision,
-            objects=self.objects(),
+            names=list(self._objects),
+            objects=[
+                one for one in self._objects.values() if one.version > after
+            ],
         )
 
     async def run(self) -> None:
@@ -89,15 +104,17 @@
     async def take_snapshot(self, snapshot: PrefixSnapshot) -> None:
         """Takes the state of another host if it is newer."""
         if snapshot.revision > self.revision:
-            await self._take_listing(
-                Listing(
-                    objects=snapshot.objects,
-                    revision=snapshot.revision,
-                ),
+            await self._take_state(
+                snapshot.objects,
+                set(snapshot.names),
+                snapshot.revision,
             )
 
     async def _follow(self) -> None:
         while True:
+            if self._is_fed is not None and self._is_fed():
+                await self._rest_while_fed(self._is_fed)
+                return
             page = await self._store.watch_page(
                 self.prefix,
                 self.revision,
@@ -105,6 +122,10 @@
             )
             await self._take_changes(page)
 
+    async def _rest_while_fed(self, is_fed: IsFed) -> None:
+        while is_fed():
+            await curio.sleep(FED_CHECK_S)
+
     async def _relist_until_done(self) -> None:
         # A listing answers at once, so that the end of an outage is noticed.
         pause_s = RETRY_MIN_S
@@ -121,19 +142,23 @@
     async def _relist(self) -> None:
         listing = await self._store.list_names(self.prefix)
         self._note_return()
-        await self._take_listing(listing)
+        names = {one.name for one in listing.objects}
+        if listing.revision >= self.revision:
+            await self._take_state(listing.objects, names, listing.revision)
 
-    async def _take_listing(self, listing: Listing) -> None:
-        if listing.revision < self.revision:
-            return
-        changed = [one for one in listing.objects if self._is_newer(one)]
-        listed = {one.name for one in listing.objects}
+    async def _take_state(
+        self,
+        objects: list[Stored],
+        names: set[str],
+        revision: int,
+    ) -> None:
+        changed = [one for one in objects if self._is_newer(one)]
         changed.extend(
-            Stored(name=name, version=listing.revision, body=None)
+            Stored(name=name, version=revision, body=None)
             for name in self._objects
-            if name not in listed
+            if name not in names
         )
-        self.revision = listing.revision
+        self.revision = revision
         await self._apply(changed)
 
     async def _take_changes(self, page: Listing) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -37,6 +37,9 @@
 __all__ = ('OnlineCall', 'OnlineRelay')
 
 MAX_REFUSALS = 4
+CONNECT_TIMEOUT_S = 0.25
+PROBE_INTERVAL_S = 0.4
+GIVE_UP_SILENT_S = 0.6
 WAIT_PART = 0.7
 MIN_ATTEMPT_S = 0.02
 PUMP_INTERVAL_S = 0.05
@@ -58,7 +61,7 @@
         'attempts',
         'body',
         'deadline',
-        'key',
+        'heard_at',
         'last_event',
         'refusals',
         'request',
@@ -84,6 +87,7 @@
         self.arrived_at = arrived_at
         self.deadline = deadline
         self.last_event = request.received_events
+        self.heard_at = arrived_at
         self.attempts = 0
         self.refusals = 0
         self.tried: set[str] = set()
@@ -96,7 +100,14 @@
 class OnlineRelay:
     """Runs online requests of all services on this host."""
 
-    __slots__ = ('_pool', '_protocol', '_queues', '_reporter', '_state')
+    __slots__ = (
+        '_pool',
+        '_protocol',
+        '_queues',
+        '_reporter',
+        '_running',
+        '_state',
+    )
 
     def __init__(
         self,
@@ -112,13 +123,25 @@
         self._protocol = protocol
         self._reporter = reporter
         self._queues: dict[str, OnlineQueue] = {}
+        self._running: dict[OnlineCall, tuple[EndpointUse, Exchange]] = {}
 
     async def run(self) -> None:
         """Lets waiting requests go when endpoints come back."""
         while True:
             await curio.sleep(PUMP_INTERVAL_S)
+            now = self._state.now()
+            for placement in self._state.placements.values():
+                placement.note_silent(now)
+            self._leave_silent(now)
             await self.pump()
 
+    async def run_probes(self) -> None:
+        """Finds out when endpoints out of reach are back."""
+        while True:
+            await curio.sleep(PROBE_INTERVAL_S)
+            for use in self._unreachable():
+                await curio.spawn(self._probe, use, daemon=True)
+
     async def pump(self) -> None:
         """Lets waiting requests go where there is room."""
         for queue in self._queues.values():
@@ -147,6 +170,37 @@
             call.tried.add(use.entry.endpoint_id)
             self._settle(call, stage, responder)
 
+    def _unreachable(self) -> list[EndpointUse]:
+        return [
+            use
+            for placement in self._state.placements.values()
+            for use in placement.uses()
+            if use.unreachable
+        ]
+
+    async def _probe(self, use: EndpointUse) -> None:
+        try:
+            exchange = await self._pool.open(
+                use.entry.address,
+                fresh=True,
+                timeout_s=CONNECT_TIMEOUT_S,
+            )
+        except OSError:
+            return
+        await exchange.close()
+        use.unreachable = False
+        log_event('endpoint_reached', endpoint=use.entry.endpoint_id)
+
+    def _leave_silent(self, now: float) -> None:
+        # Elsewhere the request may still be answered in time.
+        for call, (use, exchange) in list(self._running.items()):
+            silent_since = use.silent_since
+            if silent_since is None or not self._again(call):
+                continue
+            since = max(silent_since, call.heard_at)
+            if now - since > GIVE_UP_SILENT_S:
+                exchange.abort()
+
     async def _release(
         self,
         queue: OnlineQueue,
@@ -205,27 +259,34 @@
                 exchange = await self._pool.open(
                     use.entry.address,
                     fresh=False,
+                    timeout_s=CONNECT_TIMEOUT_S,
                 )
+                self._running[call] = (use, exchange)
                 idle_s = await self._relay(call, use, exchange, responder)
         except _Refused:
+            self._running.pop(call, None)
             use.on_failure(self._state.now())
             call.refusals += 1
             if exchange is not None:
                 await exchange.close()
             return Stage.CONNECTING
         except ATTEMPT_ERRORS as exc:
+            self._running.pop(call, None)
             if responder.broken:
                 raise
             use.on_failure(self._state.now())
+            use.unreachable = exchange is None
             if exchange is not None:
                 stage = exchange.stage
                 await exchange.close()
             self._log_loss(call, use, stage, exc, exchange)
             return stage
         except BaseException:
+            self._running.pop(call, None)
             if exchange is not None:
                 await exchange.close()
             raise
+        self._running.pop(call, None)
         use.on_success()
         await self._pool.release(exchange, idle_s)
         return None
@@ -265,6 +326,8 @@
             left_s=call.deadline - self._state.now(),
             after_event=call.last_event,
         )
+        call.heard_at = self._state.now()
+        use.on_sent(call.heard_at)
         await exchange.send(
             call.request.method,
             call.request.target,
@@ -272,6 +335,7 @@
             call.body,
         )
         await exchange.read_head(framed=False)
+        self._note_heard(call, use)
         answer = self._protocol.parse_answer(
             call.request.request_id,
             exchange.status,
@@ -286,7 +350,7 @@
             if not answer.signed:
                 raise EndpointFailed(detail='answer without a signature')
             if call.route.streams:
-                await self._relay_stream(call, exchange, answer, responder)
+                await self._relay_stream(call, use, exchange, answer, responder)
                 return idle_limit(answer)
         await self._relay_whole(call, exchange, answer, responder)
         return idle_limit(answer)
@@ -313,12 +377,14 @@
     async def _relay_stream(
         self,
         call: OnlineCall,
+        use: EndpointUse,
         exchange: Exchange,
         answer: EndpointAnswer,
         responder: Responder,
     ) -> None:
         checker = EventChecker(last=call.last_event)
         async for received in exchange.iter_body():
+            self._note_heard(call, use)
             events = checker.feed(received)
             if not events:
                 continue
@@ -335,6 +401,11 @@
             await responder.start(HTTPStatus.OK, answer.headers)
         await responder.finish()
 
+    def _note_heard(self, call: OnlineCall, use: EndpointUse) -> None:
+        call.heard_at = self._state.now()
+        use.on_heard(call.heard_at)
+        self._state.centres.on_heard(use.entry.data_centre, call.heard_at)
+
     def _first_event(self, call: OnlineCall) -> None:
         metric = self._state.metrics.first_token_s
         took_s = self._state.now() - call.arrived_at
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
@@ -65,6 +65,8 @@
         :param took_s: seconds for which it was held.
         """
         use.online -= 1
+        if not use.online:
+            use.on_idle()
         self._queue.end(account)
         self._guard.on_release(took_s)
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
@@ -1,13 +1,11 @@
 """Rate and burst of accounts, as this host applies them."""
 
-import curio
-from jacinthmount.credits import CreditBook
 from jacinthmount.errors import PeerUnavailable, RateExceeded
 from jacinthmount.fleet_config import AccountRule
+from jacinthmount.rate_shares import HeldShares
 
-from jacinthmount_node.peers import PeerLinks
 from jacinthmount_node.relay.messages import TokenAsk, TokenGrant
-from jacinthmount_node.relay.reports import HostReporter
+from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('AccountQuota',)
@@ -18,23 +16,22 @@
 
 
 class AccountQuota:
-    """Takes a token for each request, from the grantor where none is here."""
+    """Takes a token for each request, from the pool where none is here."""
 
-    __slots__ = ('_asking', '_book', '_links', '_reporter', '_state')
+    __slots__ = ('_runner_link', '_shares', '_state', '_wait_until')
 
     def __init__(
         self,
         *,
         state: RelayState,
-        links: PeerLinks,
-        reporter: HostReporter,
+        runner_link: RunnerLink,
+        shares: HeldShares,
     ) -> None:
-        """Starts with no tokens."""
+        """Takes the parts that this host holds."""
         self._state = state
-        self._links = links
-        self._reporter = reporter
-        self._book = CreditBook()
-        self._asking: set[str] = set()
+        self._runner_link = runner_link
+        self._shares = shares
+        self._wait_until: dict[str, float] = {}
 
     async def take(self, account: AccountRule) -> None:
         """Takes one token of an account.
@@ -43,44 +40,42 @@
         """
         if account.rate_per_s <= 0:
             return
-        if not self._take_here(account):
-            wait_s = await self._ask(account)
-            if not self._take_here(account):
-                raise RateExceeded(
-                    detail=f'rate of {account.name} is used up',
-                    retry_after_s=max(MIN_WAIT_S, wait_s),
-                )
-        at_hand = self._book.at_hand(account.name, self._state.now())
-        if at_hand < 1 and account.name not in self._asking:
-            self._asking.add(account.name)
-            await curio.spawn(self._ask_ahead, account, daemon=True)
+        now = self._state.now()
+        self._shares.note_demand(account.name, self._count_fronts(), now)
+        if self._take_here(account):
+            return
+        # Where the pool was empty just now, asking again would be in vain.
+        if now >= self._wait_until.get(account.name, 0):
+            await self._ask(account)
+            if self._take_here(account):
+                return
+        wait_s = self._wait_until.get(account.name, 0) - self._state.now()
+        raise RateExceeded(
+            detail=f'rate of {account.name} is used up',
+            retry_after_s=max(MIN_WAIT_S, wait_s),
+        )
+
+    def _count_fronts(self) -> int:
+        return sum(not one.runs_batches for one in self._state.hosts.values())
 
     def _take_here(self, account: AccountRule) -> bool:
-        fronts = [
-            one for one in self._state.hosts.values() if not one.runs_batches
-        ]
-        return self._book.take(
+        return self._shares.take(
             account.name,
             account.rate_per_s,
             account.burst,
-            len(fronts),
+            self._count_fronts(),
             self._state.now(),
         )
 
-    async def _ask_ahead(self, account: AccountRule) -> None:
-        try:
-            await self._ask(account)
-        finally:
-            self._asking.discard(account.name)
+    async def _ask(self, account: AccountRule) -> None:
+        asked_at = self._state.now()
+        wait_s = await self._ask_runner(account)
+        self._wait_until[account.name] = asked_at + wait_s
 
-    async def _ask(self, account: AccountRule) -> float:
-        runner = self._reporter.find_active()
-        if runner is None:
-            return MIN_WAIT_S
+    async def _ask_runner(self, account: AccountRule) -> float:
         asked_at = self._state.now()
         try:
-            reply = await self._links.request_at(
-                runner.peer_address,
+            reply = await self._runner_link.ask(
                 TokenAsk(account=account.name, wanted=TOKENS_AHEAD),
                 ASK_TIMEOUT_S,
             )
@@ -88,5 +83,5 @@
             return MIN_WAIT_S
         if not isinstance(reply, TokenGrant):
             return MIN_WAIT_S
-        self._book.on_grant(account.name, reply.granted, asked_at)
-        return reply.wait_s
+        self._shares.on_grant(account.name, reply.granted, asked_at)
+        return 0.0 if reply.granted else reply.wait_s
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -2,7 +2,9 @@
 
 import curio
 from jacinthmount.errors import PeerUnavailable
+from jacinthmount.leadership import RunnerState
 from jacinthmount.members import rank_hosts
+from jacinthmount.rate_shares import AccountDemand, HeldShares
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.peers import PeerLinks
@@ -13,6 +15,7 @@
     RelayHost,
 )
 from jacinthmount_node.relay.state import RelayState
+from jacinthmount_node.relay.sync import RelaySync
 
 __all__ = ('HostReporter',)
 
@@ -25,14 +28,31 @@
 class HostReporter:
     """Reports to every runner at intervals, to the active one on changes."""
 
-    __slots__ = ('_claims', '_links', '_state', '_wake', 'on_view')
-
-    def __init__(self, *, state: RelayState, links: PeerLinks) -> None:
+    __slots__ = (
+        '_claims',
+        '_links',
+        '_shares',
+        '_state',
+        '_sync',
+        '_wake',
+        'on_view',
+    )
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        links: PeerLinks,
+        sync: RelaySync,
+        shares: HeldShares,
+    ) -> None:
         """Starts with no runner known."""
         self._state = state
+        self._sync = sync
+        self._shares = shares
         self._links = links
         self._wake = curio.Event()
-        self._claims: dict[str, float] = {}
+        self._claims: dict[str, tuple[RunnerState, float]] = {}
         self.on_view = _ignore_view
 
     async def run(self) -> None:
@@ -48,21 +68,28 @@
     def find_active(self) -> RelayHost | None:
         """Finds the active runner, which may be this host."""
         now = self._state.now()
-        live = [
-            host
-            for host, at in self._claims.items()
-            if now - at < RUNNER_LIVE_S and host in self._state.hosts
+        claims = [
+            state
+            for state, at in self._claims.values()
+            if now - at < RUNNER_LIVE_S and state.host in self._state.hosts
         ]
         if self._state.leadership.active:
-            live.append(self._state.host)
-        if not live:
+            claims.append(self._state.leadership.state())
+        reaching = [one for one in claims if one.store_reached]
+        hosts = [one.host for one in reaching or claims]
+        if not hosts:
             return None
-        return self._state.hosts.get(rank_hosts('batch', live)[0])
+        return self._state.hosts.get(rank_hosts('batch', hosts)[0])
 
     async def _run_interval(self) -> None:
         while True:
             for runner in self._state.runners():
-                await curio.spawn(self._report, runner, daemon=True)
+                await curio.spawn(
+                    self._report,
+                    runner,
+                    self._shares.demands(self._state.now()),
+                    daemon=True,
+                )
             await curio.sleep(INTERVAL_S)
 
     async def _run_changes(self) -> None:
@@ -71,15 +98,22 @@
             self._wake.clear()
             active = self.find_active()
             if active is not None and active.host != self._state.host:
-                await curio.spawn(self._report, active, daemon=True)
+                await curio.spawn(self._report, active, None, daemon=True)
             await curio.sleep(FLUSH_S)
 
-    async def _report(self, runner: RelayHost) -> None:
+    def _make_report(
+        self,
+        demands: list[AccountDemand] | None,
+    ) -> HostReport:
         state = self._state
         own = state.leadership.state() if state.settings.runs_batches else None
-        report = HostReport(
+        active = self.find_active()
+        claim = self._claims.get(active.host) if active else None
+        return HostReport(
             host=state.host,
             state=own,
+            active=claim[0] if claim else None,
+            demands=demands,
             waiting=state.waiting,
             uses=[
                 EndpointUseReport(
@@ -91,24 +125,41 @@
                 if use.online
             ],
         )
+
+    async def _report(
+        self,
+        runner: RelayHost,
+        demands: list[AccountDemand] | None,
+    ) -> None:
+        asked_at = self._state.now()
         try:
             reply = await self._links.request_at(
                 runner.peer_address,
-                report,
+                self._make_report(demands),
                 TIMEOUT_S,
             )
         except PeerUnavailable:
             self._note_lost(runner.host)
+            self._state.centres.on_missed(runner.data_centre, asked_at)
             return
+        self._state.centres.on_heard(runner.data_centre, self._state.now())
         if isinstance(reply, HostReportReply):
-            await self._take_reply(reply)
+            await self._take_reply(runner, reply)
+            if demands is not None and reply.state.active:
+                now = self._state.now()
+                self._shares.on_parts(reply.parts, now)
+                self._state.segments.replace(reply.segments, now)
 
     def _note_lost(self, host: str) -> None:
         self._state.leadership.on_lost(host)
         if self._claims.pop(host, None) is not None:
             log_event('runner_lost', runner=host)
 
-    async def _take_reply(self, reply: HostReportReply) -> None:
+    async def _take_reply(
+        self,
+        runner: RelayHost,
+        reply: HostReportReply,
+    ) -> None:
         now = self._state.now()
         self._state.leadership.on_state(reply.state, now)
         if not reply.state.active:
@@ -116,12 +167,16 @@
             return
         if reply.state.host not in self._claims:
             log_event('runner_found', runner=reply.state.host)
-        self._claims[reply.state.host] = now
+        self._claims[reply.state.host] = (reply.state, now)
+        if reply.state.store_reached:
+            self._state.fed_at = now
+            self._state.fed_by = reply.state.host
         for view in reply.views:
             use = self._state.find_use(view.endpoint_id)
             if use is not None:
                 use.on_view(view.online, view.batch, now)
         await self.on_view()
+        await self._sync.catch_up(runner.peer_address, reply.revisions)
 
 
 async def _ignore_view() -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -130,10 +130,12 @@
         service = self._find_service(run)
         if service is None:
             return None
+        placement = self._state.placement(service)
         uses = [
             use
-            for use in self._state.placement(service).uses()
-            if use.entry.endpoint_id in open_ids and now >= use.ejected_until
+            for use in placement.uses()
+            if use.entry.endpoint_id in open_ids
+            and placement.is_sound(use, now)
         ]
         if not uses:
             return None
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
@@ -0,0 +1,72 @@
+"""Questions to the active runner, directly or through another host."""
+
+from jacinthmount.errors import PeerUnavailable
+from jacinthmount.records import Record
+
+from jacinthmount_node.peers import PeerLinks
+from jacinthmount_node.relay.messages import Forward
+from jacinthmount_node.relay.reports import HostReporter
+from jacinthmount_node.relay.state import RelayState
+
+__all__ = ('RunnerLink',)
+
+
+class RunnerLink:
+    """Finds a way to the active runner.
+
+    A host that is cut off from the runners may still reach other hosts that
+    are not.
+    """
+
+    __slots__ = ('_links', '_reporter', '_state')
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        links: PeerLinks,
+        reporter: HostReporter,
+    ) -> None:
+        """Takes what knows the active runner."""
+        self._state = state
+        self._links = links
+        self._reporter = reporter
+
+    async def ask(self, body: Record, timeout_s: float) -> Record:
+        """Asks the active runner.
+
+        :raises PeerUnavailable: no way to it, or no answer in time.
+        """
+        runner = self._reporter.find_active()
+        if runner is not None:
+            return await self._links.request_at(
+                runner.peer_address,
+                body,
+                timeout_s,
+            )
+        others = [
+            one.peer_address
+            for one in self._state.hosts.values()
+            if one.host != self._state.host and not one.runs_batches
+        ]
+        if not others:
+            raise PeerUnavailable(detail='no runner and no other host')
+        return await self._links.request_at(
+            self._state.rng.choice(others),
+            Forward(body=body),
+            timeout_s * 2,
+        )
+
+    async def pass_on(self, body: Record, timeout_s: float) -> Record:
+        """Asks the active runner for another host, never through a third.
+
+        :raises PeerUnavailable: this host does not reach it either.
+        """
+        runner = self._reporter.find_active()
+        if runner is None or runner.host == self._state.host:
+            raise PeerUnavailable(detail='no runner to pass on to')
+        return await self._links.request_at(
+            runner.peer_address,
+            body,
+            timeout_s,
+        )
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
@@ -12,6 +12,7 @@
 
 HOST_LIVE_S = 1.5
 BATCH_SHARE = 1.0
+SETTLE_S = 0.6
 
 
 class RunnerRooms:
@@ -104,6 +105,7 @@
                 slots=slots,
                 batch_share=BATCH_SHARE,
                 now=self._state.now(),
+                settle_s=SETTLE_S,
             )
             self._rooms[endpoint_id] = room
         room.resize(slots, BATCH_SHARE)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -1,14 +1,17 @@
 """State that the tasks of one relay process share."""
 
+import math
 import random
 import uuid
 
 from jacinthmount.endpoint_table import EndpointTable
 from jacinthmount.errors import NotConfigured
 from jacinthmount.fleet_config import FleetConfig
+from jacinthmount.item_batches import SegmentCounts
 from jacinthmount.leadership import Leadership
 from jacinthmount.placement import EndpointUse, Placement
 from jacinthmount.ports import Clock, ObjectStore
+from jacinthmount.reachability import CentreHearing
 
 from jacinthmount_node.metrics import Metrics
 from jacinthmount_node.relay.messages import RelayHost
@@ -17,6 +20,7 @@
 __all__ = ('RelayState',)
 
 UUID_BITS = 128
+FED_VALID_S = 1.0
 
 
 class RelayState:
@@ -24,10 +28,12 @@
 
     __slots__ = (
         '_config',
-        'active_runner',
+        'centres',
         'clock',
         'config_revision',
         'endpoints',
+        'fed_at',
+        'fed_by',
         'hosts',
         'incarnation',
         'leadership',
@@ -35,6 +41,7 @@
         'metrics',
         'placements',
         'rng',
+        'segments',
         'settings',
         'store',
         'waiting',
@@ -61,7 +68,11 @@
         self.placements: dict[str, Placement] = {}
         self.hosts: dict[str, RelayHost] = {}
         self.leadership = Leadership(host=settings.host, now=clock.now())
-        self.active_runner = ''
+        self.centres = CentreHearing(own=settings.data_centre)
+        # When a runner that reaches the store last answered this host.
+        self.fed_at = -math.inf
+        self.fed_by = ''
+        self.segments = SegmentCounts()
         self.waiting = 0
         self.leaving = False
 
@@ -107,7 +118,7 @@
         """Finds the endpoints of a service."""
         found = self.placements.get(service)
         if found is None:
-            found = Placement(rng=self.rng)
+            found = Placement(rng=self.rng, centres=self.centres)
             found.set_entries(self.endpoints.usable(service))
             self.placements[service] = found
         return found
@@ -124,6 +135,12 @@
             return None
         return self.placement(entry.service).find(endpoint_id)
 
+    def find_feeder(self) -> RelayHost | None:
+        """Finds the runner that keeps this host up to date, if one does."""
+        if self.now() - self.fed_at >= FED_VALID_S:
+            return None
+        return self.hosts.get(self.fed_by)
+
     def runners(self) -> list[RelayHost]:
         """Lists the other hosts that can run batch items."""
         return [
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -47,6 +47,7 @@
     """Keeps the shared state in line with the store."""
 
     __slots__ = (
+        '_asking',
         '_config_watch',
         '_decoder',
         '_endpoint_watch',
@@ -72,6 +73,7 @@
         self._links = links
         self._decoder = decoder
         self._on_config = on_config
+        self._asking = False
         cfg = state.settings
         config_prefix = cfg.config_object.partition('/')[0]
         self._config_watch = self._make_watch(
@@ -101,9 +103,31 @@
         """Tells whether configuration and endpoints are known."""
         return self._state.configured and bool(self._endpoint_watch.revision)
 
-    def make_snapshot(self) -> Snapshot:
-        """Copies what is known for another host."""
-        return Snapshot(parts=[one.snapshot() for one in self._watches()])
+    def make_snapshot(self, asked: SnapshotAsk) -> Snapshot:
+        """Copies for another host what it does not know."""
+        return Snapshot(
+            parts=[
+                watch.snapshot(asked.known.get(watch.prefix, 0))
+                for watch in self._watches()
+            ],
+        )
+
+    def revisions(self) -> dict[str, int]:
+        """Tells by prefix how new the objects known are."""
+        return {watch.prefix: watch.revision for watch in self._watches()}
+
+    async def catch_up(self, address: str, revisions: dict[str, int]) -> None:
+        """Fetches from a host what it knows and this one does not."""
+        behind = any(
+            revisions.get(watch.prefix, 0) > watch.revision
+            for watch in self._watches()
+        )
+        if behind and not self._asking:
+            self._asking = True
+            try:
+                await self._ask_peer(address)
+            finally:
+                self._asking = False
 
     async def deregister(self) -> None:
         """Removes the registration of this host."""
@@ -121,8 +145,14 @@
             prefix=prefix,
             on_change=on_change,
             rng=self._state.rng,
+            is_fed=self._is_fed,
         )
 
+    def _is_fed(self) -> bool:
+        if self._state.settings.runs_batches:
+            return False
+        return self._state.find_feeder() is not None
+
     def _watches(self) -> tuple[ObjectWatch, ...]:
         return self._config_watch, self._endpoint_watch, self._host_watch
 
@@ -234,9 +264,9 @@
         while True:
             await curio.sleep(PEER_ASK_S)
             if any(watch.in_outage for watch in self._watches()):
-                await self._ask_peer()
+                await self._ask_any_peer()
 
-    async def _ask_peer(self) -> None:
+    async def _ask_any_peer(self) -> None:
         addresses = {
             one.peer_address
             for one in self._state.hosts.values()
@@ -246,13 +276,14 @@
         others = [
             one for one in known if one != self._state.settings.peer_listen
         ]
-        if not others:
-            return
-        address = self._state.rng.choice(others)
+        if others:
+            await self._ask_peer(self._state.rng.choice(others))
+
+    async def _ask_peer(self, address: str) -> None:
         try:
             reply = await self._links.request_at(
                 address,
-                SnapshotAsk(config_revision=self._state.config_revision),
+                SnapshotAsk(known=self.revisions()),
                 PEER_TIMEOUT_S,
             )
         except PeerUnavailable as exc:
--- a/packages/jacinthmount-node/jacinthmount_node/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/sockets.py
@@ -1,5 +1,6 @@
 """Sockets, addresses and monotonic time."""
 
+import contextlib
 import socket as std_socket
 import time
 from collections.abc import Awaitable, Callable
@@ -9,11 +10,22 @@
 from curio import socket as curio_socket
 from jacinthmount.ports import Clock
 
-__all__ = ('SystemClock', 'bounded', 'connect', 'listen', 'parse_address')
+__all__ = (
+    'SystemClock',
+    'abort_socket',
+    'bounded',
+    'connect',
+    'listen',
+    'parse_address',
+)
 
 LISTEN_BACKLOG = 512
 # Sent bytes that nobody acknowledges end a connection after this time.
 UNACKNOWLEDGED_MS = 3000
+# An idle connection whose network is gone ends after about 3 s.
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+PROBES = 2
 
 
 class SystemClock(Clock):
@@ -44,6 +56,12 @@
         raise TimeoutError(f'{seconds} s ran out') from None
 
 
+def abort_socket(sock) -> None:
+    """Ends both directions; a task that reads sees the end."""
+    with contextlib.suppress(OSError), sock.blocking() as raw:
+        raw.shutdown(std_socket.SHUT_RDWR)
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Splits ``IP:port``."""
     host, _, port = address.rpartition(':')
@@ -59,11 +77,7 @@
     sock = curio_socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
     try:
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            std_socket.IPPROTO_TCP,
-            std_socket.TCP_USER_TIMEOUT,
-            UNACKNOWLEDGED_MS,
-        )
+        _detect_silence(sock)
         if local_ip:
             sock.bind((local_ip, 0))
         await sock.connect(parse_address(address))
@@ -87,3 +101,12 @@
     sock.bind(parse_address(address))
     sock.listen(LISTEN_BACKLOG)
     return sock
+
+
+def _detect_silence(sock) -> None:
+    tcp = std_socket.IPPROTO_TCP
+    sock.setsockopt(tcp, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, std_socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    sock.setsockopt(tcp, std_socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    sock.setsockopt(tcp, std_socket.TCP_KEEPCNT, PROBES)
--- a/packages/jacinthmount/jacinthmount/fleet_config.py
+++ b/packages/jacinthmount/jacinthmount/fleet_config.py
@@ -172,6 +172,10 @@
         """Finds the account that holds a key, or None."""
         return self._by_key_hash.get(hash_secret(key))
 
+    def bursts(self) -> dict[str, float]:
+        """Tells the burst of each account."""
+        return {one.name: one.burst for one in self._accounts.values()}
+
     @property
     def has_accounts(self) -> bool:
         """Tells whether callers have to present keys."""
--- a/packages/jacinthmount/jacinthmount/item_batches.py
+++ b/packages/jacinthmount/jacinthmount/item_batches.py
@@ -17,6 +17,7 @@
     'BodyChunk',
     'ItemResult',
     'ResultSegment',
+    'SegmentCounts',
     'batch_key',
     'batch_name',
     'chunk_name',
@@ -30,6 +31,7 @@
 # A value of the store is a megabyte at most, with its name and quoting.
 CHUNK_BYTES = 400_000
 KEY_DIGITS = 32
+COUNTS_VALID_S = 0.5
 OPEN = 'open'
 ENDED = 'ended'
 COMPLETED = 'completed'
@@ -219,3 +221,29 @@
                 break
             found.append(one)
         return found
+
+
+class SegmentCounts:
+    """Result segments of open batches, as the runner that writes them says.
+
+    What was said counts for a short time, so that a reader who finds nothing
+    new need not ask the store.
+    """
+
+    __slots__ = ('_at', '_counts')
+
+    def __init__(self) -> None:
+        """Starts with nothing said."""
+        self._counts: dict[str, int] = {}
+        self._at = 0.0
+
+    def replace(self, counts: dict[str, int], now: float) -> None:
+        """Takes the counts of all open batches."""
+        self._counts = counts
+        self._at = now
+
+    def is_current(self, key: str, known: int, now: float) -> bool:
+        """Tells whether a batch surely has no more segments than known."""
+        if now - self._at >= COUNTS_VALID_S:
+            return False
+        return self._counts.get(key) == known
--- a/packages/jacinthmount/jacinthmount/leadership.py
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -12,6 +12,7 @@
 
 RUNNER_LIVE_S = 1.2
 START_WAIT_S = 0.8
+NAMED_VALID_S = 0.7
 
 
 class RunnerState(Record):
@@ -27,13 +28,21 @@
 class Leadership:
     """Decides whether this runner is the active one."""
 
-    __slots__ = ('_heard', '_host', '_started_at', 'active', 'store_reached')
+    __slots__ = (
+        '_heard',
+        '_host',
+        '_named',
+        '_started_at',
+        'active',
+        'store_reached',
+    )
 
     def __init__(self, *, host: str, now: float) -> None:
         """Starts inactive."""
         self._host = host
         self._started_at = now
         self._heard: dict[str, tuple[RunnerState, float]] = {}
+        self._named: dict[str, float] = {}
         self.active = False
         self.store_reached = False
 
@@ -41,6 +50,15 @@
         """Takes what another runner says of itself."""
         self._heard[state.host] = (state, now)
 
+    def on_named(self, state: RunnerState, now: float) -> None:
+        """Notes that a host knows another runner to be active.
+
+        Runners may be cut off from each other while hosts reach both.
+        """
+        useful = state.active and state.store_reached
+        if useful and state.host != self._host:
+            self._named[state.host] = now
+
     def on_lost(self, host: str) -> None:
         """Notes that another runner can't be reached."""
         self._heard.pop(host, None)
@@ -64,6 +82,14 @@
         eligible = reaching or candidates
         holders = [one.host for one in eligible if one.active]
         hosts = holders or [one.host for one in eligible]
+        rivals = [
+            host for host, at in self._named.items() if now - at < NAMED_VALID_S
+        ]
+        if rivals and not holders:
+            # Another one is active, though it can't be heard from here.
+            hosts = rivals
+        elif self.active:
+            hosts = [*hosts, *rivals]
         first = rank_hosts('batch', hosts)[0] == self._host
         waited = now - self._started_at >= START_WAIT_S
         self.active = first and waited
--- a/packages/jacinthmount/jacinthmount/permits.py
+++ b/packages/jacinthmount/jacinthmount/permits.py
@@ -18,21 +18,29 @@
         '_batch_slots',
         '_contenders',
         '_online',
-        '_since',
+        '_open_at',
         '_slots',
     )
 
-    def __init__(self, *, slots: int, batch_share: float, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        batch_share: float,
+        now: float,
+        settle_s: float = SETTLE_S,
+    ) -> None:
         """Starts with nothing reported.
 
         :param slots: requests that the engine runs at a time.
         :param batch_share: part of them that batch may fill, 0 to 1.
+        :param settle_s: seconds in which all hosts report for the first time.
         """
         self._slots = slots
         self._batch_slots = int(slots * batch_share)
         self._online: dict[str, tuple[int, float]] = {}
         self._contenders: dict[str, float] = {}
-        self._since = now
+        self._open_at = now + settle_s
 
     def resize(self, slots: int, batch_share: float) -> None:
         """Takes changed limits."""
@@ -86,7 +94,7 @@
 
     def room(self, now: float) -> int:
         """Counts the batch items that the engine may run now."""
-        if now - self._since < SETTLE_S:
+        if now < self._open_at:
             return 0
         online = self.online(now)
         # With online at work, one slot stays free for its next request.
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -7,14 +7,16 @@
 import random
 
 from jacinthmount.endpoint_table import EndpointEntry
+from jacinthmount.reachability import CentreHearing
 
 __all__ = ('EndpointUse', 'Placement')
 
 EJECT_BASE_S = 0.4
 EJECT_MAX_S = 4.0
 VIEW_VALID_S = 1.5
-REPORT_VALID_S = 0.4
 EXTRA_WAITING = 1
+# Streams bring an event every few tens of milliseconds.
+SILENT_S = 0.35
 
 
 class EndpointUse:
@@ -28,6 +30,8 @@
         'entry',
         'online',
         'online_elsewhere',
+        'silent_since',
+        'unreachable',
     )
 
     def __init__(self, *, entry: EndpointEntry) -> None:
@@ -37,6 +41,8 @@
         self.online_elsewhere = 0
         self.batch_elsewhere = 0
         self.ejected_until = 0.0
+        self.silent_since: float | None = None
+        self.unreachable = False
         self._viewed_at = -VIEW_VALID_S
         self._failures = 0
 
@@ -46,10 +52,30 @@
         self.batch_elsewhere = batch
         self._viewed_at = now
 
+    def on_sent(self, now: float) -> None:
+        """Notes a request that awaits its answer."""
+        if self.silent_since is None:
+            self.silent_since = now
+
+    def on_heard(self, now: float) -> None:
+        """Notes that the endpoint sent something."""
+        self.silent_since = now
+
+    def on_idle(self) -> None:
+        """Notes that nothing is awaited from the endpoint any more."""
+        self.silent_since = None
+
+    def is_silent(self, now: float) -> bool:
+        """Tells whether the endpoint owes answers and sends nothing."""
+        if self.silent_since is None:
+            return False
+        return now - self.silent_since > SILENT_S
+
     def on_success(self) -> None:
         """Notes an answer."""
         self._failures = 0
         self.ejected_until = 0.0
+        self.unreachable = False
 
     def on_failure(self, now: float) -> None:
         """Notes a failure; repeated ones keep work away for longer."""
@@ -73,11 +99,17 @@
 class Placement:
     """Endpoints of one service and the choice among them."""
 
-    __slots__ = ('_rng', '_uses')
+    __slots__ = ('_centres', '_rng', '_uses')
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        centres: CentreHearing,
+    ) -> None:
         """Starts without endpoints."""
         self._rng = rng
+        self._centres = centres
         self._uses: dict[str, EndpointUse] = {}
 
     def set_entries(self, entries: list[EndpointEntry]) -> None:
@@ -110,7 +142,22 @@
             for use in self._uses.values()
             if use.entry.endpoint_id not in tried
         ]
-        return [use for use in untried if now >= use.ejected_until] or untried
+        return [use for use in untried if self.is_sound(use, now)] or untried
+
+    def is_sound(self, use: EndpointUse, now: float) -> bool:
+        """Tells whether nothing speaks against sending to an endpoint."""
+        if use.unreachable or now < use.ejected_until or use.is_silent(now):
+            return False
+        return not self._centres.is_quiet(use.entry.data_centre)
+
+    def note_silent(self, now: float) -> None:
+        """Counts endpoints that owe answers as missed questions."""
+        for use in self._uses.values():
+            if use.silent_since is not None and use.is_silent(now):
+                self._centres.on_missed(
+                    use.entry.data_centre,
+                    use.silent_since,
+                )
 
     def choose(self, tried: set[str], now: float) -> EndpointUse | None:
         """Chooses the endpoint with the fewest requests that has room.
--- /dev/null
+++ b/packages/jacinthmount/jacinthmount/rate_shares.py
@@ -0,0 +1,300 @@
+"""Rate and burst of accounts over all hosts, without a wait a request.
+
+Answers accounts whose requests enter at every host, also at hosts that are cut
+off from the one that allots. Each host holds a part of the rate and keeps it
+for as long as nobody else can reach it; parts follow the demand. What nobody
+holds is a pool from which single tokens are granted.
+"""
+
+from jacinthmount.records import Record
+from jacinthmount.token_bucket import TokenBucket
+
+__all__ = ('AccountDemand', 'AccountPart', 'HeldShares', 'ShareAllotment')
+
+# Parts and pool together stay within the rate and a twentieth.
+TOTAL_PART = 1.05
+HELD_PART = 0.45
+DEMAND_WINDOW_S = 2.0
+DEMAND_FLOOR_PER_S = 0.25
+KEPT_UNHEARD_S = 50.0
+GRANT_VALID_S = 1.0
+# What a restarted host may use at once, of which its predecessor may have
+# used as much; far less than a burst.
+START_LEVEL_S = 0.4
+DECREASE_BELOW = 0.9
+
+
+class AccountDemand(Record):
+    """Requests a second of an account at a host, and the part it holds."""
+
+    __slots__ = ('account', 'demand_per_s', 'part')
+
+    account: str
+    demand_per_s: float
+    part: float
+
+
+class AccountPart(Record):
+    """The part of an account's rate that a host may hold from now on."""
+
+    __slots__ = ('account', 'part')
+
+    account: str
+    part: float
+
+
+class _Held:
+    __slots__ = (
+        'at',
+        'bucket',
+        'demand_per_s',
+        'granted',
+        'granted_until',
+        'is_new',
+        'part',
+    )
+
+    def __init__(self, *, part: float, now: float) -> None:
+        self.part = part
+        self.is_new = True
+        self.at = now
+        self.demand_per_s = 0.0
+        self.granted = 0
+        self.granted_until = 0.0
+        self.bucket = TokenBucket(rate_per_s=0, burst=1, level=1, now=now)
+
+    def decay(self, now: float) -> None:
+        kept = max(0.0, 1 - (now - self.at) / DEMAND_WINDOW_S)
+        self.demand_per_s *= kept
+        self.at = now
+
+
+class HeldShares:
+    """The parts that this host holds, and tokens granted to it.
+
+    It starts with an equal part of every rate, for the time in which nobody
+    allots, and gives up its parts when it has not been allotted any for long.
+    """
+
+    __slots__ = ('_allotted_at', '_held')
+
+    def __init__(self, *, now: float) -> None:
+        """Starts without accounts."""
+        self._held: dict[str, _Held] = {}
+        self._allotted_at = now
+
+    def take(
+        self,
+        account: str,
+        rate_per_s: float,
+        burst: float,
+        hosts: int,
+        now: float,
+    ) -> bool:
+        """Takes one token of an account.
+
+        :param hosts: hosts that share the rates.
+        """
+        held = self._find(account, hosts, now)
+        if now - self._allotted_at > KEPT_UNHEARD_S:
+            held.part = 0
+        capacity = burst * held.part
+        if held.part > 0:
+            # A bucket must hold one token to be of use.
+            capacity = max(1.0, capacity)
+        held.bucket.resize(rate_per_s * held.part, capacity, now)
+        if held.is_new:
+            held.is_new = False
+            held.bucket.add(rate_per_s * held.part * START_LEVEL_S)
+        if held.bucket.take(now):
+            return True
+        if held.granted >= 1 and now < held.granted_until:
+            held.granted -= 1
+            return True
+        return False
+
+    def note_demand(self, account: str, hosts: int, now: float) -> None:
+        """Counts a request, whether it gets a token or not."""
+        held = self._find(account, hosts, now)
+        held.decay(now)
+        held.demand_per_s += 1 / DEMAND_WINDOW_S
+
+    def on_grant(self, account: str, tokens: int, asked_at: float) -> None:
+        """Adds tokens granted to a question that was sent at a time."""
+        held = self._held.get(account)
+        if held is not None:
+            held.granted += tokens
+            held.granted_until = asked_at + GRANT_VALID_S
+
+    def on_parts(self, parts: list[AccountPart], now: float) -> None:
+        """Takes the parts allotted to this host."""
+        self._allotted_at = now
+        for one in parts:
+            self._find(one.account, 1, now).part = one.part
+
+    def demands(self, now: float) -> list[AccountDemand]:
+        """Lists demand and parts of the accounts seen here."""
+        found = []
+        for account, held in self._held.items():
+            held.decay(now)
+            found.append(
+                AccountDemand(
+                    account=account,
+                    demand_per_s=held.demand_per_s,
+                    part=held.part,
+                ),
+            )
+        return found
+
+    def _find(self, account: str, hosts: int, now: float) -> _Held:
+        held = self._held.get(account)
+        if held is None:
+            held = _Held(part=HELD_PART / max(1, hosts), now=now)
+            self._held[account] = held
+        return held
+
+
+class _Allotted:
+    __slots__ = ('demand_per_s', 'reported', 'sent')
+
+    def __init__(self) -> None:
+        self.demand_per_s = 0.0
+        self.reported = 0.0
+        self.sent = 0.0
+
+    @property
+    def held(self) -> float:
+        """Counts what the host may still use."""
+        return max(self.reported, self.sent)
+
+
+class ShareAllotment:
+    """Allots parts to hosts; decreases first, increases once that is known.
+
+    A host that has not been heard holds whatever the others don't, so nothing
+    is allotted anew until every registered host has reported.
+    """
+
+    __slots__ = ('_accounts', '_heard', '_hosts', '_pools')
+
+    def __init__(self) -> None:
+        """Starts without reports."""
+        self._accounts: dict[str, dict[str, _Allotted]] = {}
+        self._heard: set[str] = set()
+        self._hosts: set[str] = set()
+        self._pools: dict[str, TokenBucket] = {}
+
+    def clear(self) -> None:
+        """Forgets everything, when another host may have allotted since."""
+        self._accounts.clear()
+        self._heard.clear()
+        self._pools.clear()
+
+    def keep_hosts(self, hosts: set[str]) -> None:
+        """Takes the registered hosts; parts of others are free again."""
+        self._hosts = hosts
+        self._heard &= hosts
+        for allotted in self._accounts.values():
+            for host in set(allotted) - hosts:
+                allotted.pop(host)
+
+    def on_report(
+        self,
+        host: str,
+        demands: list[AccountDemand],
+    ) -> None:
+        """Takes demand and parts of a host."""
+        self._heard.add(host)
+        for one in demands:
+            by_host = self._accounts.setdefault(one.account, {})
+            allotted = by_host.setdefault(host, _Allotted())
+            allotted.demand_per_s = one.demand_per_s
+            allotted.reported = one.part
+
+    def parts_of(
+        self,
+        host: str,
+        demands: list[AccountDemand],
+        bursts: dict[str, float],
+    ) -> list[AccountPart]:
+        """Allots the parts of a host.
+
+        :param bursts: burst by account; a part that holds no token is not
+            worth allotting.
+        """
+        named = {one.account for one in demands}
+        for unnamed in set(self._accounts) - named:
+            # The host holds its first part without knowing the account yet.
+            self._accounts[unnamed].setdefault(host, self._first())
+        return [
+            AccountPart(
+                account=account,
+                part=self._allot(account, host, bursts.get(account, 0.0)),
+            )
+            for account in self._accounts
+        ]
+
+    def grant(
+        self,
+        account: str,
+        rate_per_s: float,
+        burst: float,
+        wanted: int,
+        now: float,
+    ) -> int:
+        """Grants tokens from the part that no host holds."""
+        part = self._pool_part(account)
+        pool = self._pools.get(account)
+        if pool is None:
+            # What the host before granted is not known, so it starts empty.
+            pool = TokenBucket(
+                rate_per_s=rate_per_s * part,
+                burst=burst * part,
+                level=0.0,
+                now=now,
+            )
+            self._pools[account] = pool
+        pool.resize(rate_per_s * part, max(1.0, burst * part), now)
+        return pool.take_up_to(wanted, now)
+
+    def wait_s(self, account: str, now: float) -> float:
+        """Estimates the seconds until a token can be granted."""
+        pool = self._pools.get(account)
+        return pool.wait_s(now) if pool else 0.0
+
+    def _pool_part(self, account: str) -> float:
+        if self._unheard():
+            return TOTAL_PART - HELD_PART
+        return max(0.0, TOTAL_PART - self._held(account))
+
+    def _unheard(self) -> bool:
+        return not self._hosts <= self._heard
+
+    def _held(self, account: str) -> float:
+        by_host = self._accounts.get(account, {})
+        known = sum(one.held for one in by_host.values())
+        unknown = len(self._hosts) - len(by_host)
+        return known + unknown * self._first().held
+
+    def _first(self) -> _Allotted:
+        allotted = _Allotted()
+        allotted.sent = HELD_PART / max(1, len(self._hosts))
+        return allotted
+
+    def _allot(self, account: str, host: str, burst: float) -> float:
+        by_host = self._accounts[account]
+        allotted = by_host[host]
+        demands = sum(
+            one.demand_per_s + DEMAND_FLOOR_PER_S for one in by_host.values()
+        )
+        own = allotted.demand_per_s + DEMAND_FLOOR_PER_S
+        wanted = HELD_PART * own / demands
+        if burst * wanted < 1:
+            wanted = 0.0
+        if wanted >= allotted.held * DECREASE_BELOW:
+            free = 0.0
+            if not self._unheard():
+                free = max(0.0, HELD_PART - self._held(account))
+            wanted = min(wanted, allotted.held + free)
+        allotted.sent = wanted
+        return wanted
--- /dev/null
+++ b/tests/relay_builders.py
@@ -0,0 +1,121 @@
+"""Builders of the records of the relay, shared by its tests."""
+
+from typing import Any
+
+from jacinthmount.batch_order import ItemRun
+from jacinthmount.endpoint_table import EndpointEntry
+from jacinthmount.fleet_config import (
+    AccountRule,
+    CallerLimits,
+    FleetConfig,
+    RouteRule,
+    WeightedService,
+)
+from jacinthmount.item_batches import BatchItem, ItemResult, ResultSegment
+from jacinthmount.keys import hash_secret
+
+__all__ = (
+    'make_config',
+    'make_entry',
+    'make_item',
+    'make_route',
+    'make_run',
+    'make_segment',
+)
+
+
+def make_entry(endpoint_id: str, **changes: Any) -> EndpointEntry:
+    """Builds an endpoint with two slots."""
+    fields: dict[str, Any] = {
+        'endpoint_id': endpoint_id,
+        'service': 'model-a',
+        'address': '127.0.0.1:1000',
+        'data_centre': 'east',
+        'slots': 2,
+        'leaving': False,
+        'started_at_ms': 1,
+    }
+    return EndpointEntry(**{**fields, **changes})
+
+
+def make_route(name: str, **changes: Any) -> RouteRule:
+    """Builds a route of streams that may not be repeated."""
+    fields: dict[str, Any] = {
+        'name': name,
+        'host_name': 'scans.example',
+        'path_prefix': f'/{name}/',
+        'streams': True,
+        'takes_batches': False,
+        'idempotent': False,
+        'resumable': False,
+        'public': False,
+        'timeout_s': 5.0,
+        'target_s': 0.3,
+        'max_attempts': 1,
+        'services': [WeightedService(service='model-a', weight=1.0)],
+        'completion_s': 0.0,
+        'retention_s': 0.0,
+        'waiting_token_cap': 0,
+    }
+    return RouteRule(**{**fields, **changes})
+
+
+def make_config(*routes: RouteRule, version: int = 1) -> FleetConfig:
+    """Builds a configuration with one account, whose key is ``secret``."""
+    return FleetConfig(
+        version=version,
+        routes=list(routes),
+        services=[],
+        accounts=[
+            AccountRule(
+                name='gin',
+                key_hashes=[hash_secret('secret')],
+                rate_per_s=10.0,
+                burst=10.0,
+            ),
+        ],
+        limits=CallerLimits(
+            header_bytes=16_384,
+            body_bytes=1_000_000,
+            header_s=3.0,
+            idle_s=15.0,
+        ),
+    )
+
+
+def make_run(item_id: str, **changes: Any) -> ItemRun:
+    """Builds an item of a batch that is due at 10 s."""
+    fields: dict[str, Any] = {
+        'batch': 'b',
+        'item_id': item_id,
+        'account': 'gin',
+        'host_name': 'scans.example',
+        'path': '/audit/1',
+        'headers': {},
+        'body': b'',
+        'tokens': 100,
+        'due_at': 10.0,
+    }
+    return ItemRun(**{**fields, **changes})
+
+
+def make_item(item_id: str, body: str = 'AAAA') -> BatchItem:
+    """Builds an item of a submission."""
+    return BatchItem(
+        item_id=item_id,
+        path='/audit/1',
+        headers={'a': 'b'},
+        body=body,
+        tokens=100,
+    )
+
+
+def make_segment(*item_ids: str) -> ResultSegment:
+    """Builds a segment of completed results."""
+    return ResultSegment(
+        results=[
+            ItemResult(item_id=item_id, completed=True, text=f'of {item_id}')
+            for item_id in item_ids
+        ],
+        write_id='-'.join(item_ids),
+    )
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,107 @@
+"""Which runner is active, under cuts and restarts."""
+
+import pytest
+from jacinthmount.leadership import (
+    NAMED_VALID_S,
+    RUNNER_LIVE_S,
+    START_WAIT_S,
+    Leadership,
+    RunnerState,
+)
+
+LATER = START_WAIT_S + 1
+
+
+def make_state(host, *, active=False, store_reached=True):
+    """Builds what another runner says of itself."""
+    return RunnerState(host=host, active=active, store_reached=store_reached)
+
+
+@pytest.fixture
+def runner():
+    """A runner that reaches the store, started at 0 s."""
+    found = Leadership(host='r1', now=0.0)
+    found.store_reached = True
+    return found
+
+
+def test_alone_it_becomes_active_after_listening(runner):
+    """A new runner first hears whether another one is active."""
+    assert not runner.decide(START_WAIT_S / 2)
+    assert runner.decide(LATER)
+
+
+def test_active_one_stays(runner):
+    """A runner that joins does not displace the active one."""
+    for host in ('r2', 'r3', 'r4', 'r5'):
+        runner.on_state(make_state(host, active=True), LATER)
+        assert not runner.decide(LATER)
+        runner.on_lost(host)
+    runner.decide(LATER)
+    assert runner.active
+    runner.on_state(make_state('r2'), LATER)
+    assert runner.decide(LATER)
+
+
+def test_silent_runner_is_replaced(runner):
+    """After its time a runner that was not heard counts no more."""
+    runner.on_state(make_state('r2', active=True), LATER)
+    assert not runner.decide(LATER)
+    assert runner.decide(LATER + RUNNER_LIVE_S + 0.1)
+
+
+def test_one_of_two_active_ones_yields():
+    """Two active runners that hear each other agree who goes on."""
+    first = Leadership(host='r1', now=0.0)
+    second = Leadership(host='r2', now=0.0)
+    for runner in (first, second):
+        runner.store_reached = True
+        runner.active = True
+    first.on_state(second.state(), LATER)
+    second.on_state(first.state(), LATER)
+    assert first.decide(LATER) is not second.decide(LATER)
+
+
+def test_runner_without_store_gives_way(runner):
+    """A runner that reaches the store goes before an active one without."""
+    runner.on_state(
+        make_state('r2', active=True, store_reached=False),
+        LATER,
+    )
+    assert runner.decide(LATER)
+
+
+def test_without_any_store_the_active_one_goes_on(runner):
+    """While the store is down for all, what runs goes on."""
+    runner.decide(LATER)
+    runner.store_reached = False
+    runner.on_state(make_state('r2', store_reached=False), LATER)
+    assert runner.decide(LATER)
+
+
+def test_runner_named_by_hosts_counts_as_active(runner):
+    """A runner cut off from the active one hears of it from hosts."""
+    runner.on_named(make_state('r2', active=True), LATER)
+    assert not runner.decide(LATER)
+    assert runner.decide(LATER + NAMED_VALID_S + 0.1)
+
+
+def test_named_runner_without_store_is_no_rival(runner):
+    """Hosts may still know a runner that has lost the store."""
+    runner.on_named(
+        make_state('r2', active=True, store_reached=False),
+        LATER,
+    )
+    assert runner.decide(LATER)
+
+
+def test_two_active_ones_that_are_cut_off_agree_through_hosts():
+    """Hosts that reach both tell each of the other."""
+    first = Leadership(host='r1', now=0.0)
+    second = Leadership(host='r2', now=0.0)
+    for runner in (first, second):
+        runner.store_reached = True
+        runner.active = True
+    first.on_named(second.state(), LATER)
+    second.on_named(first.state(), LATER)
+    assert first.decide(LATER) is not second.decide(LATER)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,134 @@
+"""Choice of endpoints for online requests, replaying loads."""
+
+import random
+
+import pytest
+from jacinthmount.placement import (
+    EXTRA_WAITING,
+    SILENT_S,
+    Placement,
+)
+from jacinthmount.reachability import CentreHearing
+
+from tests.relay_builders import make_entry
+
+
+@pytest.fixture
+def centres():
+    """What is heard from data centres, seen from east."""
+    return CentreHearing(own='east')
+
+
+@pytest.fixture
+def placement(centres):
+    """Three endpoints with two slots each, one in another data centre."""
+    found = Placement(rng=random.Random(1), centres=centres)
+    found.set_entries([
+        make_entry('e1'),
+        make_entry('e2'),
+        make_entry('e3', data_centre='west'),
+    ])
+    return found
+
+
+def place(placement, now=0.0):
+    """Places one request and counts it."""
+    use = placement.choose(set(), now)
+    if use is not None:
+        use.online += 1
+    return use
+
+
+def test_requests_spread_evenly(placement):
+    """Six requests at once take two slots of each endpoint."""
+    for _ in range(6):
+        place(placement)
+    assert [use.online for use in placement.uses()] == [2, 2, 2]
+
+
+def test_full_endpoints_get_few_extra(placement):
+    """Beyond the slots only so many wait at an endpoint."""
+    placed = [place(placement) for _ in range(20)]
+    assert sum(use is not None for use in placed) == 3 * (2 + EXTRA_WAITING)
+
+
+def test_slots_of_others_count(placement):
+    """What other hosts have in flight is taken into account."""
+    for use in placement.uses()[:2]:
+        use.on_view(online=2, batch=0, now=0.0)
+    assert place(placement).entry.endpoint_id == 'e3'
+
+
+def test_endpoint_without_batch_goes_first(placement):
+    """A free slot is better than one that batch has to give back."""
+    for use in placement.uses()[:2]:
+        use.on_view(online=0, batch=2, now=0.0)
+    placement.uses()[2].on_view(online=1, batch=0, now=0.0)
+    assert place(placement).entry.endpoint_id == 'e3'
+
+
+def test_failed_endpoint_is_avoided_for_a_time(placement):
+    """A failure keeps work away; with nothing else it is tried again."""
+    first, second, third = placement.uses()
+    first.on_failure(0.0)
+    second.on_failure(0.0)
+    assert place(placement, 0.1) is third
+    third.on_failure(0.1)
+    assert place(placement, 0.2) is not None
+
+
+def test_silent_endpoint_gets_nothing_new(placement):
+    """An endpoint that owes answers and sends nothing is avoided."""
+    first = placement.uses()[0]
+    first.on_sent(0.0)
+    late = SILENT_S + 0.01
+    chosen = {place(placement, late).entry.endpoint_id for _ in range(4)}
+    assert chosen == {'e2', 'e3'}
+
+
+def test_one_silent_endpoint_puts_its_data_centre_in_doubt(placement):
+    """A data centre that is cut off gets one request, not one an endpoint.
+
+    The load: its endpoints go silent one by one as requests reach them.
+    """
+    placement.set_entries([
+        make_entry('e1'),
+        make_entry('w1', data_centre='west'),
+        make_entry('w2', data_centre='west'),
+    ])
+    placement.find('w1').on_sent(0.0)
+    late = SILENT_S + 0.01
+    placement.note_silent(late)
+    chosen = [place(placement, late) for _ in range(3)]
+    assert {use.entry.endpoint_id for use in chosen} == {'e1'}
+
+
+def test_data_centre_that_is_heard_again_is_used(placement, centres):
+    """One sign of life ends the doubt."""
+    centres.on_missed('west', 1.0)
+    assert centres.is_quiet('west')
+    centres.on_heard('west', 1.5)
+    assert not centres.is_quiet('west')
+
+
+def test_own_data_centre_is_never_in_doubt(centres):
+    """A host that is cut off goes on with its own endpoints."""
+    centres.on_missed('east', 1.0)
+    assert not centres.is_quiet('east')
+
+
+def test_unreachable_endpoint_is_used_only_without_others(placement):
+    """An endpoint that refused a connection waits for a probe."""
+    first, second, third = placement.uses()
+    first.unreachable = True
+    second.unreachable = True
+    assert place(placement) is third
+    third.unreachable = True
+    assert place(placement) is not None
+
+
+def test_restarted_endpoint_starts_anew(placement):
+    """Another incarnation under the same id owes nothing."""
+    placement.uses()[0].online = 2
+    placement.set_entries([make_entry('e1', started_at_ms=2)])
+    assert placement.uses()[0].online == 0
--- /dev/null
+++ b/tests/test_rate_shares.py
@@ -0,0 +1,169 @@
+"""Parts of rates held by hosts: their sum and what a cut leaves."""
+
+import random
+
+import pytest
+from jacinthmount.rate_shares import (
+    HELD_PART,
+    TOTAL_PART,
+    AccountDemand,
+    HeldShares,
+    ShareAllotment,
+)
+
+RATE_PER_S = 34.0
+BURST = 34.0
+ROUNDING = 1e-9
+FRONTS = ('h1', 'h2', 'h3', 'h4')
+
+
+class Fleet:
+    """Hosts that take tokens and report to one that allots."""
+
+    def __init__(self):
+        """Starts all hosts at 0 s."""
+        self.shares = {host: HeldShares(now=0.0) for host in FRONTS}
+        self.allotment = ShareAllotment()
+        self.taken = []
+        self.refused = []
+
+    def ask(self, host, now, *, pool=True):
+        """Takes a token, from the pool if there is none at the host."""
+        shares = self.shares[host]
+        count = len(FRONTS)
+        shares.note_demand('gin', count, now)
+        taken = shares.take('gin', RATE_PER_S, BURST, count, now)
+        if not taken and pool:
+            granted = self.allotment.grant('gin', RATE_PER_S, BURST, 1, now)
+            shares.on_grant('gin', granted, now)
+            taken = shares.take('gin', RATE_PER_S, BURST, count, now)
+        (self.taken if taken else self.refused).append((now, host))
+
+    def report(self, now, hosts=FRONTS):
+        """Lets hosts report and take their parts."""
+        self.allotment.keep_hosts(set(FRONTS))
+        for host in hosts:
+            demands = self.shares[host].demands(now)
+            self.allotment.on_report(host, demands)
+            parts = self.allotment.parts_of(host, demands, {'gin': BURST})
+            self.shares[host].on_parts(parts, now)
+
+    def held(self, now=0.0):
+        """Sums the parts that hosts hold."""
+        return sum(
+            demand.part
+            for shares in self.shares.values()
+            for demand in shares.demands(now)
+        )
+
+
+@pytest.fixture
+def fleet():
+    """Four hosts that share the rate of one account."""
+    return Fleet()
+
+
+def play(fleet, seconds, demand_by_host, *, cut=(), start=0.0, seed=1):
+    """Plays random demand with reports three times a second."""
+    rng = random.Random(seed)
+    steps = int(seconds * 100)
+    for step in range(steps):
+        now = start + step / 100
+        for host, rate_per_s in demand_by_host.items():
+            if rng.random() < rate_per_s / 100:
+                fleet.ask(host, now, pool=host not in cut)
+        if step % 30 == 0:
+            fleet.report(now, [host for host in FRONTS if host not in cut])
+
+
+def busiest_window(taken, window_s=5.0):
+    """Counts the most tokens taken in any window."""
+    times = sorted(now for now, _ in taken)
+    return max(
+        sum(begin <= now < begin + window_s for now in times) for begin in times
+    )
+
+
+def test_demand_within_the_rate_is_served(fleet):
+    """Uneven demand of two thirds of the rate is not refused."""
+    demand = {'h1': 14.0, 'h2': 6.0, 'h3': 1.0, 'h4': 0.5}
+    play(fleet, 20, demand)
+    assert len(fleet.refused) <= 0.02 * len(fleet.taken)
+
+
+def test_overload_stays_within_rate_and_burst(fleet):
+    """An account that sends many times its rate gets no more than that."""
+    demand = {host: 60.0 for host in FRONTS}
+    play(fleet, 20, demand)
+    limit = (RATE_PER_S * 5 + BURST) * 1.1
+    assert busiest_window(fleet.taken) <= limit
+
+
+def test_host_that_is_cut_off_keeps_its_part(fleet):
+    """A host with half of the demand goes on with half of what is held."""
+    demand = {'h1': 10.0, 'h2': 10.0}
+    play(fleet, 10, demand)
+    fleet.taken.clear()
+    play(fleet, 10, demand, cut=('h1',), start=10.0, seed=2)
+    taken = [one for one in fleet.taken if one[1] == 'h1']
+    assert len(taken) >= 0.9 * RATE_PER_S * HELD_PART / 2 * 10
+
+
+def test_sum_holds_while_a_host_is_cut_off_and_all_press(fleet):
+    """A part that can't be taken back is not given to others."""
+    play(fleet, 10, {'h1': 10.0, 'h2': 10.0})
+    fleet.taken.clear()
+    demand = {host: 60.0 for host in FRONTS}
+    play(fleet, 15, demand, cut=('h1',), start=10.0, seed=2)
+    limit = (RATE_PER_S * 5 + BURST) * 1.1
+    assert busiest_window(fleet.taken) <= limit
+
+
+def test_new_allotment_gives_nothing_before_all_were_heard(fleet):
+    """A host that takes over does not know what silent ones hold."""
+    play(fleet, 10, {'h1': 10.0, 'h2': 10.0})
+    fleet.allotment = ShareAllotment()
+    before = fleet.held()
+    play(fleet, 5, {'h2': 60.0}, cut=('h1',), start=10.0)
+    assert fleet.held() <= max(before, HELD_PART) + 1e-9
+
+
+def test_parts_and_pool_stay_within_the_total():
+    """Whatever hosts report, parts and pool never exceed the total."""
+    rng = random.Random(7)
+    allotment = ShareAllotment()
+    allotment.keep_hosts(set(FRONTS))
+    parts = {host: HELD_PART / len(FRONTS) for host in FRONTS}
+    for _ in range(500):
+        host = rng.choice(FRONTS)
+        demands = [
+            AccountDemand(
+                account='gin',
+                demand_per_s=rng.random() * 30,
+                part=parts[host],
+            ),
+        ]
+        allotment.on_report(host, demands)
+        allotted = allotment.parts_of(host, demands, {'gin': BURST})
+        if rng.random() < 0.8:
+            parts[host] = allotted[0].part
+        assert sum(parts.values()) <= HELD_PART + ROUNDING
+    assert HELD_PART < TOTAL_PART
+
+
+def test_part_that_holds_no_token_is_left_to_the_pool(fleet):
+    """Tiny parts of many hosts would be of no use to any."""
+    allotment = ShareAllotment()
+    allotment.keep_hosts(set(FRONTS))
+    demands = [AccountDemand(account='gin', demand_per_s=1.0, part=0.0)]
+    for host in FRONTS:
+        allotment.on_report(host, demands)
+    parts = allotment.parts_of('h1', demands, {'gin': 2.0})
+    assert not parts[0].part
+
+
+def test_part_lapses_when_nobody_allots_for_long():
+    """A host that was forgotten must not use its part for ever."""
+    shares = HeldShares(now=0.0)
+    assert shares.take('gin', RATE_PER_S, BURST, 1, 1.0)
+    assert not shares.take('gin', RATE_PER_S, BURST, 1, 100.0)
