--- a/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
@@ -111,16 +111,11 @@
             log_event('store_by_peer', detail=exc.detail)
 
     def _find_peer(self) -> str:
-        state = self._state
-        feeder = state.find_feeder()
-        if feeder is not None:
-            return feeder.peer_address
-        others = [
-            one.peer_address
-            for one in state.hosts.values()
-            if one.host != state.host
-        ]
-        return state.rng.choice(others) if others else ''
+        feeder = self._state.find_feeder()
+        if feeder:
+            return feeder
+        peer = self._state.pick_peer()
+        return peer.peer_address if peer else ''
 
     async def _ask(self, call: Record) -> Record | None:
         address = self._find_peer()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -386,6 +386,8 @@
         )
         if not answer.own:
             raise EndpointFailed(detail='answer to another request')
+        if answer.load is not None:
+            use.on_load(answer.load.waiting, self._state.now())
         if answer.not_run:
             call.attempts -= 1
             raise _Refused(misplaced=answer.other_endpoint)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -10,6 +10,7 @@
 from jacinthmount_node.peers import PeerLinks
 from jacinthmount_node.relay.messages import (
     EndpointUseReport,
+    Forward,
     HostReport,
     HostReportReply,
     RelayHost,
@@ -83,13 +84,11 @@
 
     async def _run_interval(self) -> None:
         while True:
+            demands = self._shares.demands(self._state.now())
             for runner in self._state.runners():
-                await curio.spawn(
-                    self._report,
-                    runner,
-                    self._shares.demands(self._state.now()),
-                    daemon=True,
-                )
+                await curio.spawn(self._report, runner, demands, daemon=True)
+            if self.find_active() is None:
+                await curio.spawn(self._report_by_peer, demands, daemon=True)
             await curio.sleep(INTERVAL_S)
 
     async def _run_changes(self) -> None:
@@ -97,7 +96,9 @@
             await self._wake.wait()
             self._wake.clear()
             active = self.find_active()
-            if active is not None and active.host != self._state.host:
+            if active is None:
+                await curio.spawn(self._report_by_peer, None, daemon=True)
+            elif active.host != self._state.host:
                 await curio.spawn(self._report, active, None, daemon=True)
             await curio.sleep(FLUSH_S)
 
@@ -144,39 +145,69 @@
             return
         self._state.centres.on_heard(runner.data_centre, self._state.now())
         if isinstance(reply, HostReportReply):
-            await self._take_reply(runner, reply)
+            await self._take_reply(runner.peer_address, reply)
+            self._note_claim(reply.state)
+            if demands is not None and reply.state.active:
+                self._take_allotment(reply)
+
+    async def _report_by_peer(
+        self,
+        demands: list[AccountDemand] | None,
+    ) -> None:
+        # Cut off from the runners, this host still loads their endpoints.
+        peer = self._state.pick_peer()
+        if peer is None or self._state.settings.runs_batches:
+            return
+        try:
+            reply = await self._links.request_at(
+                peer.peer_address,
+                Forward(body=self._make_report(demands)),
+                TIMEOUT_S,
+            )
+        except PeerUnavailable:
+            return
+        if isinstance(reply, HostReportReply):
+            await self._take_reply(peer.peer_address, reply)
             if demands is not None and reply.state.active:
-                now = self._state.now()
-                self._shares.on_parts(reply.parts, now)
-                self._state.segments.replace(reply.segments, now)
+                self._take_allotment(reply)
+
+    def _take_allotment(self, reply: HostReportReply) -> None:
+        now = self._state.now()
+        self._shares.on_parts(reply.parts, now)
+        self._state.segments.replace(reply.segments, now)
 
     def _note_lost(self, host: str) -> None:
         self._state.leadership.on_lost(host)
         if self._claims.pop(host, None) is not None:
             log_event('runner_lost', runner=host)
 
+    def _note_claim(self, state: RunnerState) -> None:
+        now = self._state.now()
+        self._state.leadership.on_state(state, now)
+        if not state.active:
+            self._claims.pop(state.host, None)
+            return
+        if state.host not in self._claims:
+            log_event('runner_found', runner=state.host)
+        self._claims[state.host] = (state, now)
+
     async def _take_reply(
         self,
-        runner: RelayHost,
+        address: str,
         reply: HostReportReply,
     ) -> None:
         now = self._state.now()
-        self._state.leadership.on_state(reply.state, now)
         if not reply.state.active:
-            self._claims.pop(reply.state.host, None)
             return
-        if reply.state.host not in self._claims:
-            log_event('runner_found', runner=reply.state.host)
-        self._claims[reply.state.host] = (reply.state, now)
         if reply.state.store_reached:
             self._state.fed_at = now
-            self._state.fed_by = reply.state.host
+            self._state.fed_by = address
         for view in reply.views:
             use = self._state.find_use(view.endpoint_id)
             if use is not None:
                 use.on_view(view.online, view.batch, now)
         await self.on_view()
-        await self._sync.catch_up(runner.peer_address, reply.revisions)
+        await self._sync.catch_up(address, reply.revisions)
 
 
 async def _ignore_view() -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
@@ -44,15 +44,11 @@
                 body,
                 timeout_s,
             )
-        others = [
-            one.peer_address
-            for one in self._state.hosts.values()
-            if one.host != self._state.host and not one.runs_batches
-        ]
-        if not others:
+        peer = self._state.pick_peer()
+        if peer is None:
             raise PeerUnavailable(detail='no runner and no other host')
         return await self._links.request_at(
-            self._state.rng.choice(others),
+            peer.peer_address,
             Forward(body=body),
             timeout_s * 2,
         )
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -135,11 +135,23 @@
             return None
         return self.placement(entry.service).find(endpoint_id)
 
-    def find_feeder(self) -> RelayHost | None:
-        """Finds the runner that keeps this host up to date, if one does."""
+    def find_feeder(self) -> str:
+        """Finds the peer address over which the active runner feeds this host.
+
+        Empty where none did lately.
+        """
         if self.now() - self.fed_at >= FED_VALID_S:
-            return None
-        return self.hosts.get(self.fed_by)
+            return ''
+        return self.fed_by
+
+    def pick_peer(self) -> RelayHost | None:
+        """Picks another host that serves callers, to ask on its behalf."""
+        others = [
+            one
+            for one in self.hosts.values()
+            if one.host != self.host and not one.runs_batches
+        ]
+        return self.rng.choice(others) if others else None
 
     def runners(self) -> list[RelayHost]:
         """Lists the other hosts that can run batch items."""
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -151,7 +151,7 @@
     def _is_fed(self) -> bool:
         if self._state.settings.runs_batches:
             return False
-        return self._state.find_feeder() is not None
+        return bool(self._state.find_feeder())
 
     def _watches(self) -> tuple[ObjectWatch, ...]:
         return self._config_watch, self._endpoint_watch, self._host_watch
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -14,6 +14,7 @@
 EJECT_BASE_S = 0.4
 EJECT_MAX_S = 4.0
 FULL_S = 0.03
+CROWDED_S = 0.1
 VIEW_VALID_S = 1.5
 EXTRA_WAITING = 1
 # Streams bring an event every few tens of milliseconds.
@@ -24,6 +25,7 @@
     """What this host knows of the load of one endpoint."""
 
     __slots__ = (
+        '_crowded_until',
         '_failures',
         '_viewed_at',
         'batch_elsewhere',
@@ -46,6 +48,7 @@
         self.unreachable = False
         self._viewed_at = -VIEW_VALID_S
         self._failures = 0
+        self._crowded_until = 0.0
 
     def on_view(self, online: int, batch: int, now: float) -> None:
         """Takes the requests in flight from other hosts."""
@@ -78,6 +81,14 @@
         self.ejected_until = 0.0
         self.unreachable = False
 
+    def on_load(self, waiting: int, now: float) -> None:
+        """Takes how many requests waited at the endpoint just now."""
+        self._crowded_until = now + CROWDED_S if waiting else 0.0
+
+    def is_crowded(self, now: float) -> bool:
+        """Tells whether requests waited at the endpoint lately."""
+        return now < self._crowded_until
+
     def on_full(self, now: float) -> None:
         """Notes a refusal for want of room, which batch gives back soon."""
         self.ejected_until = max(self.ejected_until, now + FULL_S)
@@ -185,6 +196,7 @@
     ) -> tuple[bool, int, float]:
         online = use.in_flight(now)
         full = online + use.batch_elsewhere >= use.entry.slots
+        full = full or use.is_crowded(now)
         # Batch gives way, but not without restarting one of its streams.
         return full, online, self._rng.random()
 
