Tell a refused write from a lost one; embed small inputs in the manifest

That saves a write and a read a batch.

Also: questions to the runner go through another host as soon as it is silent, store calls have 0.4 s before a peer makes them, and a host to which every other data centre and the store are silent asks the balancer to send callers elsewhere.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
@@ -11,6 +11,7 @@
     PeerUnavailable,
     QuotaExceeded,
     StoreConflict,
+    StoreRefused,
     StoreUnavailable,
 )
 from jacinthmount.fleet_config import RouteRule
@@ -18,11 +19,13 @@
     BATCH_PREFIX,
     BatchItem,
     BatchLog,
-    BatchManifest,
+    BodyChunk,
+    ItemBatch,
     ItemResult,
     batch_key,
     batch_name,
     chunk_name,
+    is_small,
     make_chunks,
 )
 from jacinthmount.ports import ABSENT
@@ -42,6 +45,7 @@
 
 ADMISSION_TIMEOUT_S = 0.2
 CACHED_LOGS = 64
+CACHED_MANIFESTS = 96
 CACHED_BYTES = 16_000_000
 PAGE_BYTES = 900_000
 WAIT_MARGIN_S = 0.05
@@ -65,7 +69,7 @@
         self._state = state
         self._runner_link = runner_link
         self._logs: OrderedDict[str, BatchLog] = OrderedDict()
-        self._manifests: OrderedDict[str, BatchManifest] = OrderedDict()
+        self._manifests: OrderedDict[str, ItemBatch] = OrderedDict()
 
     async def submit(
         self,
@@ -85,10 +89,13 @@
         if await self._is_accepted(key, account, route, items):
             return
         chunks = make_chunks(items)
+        embedded = BodyChunk(carried='', items=[])
+        if is_small(chunks):
+            embedded = chunks.pop()
         for index, chunk in enumerate(chunks):
             await self._create(chunk_name(key, index), serialize_json(chunk))
         now_ms = int(time.time() * MS)
-        manifest = BatchManifest(
+        manifest = ItemBatch(
             batch_id=batch_id,
             account=account,
             route=route.name,
@@ -99,12 +106,15 @@
             max_attempts=route.max_attempts,
             item_ids=[item.item_id for item in items],
             token_counts=[item.tokens for item in items],
+            embedded=embedded,
             chunks=len(chunks),
             ended=False,
             write_id=new_write_id(),
         )
         try:
             await self._create(batch_name(key), serialize_json(manifest))
+        except StoreRefused:
+            raise
         except StoreUnavailable as exc:
             # The write may still take effect, so nothing is promised.
             raise OutcomeUnknown(detail=exc.detail) from exc
@@ -157,9 +167,7 @@
         key = batch_key(account, batch_id)
         manifest = await self._manifest(key)
         if item_id in manifest.item_ids:
-            for item in await read_items(
-                self._state.store, key, manifest.chunks
-            ):
+            for item in await read_items(self._state.store, key, manifest):
                 if item.item_id == item_id:
                     return base64.b64decode(item.body)
         raise NotFound(detail='no such item')
@@ -175,10 +183,16 @@
             stored = await self._state.store.read(name)
             if stored is None or stored.body is None:
                 raise NotFound(detail='no such batch')
-            manifest = parse_json(BatchManifest, stored.body)
+            manifest = parse_json(ItemBatch, stored.body)
             if manifest.ended:
                 return
-            ended = replaced(manifest, ended=True, write_id=new_write_id())
+            ended = replaced(
+                manifest,
+                ended=True,
+                embedded=BodyChunk(carried='', items=[]),
+                chunks=0,
+                write_id=new_write_id(),
+            )
             try:
                 await write_definitely(
                     self._state.store,
@@ -254,7 +268,7 @@
         if asked.cap:
             listing = await self._state.store.list_names(BATCH_PREFIX)
             for one in listing.objects:
-                manifest = parse_json(BatchManifest, one.body or '')
+                manifest = parse_json(ItemBatch, one.body or '')
                 if one.name == batch_name(asked.key):
                     known = True
                 same = (manifest.account, manifest.route) == (
@@ -273,14 +287,14 @@
             # A repeat of the same submission came here first.
             log_event('batch_repeated', name=name)
 
-    async def _manifest(self, key: str) -> BatchManifest:
+    async def _manifest(self, key: str) -> ItemBatch:
         known = self._manifests.get(key)
         if known is not None:
             return known
         stored = await self._state.store.read(batch_name(key))
         if stored is None or stored.body is None:
             raise NotFound(detail='no such batch')
-        manifest = parse_json(BatchManifest, stored.body)
+        manifest = parse_json(ItemBatch, stored.body)
         self._manifests[key] = manifest
         return manifest
 
@@ -294,7 +308,7 @@
         return log
 
     def _trim(self) -> None:
-        while len(self._manifests) > CACHED_LOGS * 4:
+        while len(self._manifests) > CACHED_MANIFESTS:
             self._manifests.popitem(last=False)
         size = sum(log.bytes for log in self._logs.values())
         while len(self._logs) > CACHED_LOGS or (
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -9,8 +9,8 @@
 from jacinthmount.item_batches import (
     BatchItem,
     BatchLog,
-    BatchManifest,
     BodyChunk,
+    ItemBatch,
     ItemResult,
     ResultSegment,
     chunk_name,
@@ -40,7 +40,7 @@
         'writing',
     )
 
-    def __init__(self, *, key: str, manifest: BatchManifest) -> None:
+    def __init__(self, *, key: str, manifest: ItemBatch) -> None:
         """Starts before its items and results are read."""
         self.key = key
         self.manifest = manifest
@@ -91,7 +91,7 @@
 
 def _make_run(
     key: str,
-    manifest: BatchManifest,
+    manifest: ItemBatch,
     item: BatchItem,
     due_at: float,
 ) -> ItemRun:
@@ -115,15 +115,15 @@
 async def read_items(
     store: ObjectStore,
     key: str,
-    chunks: int,
+    manifest: ItemBatch,
 ) -> list[BatchItem]:
     """Reads the items of a batch.
 
     :raises StoreUnavailable: no answer.
     :raises MalformedRecord: a chunk can't be read.
     """
-    found = []
-    for index in range(chunks):
+    found = [manifest.embedded]
+    for index in range(manifest.chunks):
         stored = await store.read(chunk_name(key, index))
         if stored is None or stored.body is None:
             raise MalformedRecord(detail=f'no chunk {index} of {key}')
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -6,7 +6,7 @@
 from jacinthmount.admissions import BatchAdmissions
 from jacinthmount.batch_order import ItemRun
 from jacinthmount.errors import MalformedRecord, StoreUnavailable
-from jacinthmount.item_batches import BATCH_PREFIX, BatchManifest
+from jacinthmount.item_batches import BATCH_PREFIX, ItemBatch
 from jacinthmount.ports import Stored
 from jacinthmount.records import parse_json
 
@@ -150,7 +150,7 @@
             await self._drop(key)
             return
         try:
-            manifest = parse_json(BatchManifest, one.body)
+            manifest = parse_json(ItemBatch, one.body)
         except MalformedRecord as exc:
             log_event('bad_object', name=one.name, detail=exc.detail)
             return
@@ -193,7 +193,7 @@
         return await read_items(
             self._state.store,
             job.key,
-            job.manifest.chunks,
+            job.manifest,
         )
 
     async def _drop(self, key: str) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -276,12 +276,20 @@
         request: HttpRequest,
         responder: Responder,
     ) -> None:
-        ready = self._sync.is_loaded and not self._state.leaving
+        ready = (
+            self._sync.is_loaded
+            and not self._state.leaving
+            and not self._is_isolated()
+        )
         await responder.send_json(
             HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE,
             {'ready': ready},
         )
 
+    def _is_isolated(self) -> bool:
+        # Callers are better served elsewhere; those that come are served.
+        return self._sync.in_outage and self._state.centres.is_isolated()
+
     async def _metrics(
         self,
         request: HttpRequest,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
@@ -3,6 +3,7 @@
 from jacinthmount.errors import (
     PeerUnavailable,
     StoreConflict,
+    StoreRefused,
     StoreUnavailable,
 )
 from jacinthmount.ports import Listing, ObjectStore, Stored
@@ -18,11 +19,14 @@
     StoreWritten,
 )
 from jacinthmount_node.relay.state import RelayState
+from jacinthmount_node.sockets import bounded
 
 __all__ = ('FallbackStore', 'answer_store_call')
 
 AVOID_S = 2.0
-PEER_TIMEOUT_S = 1.0
+READ_TRIES = 2
+DIRECT_TIMEOUT_S = 0.4
+PEER_TIMEOUT_S = 0.6
 
 
 class FallbackStore(ObjectStore):
@@ -32,7 +36,13 @@
     meet its own effect; ``write_definitely`` knows how to tell.
     """
 
-    __slots__ = ('_avoid_until', '_direct', '_links', '_state')
+    __slots__ = (
+        '_avoid_feeder_until',
+        '_avoid_until',
+        '_direct',
+        '_links',
+        '_state',
+    )
 
     def __init__(
         self,
@@ -46,30 +56,39 @@
         self._state = state
         self._links = links
         self._avoid_until = 0.0
+        self._avoid_feeder_until = 0.0
 
     async def read(self, name: str) -> Stored | None:
         """See the port."""
         if not self._avoids_direct():
             try:
-                return await self._direct.read(name)
+                return await self._try(self._direct.read, name)
             except StoreUnavailable as exc:
                 self._note_failure(exc)
-        reply = await self._ask(StoreRead(name=name))
-        if isinstance(reply, StoreFound):
-            return reply.stored
+        for _ in range(READ_TRIES):
+            reply = await self._ask(StoreRead(name=name))
+            if isinstance(reply, StoreFound):
+                return reply.stored
         raise StoreUnavailable(detail=f'{name}: no host reaches the store')
 
     async def write(self, name: str, body: str, expected: int) -> int:
         """See the port."""
         if not self._avoids_direct():
             try:
-                return await self._direct.write(name, body, expected)
+                return await self._try(
+                    self._direct.write,
+                    name,
+                    body,
+                    expected,
+                )
             except StoreUnavailable as exc:
                 self._note_failure(exc)
                 raise
         reply = await self._ask(
             StoreWrite(name=name, body=body, expected=expected),
         )
+        if isinstance(reply, StoreFailed) and reply.refused:
+            raise StoreRefused(detail=f'{name}: refused at a peer')
         if not isinstance(reply, StoreWritten):
             raise StoreUnavailable(detail=f'{name}: no host reaches the store')
         if reply.conflict:
@@ -105,14 +124,26 @@
     def _avoids_direct(self) -> bool:
         return self._state.now() < self._avoid_until
 
+    async def _try(self, func, *args):
+        """Calls the store for a short time if a peer could do it instead."""
+        if not self._find_peer():
+            return await func(*args)
+        try:
+            return await bounded(DIRECT_TIMEOUT_S, func, *args)
+        except TimeoutError as exc:
+            raise StoreUnavailable(detail=str(exc)) from exc
+
     def _note_failure(self, exc: StoreUnavailable) -> None:
         if self._find_peer():
             self._avoid_until = self._state.now() + AVOID_S
             log_event('store_by_peer', detail=exc.detail)
 
     def _find_peer(self) -> str:
+        if self._state.settings.runs_batches:
+            # Another runner takes over from one that is turned away.
+            return ''
         feeder = self._state.find_feeder()
-        if feeder:
+        if feeder and self._state.now() >= self._avoid_feeder_until:
             return feeder
         peer = self._state.pick_peer()
         return peer.peer_address if peer else ''
@@ -129,7 +160,8 @@
             )
         except PeerUnavailable as exc:
             log_event('store_peer_silent', detail=exc.detail)
-            reply = StoreFailed()
+            self._avoid_feeder_until = self._state.now() + AVOID_S
+            return StoreFailed(refused=False)
         if isinstance(reply, StoreFailed):
             # The next call tries the store itself again.
             self._avoid_until = 0.0
@@ -149,5 +181,5 @@
         return StoreWritten(version=exc.version, conflict=True)
     except StoreUnavailable as exc:
         log_event('store_call_failed', name=call.name, detail=exc.detail)
-        return StoreFailed()
+        return StoreFailed(refused=isinstance(exc, StoreRefused))
     return StoreWritten(version=version, conflict=False)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -209,6 +209,8 @@
 
 
 class StoreFailed(Record):
-    """The store gave no answer; a write may take effect."""
+    """The store did not answer a call, or ``refused`` it without effect."""
 
-    __slots__ = ()
+    __slots__ = ('refused',)
+
+    refused: bool
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
@@ -3,6 +3,7 @@
 from jacinthmount.errors import PeerUnavailable
 from jacinthmount.records import Record
 
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.peers import PeerLinks
 from jacinthmount_node.relay.messages import Forward
 from jacinthmount_node.relay.reports import HostReporter
@@ -39,11 +40,14 @@
         """
         runner = self._reporter.find_active()
         if runner is not None:
-            return await self._links.request_at(
-                runner.peer_address,
-                body,
-                timeout_s,
-            )
+            try:
+                return await self._links.request_at(
+                    runner.peer_address,
+                    body,
+                    timeout_s,
+                )
+            except PeerUnavailable as exc:
+                log_event('runner_unasked', detail=exc.detail)
         peer = self._state.pick_peer()
         if peer is None:
             raise PeerUnavailable(detail='no runner and no other host')
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -276,10 +276,21 @@
         others = [
             one for one in known if one != self._state.settings.peer_listen
         ]
-        if others:
-            await self._ask_peer(self._state.rng.choice(others))
+        if not others:
+            return
+        address = self._state.rng.choice(others)
+        if await self._ask_peer(address):
+            self._note_heard(address)
+
+    def _note_heard(self, address: str) -> None:
+        for one in self._state.hosts.values():
+            if one.peer_address == address:
+                self._state.centres.on_heard(
+                    one.data_centre,
+                    self._state.now(),
+                )
 
-    async def _ask_peer(self, address: str) -> None:
+    async def _ask_peer(self, address: str) -> bool:
         try:
             reply = await self._links.request_at(
                 address,
@@ -288,9 +299,10 @@
             )
         except PeerUnavailable as exc:
             log_event('peer_silent', address=address, detail=exc.detail)
-            return
+            return False
         if isinstance(reply, Snapshot):
             await self._take_snapshot(reply)
+        return True
 
     async def _take_snapshot(self, snapshot: Snapshot) -> None:
         watches = {watch.prefix: watch for watch in self._watches()}
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -32,6 +32,7 @@
     'ShareUnconfirmed',
     'ShuttingDown',
     'StoreConflict',
+    'StoreRefused',
     'StoreUnavailable',
     'ValueTooLarge',
     'NOT_RUN',
@@ -238,6 +239,12 @@
     run_state = NOT_RUN
 
 
+class StoreRefused(StoreUnavailable):
+    """The object API refused a call or was not reached; it had no effect."""
+
+    code = 1605
+
+
 class StoreConflict(JacinthmountError):
     """The object has another version than the write expected.
 
--- a/packages/jacinthmount/jacinthmount/item_batches.py
+++ b/packages/jacinthmount/jacinthmount/item_batches.py
@@ -13,7 +13,7 @@
     'BATCH_PREFIX',
     'BatchItem',
     'BatchLog',
-    'BatchManifest',
+    'ItemBatch',
     'BodyChunk',
     'ItemResult',
     'ResultSegment',
@@ -21,6 +21,8 @@
     'batch_key',
     'batch_name',
     'chunk_name',
+    'is_small',
+    'join_chunks',
     'make_chunks',
     'result_segment_name',
 )
@@ -30,6 +32,7 @@
 RESULT_PREFIX = 'batch-results/'
 # A value of the store is a megabyte at most, with its name and quoting.
 CHUNK_BYTES = 400_000
+EMBEDDED_BYTES = 100_000
 KEY_DIGITS = 32
 COUNTS_VALID_S = 0.5
 OPEN = 'open'
@@ -62,11 +65,12 @@
     items: list[BatchItem]
 
 
-class BatchManifest(Record):
+class ItemBatch(Record):
     """An accepted batch; times are Unix milliseconds.
 
     ``ended`` tells that its owner ended it. ``token_counts`` goes with
-    ``item_ids``.
+    ``item_ids``. A small input is ``embedded``; a large one lies in as many
+    objects as ``chunks`` says.
     """
 
     __slots__ = (
@@ -80,6 +84,7 @@
         'max_attempts',
         'item_ids',
         'token_counts',
+        'embedded',
         'chunks',
         'ended',
         'write_id',
@@ -95,6 +100,7 @@
     max_attempts: int
     item_ids: list[str]
     token_counts: list[int]
+    embedded: BodyChunk
     chunks: int
     ended: bool
     write_id: str
@@ -140,6 +146,14 @@
     return f'{RESULT_PREFIX}{key}.{index:05d}'
 
 
+def is_small(chunks: list[BodyChunk]) -> bool:
+    """Tells whether the input of a batch may be embedded in its manifest."""
+    if len(chunks) > 1:
+        return False
+    size = sum(len(item.body) for item in chunks[0].items)
+    return size <= EMBEDDED_BYTES
+
+
 def make_chunks(items: list[BatchItem]) -> list[BodyChunk]:
     """Distributes items over chunks, also a body larger than a chunk."""
     chunks = [BodyChunk(carried='', items=[])]
--- a/packages/jacinthmount/jacinthmount/reachability.py
+++ b/packages/jacinthmount/jacinthmount/reachability.py
@@ -8,8 +8,6 @@
 
 __all__ = ('CentreHearing',)
 
-MISSED_S = 0.35
-
 
 class CentreHearing:
     """When each data centre was heard, and since when answers are missing."""
@@ -34,6 +32,12 @@
         awaited = self._awaited.get(data_centre, asked_at)
         self._awaited[data_centre] = max(awaited, asked_at)
 
+    def is_isolated(self) -> bool:
+        """Tells whether every other data centre that was asked is quiet."""
+        others = set(self._awaited) | set(self._heard)
+        others.discard(self._own)
+        return bool(others) and all(map(self.is_quiet, others))
+
     def is_quiet(self, data_centre: str) -> bool:
         """Tells whether nothing came since a question that was not answered."""
         if data_centre == self._own:
--- a/packages/jacinthmount/jacinthmount/stores.py
+++ b/packages/jacinthmount/jacinthmount/stores.py
@@ -3,7 +3,12 @@
 import uuid
 from typing import TypeVar
 
-from jacinthmount.errors import StoreConflict, StoreUnavailable, ValueTooLarge
+from jacinthmount.errors import (
+    StoreConflict,
+    StoreRefused,
+    StoreUnavailable,
+    ValueTooLarge,
+)
 from jacinthmount.ports import (
     ABSENT,
     MAX_VALUE_BYTES,
@@ -106,18 +111,21 @@
 
     :returns: the version written.
     :raises StoreConflict: another writer's body is in place.
+    :raises StoreRefused: every attempt was refused; nothing is written.
     :raises StoreUnavailable: still no answer; the write may take effect.
     """
-    for attempt in range(WRITE_TRIES):
+    failures: list[StoreUnavailable] = []
+    for _ in range(WRITE_TRIES):
         try:
             return await store.write(name, body, expected)
         except StoreConflict:
-            if attempt == 0:
+            if not failures:
                 raise
             return await _settle(store, name, body)
         except StoreUnavailable as exc:
-            lost = exc
-    raise lost
+            failures.append(exc)
+    lost = [exc for exc in failures if not isinstance(exc, StoreRefused)]
+    raise (lost or failures)[0]
 
 
 async def _settle(store: ObjectStore, name: str, body: str) -> int:
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -4,6 +4,7 @@
 import pytest
 from jacinthmount.errors import (
     StoreConflict,
+    StoreRefused,
     StoreUnavailable,
     ValueTooLarge,
 )
@@ -122,3 +123,47 @@
     """Another writer's body in place is a conflict, not a success."""
     with pytest.raises(StoreConflict):
         curio.run(write_definitely, Overtaken(), 'a', 'w1', ABSENT)
+
+
+class _FailingStore(MemoryStore):
+    """A store whose first writes fail as told."""
+
+    __slots__ = ('_failures',)
+
+    def __init__(self, *failures):
+        """Takes the errors of the first writes; ``None`` writes and fails."""
+        super().__init__()
+        self._failures = list(failures)
+
+    async def write(self, name, body, expected):
+        """See the port."""
+        if not self._failures:
+            return await super().write(name, body, expected)
+        failure = self._failures.pop(0)
+        if failure is None:
+            await super().write(name, body, expected)
+            failure = StoreUnavailable(detail='answer lost')
+        raise failure
+
+
+def test_refused_writes_are_known_to_have_no_effect():
+    """Only refusals leave nothing behind, so a caller may be told so."""
+    refused = StoreRefused(detail='busy')
+    store = _FailingStore(refused, refused, refused)
+    with pytest.raises(StoreRefused):
+        curio.run(write_definitely, store, 'a', 'b', ABSENT)
+
+
+def test_one_lost_answer_among_refusals_leaves_the_effect_open():
+    """A write that may have landed is never called refused."""
+    refused = StoreRefused(detail='busy')
+    store = _FailingStore(None, refused, refused)
+    with pytest.raises(StoreUnavailable) as caught:
+        curio.run(write_definitely, store, 'a', 'b', ABSENT)
+    assert not isinstance(caught.value, StoreRefused)
+
+
+def test_lost_answer_is_settled_by_the_repeat():
+    """The repeat meets its own effect and tells the version written."""
+    store = _FailingStore(None)
+    assert curio.run(write_definitely, store, 'a', 'b', ABSENT) == 1
