Read batches from copies at the runner; group results for 0.6 s

Segments never change, so the runner that wrote them answers for the store; absence is still asked of the store. Ruled out: watches (fronts are fed by the runner).

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
@@ -291,7 +291,8 @@
         known = self._manifests.get(key)
         if known is not None:
             return known
-        stored = await self._state.store.read(batch_name(key))
+        # Only the mark of its end changes, and it is not looked at here.
+        stored = await self._state.store.read_immutable(batch_name(key))
         if stored is None or stored.body is None:
             raise NotFound(detail='no such batch')
         manifest = parse_json(ItemBatch, stored.body)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -17,11 +17,18 @@
     join_chunks,
     result_segment_name,
 )
-from jacinthmount.ports import ABSENT, ObjectStore
+from jacinthmount.ports import ABSENT, ObjectStore, Stored
+from jacinthmount.recent_objects import RecentObjects
 from jacinthmount.records import parse_json, serialize_json
 from jacinthmount.stores import new_write_id, write_definitely
 
-__all__ = ('BatchJob', 'read_items', 'read_log', 'write_results')
+__all__ = (
+    'BatchJob',
+    'read_items',
+    'read_log',
+    'read_open_items',
+    'write_results',
+)
 
 SEGMENT_BYTES = 500_000
 READ_RETRY_S = 0.3
@@ -124,7 +131,7 @@
     """
     found = [manifest.embedded]
     for index in range(manifest.chunks):
-        stored = await store.read(chunk_name(key, index))
+        stored = await store.read_immutable(chunk_name(key, index))
         if stored is None or stored.body is None:
             raise MalformedRecord(detail=f'no chunk {index} of {key}')
         found.append(parse_json(BodyChunk, stored.body))
@@ -138,13 +145,32 @@
     """
     while not log.complete:
         index = log.next_index
-        stored = await store.read(result_segment_name(key, index))
+        stored = await store.read_immutable(result_segment_name(key, index))
         if stored is None or stored.body is None:
             return
         log.append(index, parse_json(ResultSegment, stored.body))
 
 
-async def write_results(store: ObjectStore, job: BatchJob) -> None:
+async def read_open_items(
+    store: ObjectStore,
+    job: BatchJob,
+) -> list[BatchItem]:
+    """Reads the log of a batch, and its items unless all have results.
+
+    :raises StoreUnavailable: no answer.
+    :raises MalformedRecord: the batch can't be read.
+    """
+    await read_log(store, job.key, job.log)
+    if job.log.complete:
+        return []
+    return await read_items(store, job.key, job.manifest)
+
+
+async def write_results(
+    store: ObjectStore,
+    job: BatchJob,
+    copies: RecentObjects,
+) -> None:
     """Writes pending results, behind those that others have written.
 
     :raises StoreUnavailable: no answer; what is pending stays so.
@@ -155,10 +181,12 @@
         index = job.log.next_index
         name = result_segment_name(job.key, index)
         try:
-            await write_definitely(store, name, serialize_json(segment), ABSENT)
+            body = serialize_json(segment)
+            version = await write_definitely(store, name, body, ABSENT)
         except StoreConflict:
             await _read_next(store, job)
         else:
+            copies.put(Stored(name=name, version=version, body=body))
             job.log.append(index, segment)
         job.pending = [
             one for one in job.pending if not job.log.holds(one.item_id)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -8,13 +8,13 @@
 from jacinthmount.errors import MalformedRecord, StoreUnavailable
 from jacinthmount.item_batches import BATCH_PREFIX, ItemBatch
 from jacinthmount.ports import Stored
+from jacinthmount.recent_objects import RecentObjects
 from jacinthmount.records import parse_json
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.relay.batch_jobs import (
     BatchJob,
-    read_items,
-    read_log,
+    read_open_items,
     write_results,
 )
 from jacinthmount_node.relay.item_runs import ItemRunner, RunEnd
@@ -29,7 +29,7 @@
 
 __all__ = ('RelayBatchRunner',)
 
-GROUP_RESULTS_S = 0.15
+GROUP_RESULTS_S = 0.6
 CHECK_S = 0.1
 LOAD_RETRY_S = 0.3
 MS = 1000
@@ -40,6 +40,7 @@
 
     __slots__ = (
         '_admissions',
+        '_copies',
         '_jobs',
         '_rooms',
         '_scheduler',
@@ -53,8 +54,13 @@
         state: RelayState,
         rooms: RunnerRooms,
         item_runner: ItemRunner,
+        copies: RecentObjects,
     ) -> None:
-        """Starts without jobs."""
+        """Starts without jobs.
+
+        :param copies: where results written here are kept for readers.
+        """
+        self._copies = copies
         self._state = state
         self._rooms = rooms
         self._jobs: dict[str, BatchJob] = {}
@@ -121,6 +127,11 @@
         """Tells whether all manifests were read and are followed."""
         return bool(self._watch.revision) and not self._watch.in_outage
 
+    def find_copy(self, name: str) -> Stored | None:
+        """Finds the copy of a manifest or of a segment written here."""
+        found = self._watch.find(name)
+        return found or self._copies.find(name)
+
     def open_segments(self) -> dict[str, int]:
         """Counts the result segments of the batches that are not complete.
 
@@ -166,7 +177,7 @@
         items = None
         while items is None and self._jobs.get(job.key) is job:
             try:
-                items = await self._read(job)
+                items = await read_open_items(self._state.store, job)
             except StoreUnavailable as exc:
                 log_event('batch_unread', batch=job.key, detail=exc.detail)
                 await curio.sleep(LOAD_RETRY_S)
@@ -186,16 +197,6 @@
         )
         await self._scheduler.pump()
 
-    async def _read(self, job: BatchJob):
-        await read_log(self._state.store, job.key, job.log)
-        if job.log.complete:
-            return []
-        return await read_items(
-            self._state.store,
-            job.key,
-            job.manifest,
-        )
-
     async def _drop(self, key: str) -> None:
         job = self._jobs.pop(key, None)
         if job is None:
@@ -268,7 +269,7 @@
 
     async def _write_once(self, job: BatchJob) -> bool:
         try:
-            await write_results(self._state.store, job)
+            await write_results(self._state.store, job, self._copies)
         except StoreUnavailable as exc:
             log_event('results_wait', batch=job.key, detail=exc.detail)
             return False
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -97,6 +97,7 @@
         '_shares',
         '_state',
         '_stopping',
+        '_store',
         '_sync',
     )
 
@@ -127,11 +128,12 @@
             ),
             metrics=state.metrics,
         )
-        state.store = FallbackStore(
+        self._store = FallbackStore(
             direct=ports.store,
             state=state,
             links=links,
         )
+        state.store = self._store
         self._sync = RelaySync(
             state=state,
             links=links,
@@ -209,6 +211,7 @@
                 pool=ClientPool(),
                 protocol=self._ports.endpoints,
             ),
+            copies=self._store.copies,
         )
         self._parts['batches'] = self._runner.run
         self._parts['retirement'] = self._run_retirement
--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -16,10 +16,12 @@
 from jacinthmount_node.relay.fallback_store import answer_store_call
 from jacinthmount_node.relay.messages import (
     BatchAdmission,
+    CopyRead,
     Forward,
     HostReport,
     HostReportReply,
     SnapshotAsk,
+    StoreFound,
     StoreRead,
     StoreWrite,
     TokenAsk,
@@ -144,6 +146,12 @@
     return reply
 
 
+@_answer.register
+async def _(body: CopyRead, desk: RelayDesk) -> Record | None:
+    stored = desk.runner.find_copy(body.name) if desk.runner else None
+    return StoreFound(stored=stored)
+
+
 @_answer.register(StoreRead)
 @_answer.register(StoreWrite)
 async def _(body: StoreRead | StoreWrite, desk: RelayDesk) -> Record | None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
@@ -7,11 +7,13 @@
     StoreUnavailable,
 )
 from jacinthmount.ports import Listing, ObjectStore, Stored
+from jacinthmount.recent_objects import RecentObjects
 from jacinthmount.records import Record
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.peers import PeerLinks
 from jacinthmount_node.relay.messages import (
+    CopyRead,
     StoreFailed,
     StoreFound,
     StoreRead,
@@ -25,6 +27,7 @@
 
 AVOID_S = 2.0
 READ_TRIES = 2
+COPIES_BYTES = 16_000_000
 DIRECT_TIMEOUT_S = 0.4
 PEER_TIMEOUT_S = 0.6
 
@@ -42,6 +45,7 @@
         '_direct',
         '_links',
         '_state',
+        'copies',
     )
 
     def __init__(
@@ -55,6 +59,7 @@
         self._direct = direct
         self._state = state
         self._links = links
+        self.copies = RecentObjects(limit_bytes=COPIES_BYTES)
         self._avoid_until = 0.0
         self._avoid_feeder_until = 0.0
 
@@ -71,6 +76,17 @@
                 return reply.stored
         raise StoreUnavailable(detail=f'{name}: no host reaches the store')
 
+    async def read_immutable(self, name: str) -> Stored | None:
+        """See the port; the active runner may have a copy."""
+        if self._state.settings.runs_batches:
+            return await self._read_and_keep(name)
+        feeder = self._state.find_feeder()
+        if feeder and self._state.now() >= self._avoid_feeder_until:
+            reply = await self._ask(CopyRead(name=name))
+            if isinstance(reply, StoreFound) and reply.stored is not None:
+                return reply.stored
+        return await self.read(name)
+
     async def write(self, name: str, body: str, expected: int) -> int:
         """See the port."""
         if not self._avoids_direct():
@@ -121,6 +137,14 @@
         """See the port."""
         return await self._direct.watch_page(prefix, after, wait_s)
 
+    async def _read_and_keep(self, name: str) -> Stored | None:
+        stored = self.copies.find(name)
+        if stored is None:
+            stored = await self.read(name)
+            if stored is not None:
+                self.copies.put(stored)
+        return stored
+
     def _avoids_direct(self) -> bool:
         return self._state.now() < self._avoid_until
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -19,6 +19,7 @@
     'RelayHost',
     'Snapshot',
     'SnapshotAsk',
+    'CopyRead',
     'StoreFailed',
     'StoreFound',
     'StoreRead',
@@ -181,6 +182,14 @@
     name: str
 
 
+class CopyRead(Record):
+    """Asks a runner for its copy of an object that does not change."""
+
+    __slots__ = ('name',)
+
+    name: str
+
+
 class StoreFound(Record):
     """The object read, or None where it does not exist."""
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -79,6 +79,10 @@
         """Lists the objects known."""
         return list(self._objects.values())
 
+    def find(self, name: str) -> Stored | None:
+        """Finds an object."""
+        return self._objects.get(name)
+
     def snapshot(self, after: int) -> PrefixSnapshot:
         """Copies for another host what is newer than a revision."""
         return PrefixSnapshot(
--- a/packages/jacinthmount/jacinthmount/ports.py
+++ b/packages/jacinthmount/jacinthmount/ports.py
@@ -91,6 +91,13 @@
         """
         raise NotImplementedError
 
+    async def read_immutable(self, name: str) -> Stored | None:
+        """Reads an object whose content does not change, also from a copy.
+
+        :raises StoreUnavailable: no answer.
+        """
+        return await self.read(name)
+
     async def write(self, name: str, body: str, expected: int) -> int:
         """Writes an object if its version is still the expected one.
 
--- /dev/null
+++ b/packages/jacinthmount/jacinthmount/recent_objects.py
@@ -0,0 +1,44 @@
+"""Objects that never change once written, kept for readers at other hosts."""
+
+from collections import OrderedDict
+
+from jacinthmount.ports import Stored
+
+__all__ = ('RecentObjects',)
+
+
+class RecentObjects:
+    """The objects written or read last, within a number of bytes."""
+
+    __slots__ = ('_bytes', '_limit_bytes', '_objects')
+
+    def __init__(self, *, limit_bytes: int) -> None:
+        """Starts empty."""
+        self._objects: OrderedDict[str, Stored] = OrderedDict()
+        self._limit_bytes = limit_bytes
+        self._bytes = 0
+
+    def put(self, stored: Stored) -> None:
+        """Keeps an object; the ones used longest ago make room."""
+        self.drop(stored.name)
+        self._objects[stored.name] = stored
+        self._bytes += _size(stored)
+        while self._bytes > self._limit_bytes:
+            self.drop(next(iter(self._objects)))
+
+    def find(self, name: str) -> Stored | None:
+        """Finds an object that is still kept."""
+        stored = self._objects.get(name)
+        if stored is not None:
+            self._objects.move_to_end(name)
+        return stored
+
+    def drop(self, name: str) -> None:
+        """Forgets an object."""
+        stored = self._objects.pop(name, None)
+        if stored is not None:
+            self._bytes -= _size(stored)
+
+
+def _size(stored: Stored) -> int:
+    return len(stored.name) + len(stored.body or '')
