--- a/packages/jacinthmount-node/jacinthmount_node/logs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/logs.py
@@ -1,13 +1,17 @@
 """Structured logs as JSON lines; never a key or a body."""
 
+import atexit
 import sys
 from pathlib import Path
 
 import eliot
 
+from jacinthmount_node.log_writer import LogWriter
+
 __all__ = ('log_event', 'log_failure', 'open_log')
 
 MAX_DETAIL_CHARS = 300
+CLOSE_TIMEOUT_S = 1.0
 
 
 def open_log(path: str) -> None:
@@ -15,7 +19,9 @@
     if path:
         eliot.to_file(Path(path).open('ab', buffering=0))
     else:
-        eliot.to_file(sys.stdout.buffer)
+        writer = LogWriter(stream=sys.stdout.buffer)
+        atexit.register(writer.close, CLOSE_TIMEOUT_S)
+        eliot.to_file(writer)
 
 
 def log_event(event: str, **facts: str | float | None) -> None:
--- /dev/null
+++ b/tests/test_fallback_store.py
@@ -0,0 +1,181 @@
+"""Store calls through a peer, and copies of what never changes."""
+
+import random
+
+import curio
+import pytest
+from jacinthmount.errors import (
+    StoreConflict,
+    StoreRefused,
+    StoreUnavailable,
+)
+from jacinthmount.memory import ManualClock
+from jacinthmount.ports import ABSENT, Stored
+from jacinthmount.recent_objects import RecentObjects
+from jacinthmount.stores import MemoryStore, write_definitely
+from jacinthmount_node.relay.fallback_store import (
+    FallbackStore,
+    answer_store_call,
+)
+from jacinthmount_node.relay.messages import CopyRead, RelayHost, StoreFound
+from jacinthmount_node.relay.settings import RelaySettings
+from jacinthmount_node.relay.state import RelayState
+
+
+class _TurnedAway(MemoryStore):
+    """A store that refuses this host while told so."""
+
+    __slots__ = ('calls', 'refuses')
+
+    def __init__(self):
+        super().__init__()
+        self.refuses = True
+        self.calls = 0
+
+    async def read(self, name):
+        self._check()
+        return await super().read(name)
+
+    async def write(self, name, body, expected):
+        self._check()
+        return await super().write(name, body, expected)
+
+    def _check(self):
+        self.calls += 1
+        if self.refuses:
+            raise StoreRefused(detail='turned away')
+
+
+class _Peer:
+    """Links to a peer that reaches the store."""
+
+    def __init__(self, store):
+        self.store = store
+        self.copies = {}
+        self.asked = []
+
+    async def request_at(self, address, body, timeout_s):
+        self.asked.append(type(body).__name__)
+        if isinstance(body, CopyRead):
+            return StoreFound(stored=self.copies.get(body.name))
+        return await answer_store_call(self.store, body)
+
+
+def make_state(store):
+    """Builds the state of a front that knows one other host."""
+    state = RelayState(
+        settings=RelaySettings(
+            host='h1',
+            data_centre='east',
+            ip='',
+            front_listen='',
+            ready_listen='',
+            peer_listen='h1:1',
+            metrics_listen='',
+            seeds=[],
+            platform='',
+            runs_batches=False,
+            stop_s=8,
+            end_batch_s=3,
+            config_object='config/main',
+            endpoint_prefix='servers/',
+        ),
+        store=store,
+        clock=ManualClock(),
+        rng=random.Random(1),
+    )
+    state.hosts = {
+        'h2': RelayHost(
+            host='h2',
+            incarnation='x',
+            data_centre='east',
+            peer_address='h2:1',
+            runs_batches=False,
+        ),
+    }
+    return state
+
+
+@pytest.fixture
+def direct():
+    """The store as this host reaches it, turned away at first."""
+    return _TurnedAway()
+
+
+@pytest.fixture
+def peer():
+    """A peer that reaches a store."""
+    return _Peer(MemoryStore())
+
+
+@pytest.fixture
+def store(direct, peer):
+    """The store with its way through the peer."""
+    return FallbackStore(direct=direct, state=make_state(direct), links=peer)
+
+
+def test_refused_host_writes_and_reads_through_a_peer(store, peer):
+    """A submission succeeds though the store turns this host away."""
+    version = curio.run(write_definitely, store, 'a/1', 'x', ABSENT)
+    assert version == 1
+    assert curio.run(store.read, 'a/1').body == 'x'
+    with pytest.raises(StoreConflict):
+        curio.run(store.write, 'a/1', 'y', ABSENT)
+
+
+def test_direct_calls_resume_after_a_while(store, direct):
+    """The store itself is tried again once in a while."""
+    curio.run(store.read, 'a/1')
+    before = direct.calls
+    curio.run(store.read, 'a/1')
+    assert direct.calls == before
+    store._state.clock.advance(3)
+    direct.refuses = False
+    curio.run(store.read, 'a/1')
+    assert direct.calls == before + 1
+
+
+def test_refusal_at_the_peer_is_told_as_such(store, direct, peer):
+    """Nothing is kept if both were refused, and that may be said."""
+    peer.store = direct
+    with pytest.raises(StoreRefused):
+        curio.run(write_definitely, store, 'a/1', 'x', ABSENT)
+
+
+def test_read_that_nobody_answers_is_unavailable(store, direct, peer):
+    """Absence is never concluded from a failure."""
+    peer.store = direct
+    with pytest.raises(StoreUnavailable):
+        curio.run(store.read, 'a/1')
+
+
+def test_copy_spares_the_store(store, direct, peer):
+    """What never changes comes from the runner that feeds this host."""
+    store._state.fed_at = store._state.now()
+    store._state.fed_by = 'runner:1'
+    peer.copies['a/1'] = Stored(name='a/1', version=1, body='x')
+    assert curio.run(store.read_immutable, 'a/1').body == 'x'
+    assert not direct.calls
+
+
+def test_absence_is_asked_of_the_store(store, direct, peer):
+    """A runner without a copy does not mean that there is no object."""
+    store._state.fed_at = store._state.now()
+    store._state.fed_by = 'runner:1'
+    direct.refuses = False
+    curio.run(direct.write, 'a/1', 'x', ABSENT)
+    assert curio.run(store.read_immutable, 'a/1').body == 'x'
+    assert peer.asked == ['CopyRead']
+
+
+def test_recent_objects_stay_within_their_bytes():
+    """The object used longest ago makes room."""
+    recent = RecentObjects(limit_bytes=30)
+    for name in 'abc':
+        recent.put(Stored(name=name, version=1, body='x' * 9))
+    recent.find('a')
+    recent.put(Stored(name='d', version=1, body='x' * 9))
+    assert recent.find('b') is None
+    assert recent.find('a') is not None
+    recent.put(Stored(name='e', version=1, body='x' * 99))
+    assert recent.find('e') is None
