--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -235,6 +235,8 @@
             'item_done',
             item=run.item_id,
             completed=completed,
+            endpoint=run.endpoint_id,
+            starts=run.starts,
             failures=run.failures,
             last_run_s=round(now - run.started_at, 2),
             slack_s=round(run.due_at - now, 2),
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -154,6 +154,9 @@
         route=online.route.name,
         status=responder.status,
         attempts=online.attempts,
+        endpoint=online.endpoint_id,
+        waited_s=round(online.waited_s, 3),
+        first_s=round(online.answered_at - online.arrived_at, 3),
         took_s=round(took_s, 3),
     )
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -58,16 +58,19 @@
 
     __slots__ = (
         'account',
+        'answered_at',
         'arrived_at',
         'attempts',
         'body',
         'deadline',
+        'endpoint_id',
         'heard_at',
         'last_event',
         'refusals',
         'request',
         'route',
         'tried',
+        'waited_s',
     )
 
     def __init__(
@@ -89,6 +92,9 @@
         self.deadline = deadline
         self.last_event = request.received_events
         self.heard_at = arrived_at
+        self.answered_at = arrived_at
+        self.endpoint_id = ''
+        self.waited_s = 0.0
         self.attempts = 0
         self.refusals = 0
         self.tried: set[str] = set()
@@ -166,6 +172,8 @@
             queue = self._queue(service)
             use = await self._acquire(call, queue, responder)
             started_at = self._state.now()
+            call.endpoint_id = use.entry.endpoint_id
+            call.waited_s = started_at - call.arrived_at
             try:
                 await self._reporter.note_change()
                 self._recheck(call)
@@ -453,7 +461,8 @@
 
     def _first_event(self, call: OnlineCall) -> None:
         metric = self._state.metrics.first_token_s
-        took_s = self._state.now() - call.arrived_at
+        call.answered_at = self._state.now()
+        took_s = call.answered_at - call.arrived_at
         metric.labels(call.account, LANE).observe(took_s)
 
     def _again(self, call: OnlineCall) -> bool:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
@@ -51,7 +51,11 @@
                 return
         wait_s = self._wait_until.get(account.name, 0) - self._state.now()
         raise RateExceeded(
-            detail=f'rate of {account.name} is used up',
+            detail=(
+                f'rate of {account.name} is used up: '
+                f'{self._shares.describe(account.name, now)}, '
+                f'pool empty for {wait_s:.2f} s'
+            ),
             retry_after_s=max(MIN_WAIT_S, wait_s),
         )
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -150,6 +150,7 @@
         run.endpoint_id = use.entry.endpoint_id
         run.service = use.entry.service
         run.started_at = now
+        run.starts += 1
         run.heard_at = now
         self._rooms.begin(run)
         self._tasks[run.item_id] = await curio.spawn(
--- a/packages/jacinthmount/jacinthmount/batch_order.py
+++ b/packages/jacinthmount/jacinthmount/batch_order.py
@@ -34,6 +34,7 @@
         'refusals',
         'service',
         'started_at',
+        'starts',
         'texts',
         'tokens',
     )
@@ -67,6 +68,7 @@
         self.last_event: int | None = None
         self.failures = 0
         self.refusals = 0
+        self.starts = 0
         self.started_at = 0.0
         self.heard_at = 0.0
 
--- a/packages/jacinthmount/jacinthmount/rate_shares.py
+++ b/packages/jacinthmount/jacinthmount/rate_shares.py
@@ -132,6 +132,18 @@
         for one in parts:
             self._find(one.account, 1, now).part = one.part
 
+    def describe(self, account: str, now: float) -> str:
+        """Describes part and demand of an account for a log line."""
+        held = self._held.get(account)
+        if held is None:
+            return 'no part'
+        held.decay(now)
+        age_s = now - self._allotted_at
+        return (
+            f'part {held.part:.3f} allotted {age_s:.2f} s ago, '
+            f'demand {held.demand_per_s:.1f} a second'
+        )
+
     def demands(self, now: float) -> list[AccountDemand]:
         """Lists demand and parts of the accounts seen here."""
         found = []
