Answer requests that arrive as a stopping host closes its listener

Connections that were accepted now get half a second, and a head that has begun counts as a request. Ruled out: the engine, which never saw a whole request before the close.

--- a/packages/jacinthmount-node/jacinthmount_node/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_server.py
@@ -38,6 +38,7 @@
 WRITE_TIMEOUT_S = 30.0
 READ_BYTES = 65_536
 POLL_S = 0.05
+LAST_REQUESTS_S = 0.5
 # A caller that will close the connection goes from its body to MUST_CLOSE.
 BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
 
@@ -314,12 +315,16 @@
         self._closing = True
 
     async def drain(self) -> None:
-        """Closes the listener and waits for the requests in flight."""
+        """Closes the listener and waits for the requests in flight.
+
+        Connections that were accepted get time for a request on its way.
+        """
         self._closing = True
         if self._accepting is not None:
             # A socket must not be closed under a task that waits for it.
             await self._accepting.cancel()
         await self._sock.close()
+        await curio.sleep(LAST_REQUESTS_S)
         while any(conn.busy for conn in self._connections):
             await curio.sleep(POLL_S)
 
@@ -374,11 +379,10 @@
 
     async def run(self) -> None:
         while not self._server.closing:
-            request = await self._next_request()
-            if request is None:
-                return
-            self.busy = True
             try:
+                request = await self._next_request()
+                if request is None:
+                    return
                 await self._answer(request)
             finally:
                 self.busy = False
@@ -425,6 +429,7 @@
         idle = not self._wire.trailing_data[0]
         if idle and not await self._await_first_byte():
             return None
+        self.busy = True
         try:
             event = await bounded(
                 self.limits.header_s,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -46,7 +46,7 @@
 
 RESTART_PAUSE_S = 0.5
 SIGNAL_POLL_S = 0.05
-BALANCER_S = 2.6
+BALANCER_S = 3.2
 LAST_ANSWERS_S = 1.0
 
 Part = Callable[[], Awaitable[None]]
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,99 @@
+"""Graceful end of the HTTP server, without a fleet."""
+
+import curio
+import pytest
+from curio import socket as curio_socket
+from jacinthmount_node.http_server import HttpServer
+from jacinthmount_node.sockets import listen
+from jacinthmount_standin.addresses import LOOPBACK, PortReserve
+
+REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+
+
+@pytest.fixture
+def address():
+    """An address that nobody else uses."""
+    reserve = PortReserve()
+    yield LOOPBACK, reserve.take(1)[0]
+    reserve.close()
+
+
+async def answer(request, responder):
+    """Answers after a moment."""
+    await curio.sleep(0.1)
+    await responder.send(200, b'whole', [])
+
+
+async def drain_with(address, talk):
+    """Talks on an open connection while the server drains, then stops it.
+
+    :returns: what the caller received.
+    """
+    server = HttpServer(
+        sock=listen(f'{address[0]}:{address[1]}'),
+        handler=answer,
+    )
+    serving = await curio.spawn(server.run, daemon=True)
+    conn = await curio_socket.create_connection(address)
+    await curio.sleep(0.05)
+    talking = await curio.spawn(talk, conn)
+    await server.drain()
+    await serving.cancel()
+    received = await talking.join()
+    await conn.close()
+    return received
+
+
+async def receive_all(conn):
+    """Reads until the connection ends."""
+    received = b''
+    while True:
+        piece = await conn.recv(1000)
+        if not piece:
+            return received
+        received += piece
+
+
+def test_request_that_arrives_as_the_server_drains_is_answered(address):
+    """A connection that was accepted before gets its first answer.
+
+    Seen first as a request sent 2.58 s after SIGTERM whose connection was
+    closed without an answer.
+    """
+
+    async def talk(conn):
+        await curio.sleep(0.1)
+        await conn.sendall(REQUEST)
+        return await receive_all(conn)
+
+    received = curio.run(drain_with, address, talk)
+    assert received.endswith(b'whole')
+    assert b'connection: close' in received.lower()
+
+
+def test_half_a_head_counts_as_a_request(address):
+    """A request whose head arrives in two parts is answered, too."""
+
+    async def talk(conn):
+        await conn.sendall(REQUEST[:10])
+        await curio.sleep(0.7)
+        await conn.sendall(REQUEST[10:])
+        return await receive_all(conn)
+
+    received = curio.run(drain_with, address, talk)
+    assert received.endswith(b'whole')
+
+
+def test_idle_connection_does_not_hold_the_end_up(address):
+    """A connection on which nothing comes is closed after a moment."""
+
+    async def talk(conn):
+        return await receive_all(conn)
+
+    started = curio.run(_clock)
+    assert not curio.run(drain_with, address, talk)
+    assert curio.run(_clock) < started + 3
+
+
+async def _clock():
+    return await curio.clock()
