Remove expired batches; ignore runs of an earlier time as the active runner

Manifests, inputs and results stayed in the store for ever. A runner that lost and regained its role could take a run that ended late for the new one and run the item twice at once; found by reading, shown by no run.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -12,6 +12,7 @@
 from jacinthmount.records import parse_json
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.batch_cleanup import run_cleanup
 from jacinthmount_node.relay.batch_jobs import (
     BatchJob,
     read_open_items,
@@ -33,6 +34,7 @@
 CHECK_S = 0.1
 LOAD_RETRY_S = 0.3
 MS = 1000
+CLOCK_MARGIN_MS = 5000
 
 
 class RelayBatchRunner:
@@ -84,6 +86,11 @@
         async with curio.TaskGroup() as group:
             await group.spawn(self._watch.run)
             await group.spawn(self._run_checks)
+            await group.spawn(
+                run_cleanup,
+                self._state,
+                self._watch,
+            )
 
     async def stop(self) -> None:
         """Ends all runs, writes the results at hand and stays inactive."""
@@ -214,7 +221,8 @@
 
     async def _on_end(self, run: ItemRun, outcome: RunEnd) -> None:
         job = self._jobs.get(run.batch)
-        if job is None or run.item_id not in job.runs:
+        # A run of an earlier time as the active runner counts no more.
+        if job is None or job.runs.get(run.item_id) is not run:
             return
         if outcome is RunEnd.FAILED:
             run.failures += 1
@@ -307,7 +315,7 @@
     async def _give_up(self) -> None:
         now_ms = time.time() * MS
         for job in list(self._jobs.values()):
-            late = now_ms > job.manifest.keep_until_ms
+            late = now_ms > job.manifest.keep_until_ms + CLOCK_MARGIN_MS
             if late or self._route_gone(job):
                 await self._give_up_job(job)
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -168,7 +168,8 @@
             # Given way, stalled or no longer wanted; its events are kept.
             outcome = RunEnd.LOST
         self._rooms.end(run)
-        self._tasks.pop(run.item_id, None)
+        if self._tasks.get(run.item_id) is await curio.current_task():
+            self._tasks.pop(run.item_id)
         await self._on_end(run, outcome)
         await self.pump()
 
--- /dev/null
+++ b/tests/test_batch_jobs.py
@@ -0,0 +1,193 @@
+"""Jobs of the active runner: results, races and removal."""
+
+import curio
+import pytest
+from jacinthmount.errors import StoreUnavailable
+from jacinthmount.item_batches import (
+    BatchLog,
+    BodyChunk,
+    ItemBatch,
+    batch_name,
+    chunk_name,
+    make_chunks,
+    result_segment_name,
+)
+from jacinthmount.ports import ABSENT
+from jacinthmount.recent_objects import RecentObjects
+from jacinthmount.records import serialize_json
+from jacinthmount.stores import MemoryStore
+from jacinthmount_node.relay.batch_cleanup import is_expired, remove_batch
+from jacinthmount_node.relay.batch_jobs import (
+    BatchJob,
+    read_items,
+    read_log,
+    write_results,
+)
+
+from tests.relay_builders import make_item, make_segment
+
+KEY = 'k'
+ITEMS = ('a', 'b', 'c', 'd')
+
+
+class _Away(MemoryStore):
+    """A store that answers no write."""
+
+    __slots__ = ()
+
+    async def write(self, name, body, expected):
+        """See the port."""
+        raise StoreUnavailable(detail='away')
+
+
+def make_manifest(**changes):
+    """Builds the manifest of four items."""
+    fields = {
+        'batch_id': 'b1',
+        'account': 'gin',
+        'route': 'audit',
+        'host_name': 'scans.example',
+        'accepted_at_ms': 0,
+        'due_at_ms': 18_000,
+        'keep_until_ms': 60_000,
+        'max_attempts': 3,
+        'item_ids': list(ITEMS),
+        'token_counts': [100, 100, 100, 100],
+        'embedded': BodyChunk(carried='', items=[]),
+        'chunks': 1,
+        'ended': False,
+        'write_id': 'w',
+    }
+    return ItemBatch(**{**fields, **changes})
+
+
+@pytest.fixture
+def store():
+    """A store with the input of the batch in one chunk."""
+    found = MemoryStore()
+    chunk = make_chunks([make_item(item_id) for item_id in ITEMS])[0]
+
+    async def fill():
+        await found.write(chunk_name(KEY, 0), serialize_json(chunk), ABSENT)
+        manifest = serialize_json(make_manifest())
+        await found.write(batch_name(KEY), manifest, ABSENT)
+
+    curio.run(fill)
+    return found
+
+
+def open_job(store):
+    """Loads a job as a runner does when it becomes active."""
+    job = BatchJob(key=KEY, manifest=make_manifest())
+
+    async def load():
+        await read_log(store, KEY, job.log)
+        items = await read_items(store, KEY, job.manifest)
+        job.fill(items, due_at=18.0)
+
+    curio.run(load)
+    return job
+
+
+def finish(job, *item_ids, completed=True):
+    """Ends the runs of items, each with its text."""
+    for item_id in item_ids:
+        run = job.runs[item_id]
+        run.texts = [f'{item_id} done']
+        job.finish(run, completed=completed)
+
+
+def write(store, job):
+    """Writes what is pending."""
+    curio.run(write_results, store, job, RecentObjects(limit_bytes=10_000))
+
+
+def read_all(store):
+    """Reads the log as a front does."""
+    log = BatchLog(total=len(ITEMS))
+    curio.run(read_log, store, KEY, log)
+    return [one.item_id for one in log.results]
+
+
+def test_two_runners_list_each_item_once(store):
+    """Whoever writes first wins; the other leaves out what is listed."""
+    first, second = open_job(store), open_job(store)
+    finish(first, 'a', 'b')
+    finish(second, 'b', 'c')
+    write(store, first)
+    write(store, second)
+    assert read_all(store) == ['a', 'b', 'c']
+    finish(first, 'c', 'd')
+    write(store, first)
+    assert read_all(store) == ['a', 'b', 'c', 'd']
+    assert first.log.complete
+
+
+def test_runner_that_takes_over_runs_only_what_is_open(store):
+    """Items with a result are not run again."""
+    first = open_job(store)
+    finish(first, 'a', 'b')
+    write(store, first)
+    assert set(open_job(store).runs) == {'c', 'd'}
+
+
+def test_results_of_another_runner_end_own_runs(store):
+    """A runner that meets results of another drops those items."""
+    first, second = open_job(store), open_job(store)
+    finish(first, 'a', 'b', 'c')
+    write(store, first)
+    finish(second, 'd')
+    write(store, second)
+    assert not second.runs
+    assert second.log.complete
+
+
+def test_item_that_failed_has_no_text(store):
+    """An item that was given up is listed without text."""
+    job = open_job(store)
+    finish(job, 'a', completed=False)
+    write(store, job)
+    log = BatchLog(total=len(ITEMS))
+    curio.run(read_log, store, KEY, log)
+    assert (log.results[0].completed, log.results[0].text) == (False, '')
+
+
+def test_pending_results_survive_an_outage(store):
+    """What could not be written stays pending and is written later."""
+    job = open_job(store)
+    finish(job, 'a')
+    with pytest.raises(StoreUnavailable):
+        write(_Away(), job)
+    assert [one.item_id for one in job.pending] == ['a']
+    write(store, job)
+    assert read_all(store) == ['a']
+
+
+def test_waiting_tokens_fall_as_items_end(store):
+    """Before its input is read a batch counts whole, ended ones not."""
+    fresh = BatchJob(key=KEY, manifest=make_manifest())
+    assert fresh.waiting_tokens() == 400
+    job = open_job(store)
+    finish(job, 'a')
+    assert job.waiting_tokens() == 300
+    job.manifest = make_manifest(ended=True)
+    assert not job.waiting_tokens()
+
+
+def test_expired_batch_is_removed_whole(store):
+    """Nothing of an expired batch stays, and repeating it does no harm."""
+    segment = serialize_json(make_segment('a'))
+
+    async def remove():
+        await store.write(result_segment_name(KEY, 0), segment, ABSENT)
+        for _ in range(2):
+            await remove_batch(store, batch_name(KEY), make_manifest())
+        return (await store.list_names('')).objects
+
+    assert not curio.run(remove)
+
+
+def test_batch_is_kept_until_long_after_its_end():
+    """Results stay readable well after items may be given up."""
+    assert not is_expired(make_manifest(), now_ms=60_000 + 120_000)
+    assert is_expired(make_manifest(), now_ms=60_000 + 3_600_000)
