Never feed others from a runner that the store turns away; number share reports

Ruled out: the fronts' way to the runner (answers came every 0.3 s) and lost watch events (the three other runners had the version within 50 ms).

The new specification of parts of a rate refuted the code: an answer of the runner before could raise a part after its successor had counted it. Only the first answer to the newest report counts now.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -1,6 +1,7 @@
 """Open batches and their results while this host is the active runner."""
 
 import time
+from collections.abc import Callable
 
 import curio
 from jacinthmount.admissions import BatchAdmissions
@@ -43,6 +44,7 @@
     __slots__ = (
         '_admissions',
         '_copies',
+        '_is_away',
         '_jobs',
         '_rooms',
         '_scheduler',
@@ -57,12 +59,15 @@
         rooms: RunnerRooms,
         item_runner: ItemRunner,
         copies: RecentObjects,
+        is_away: Callable[[], bool],
     ) -> None:
         """Starts without jobs.
 
+        :param is_away: tells whether the store does not answer this host.
         :param copies: where results written here are kept for readers.
         """
         self._copies = copies
+        self._is_away = is_away
         self._state = state
         self._rooms = rooms
         self._jobs: dict[str, BatchJob] = {}
@@ -290,8 +295,8 @@
         was_active = False
         while True:
             await curio.sleep(CHECK_S)
-            leadership.store_reached = (
-                not self._watch.in_outage and not self.stopped
+            leadership.store_reached = not (
+                self._watch.in_outage or self._is_away() or self.stopped
             )
             active = leadership.decide(self._state.now())
             if active is not was_active:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -212,6 +212,7 @@
                 protocol=self._ports.endpoints,
             ),
             copies=self._store.copies,
+            is_away=self._is_away,
         )
         self._parts['batches'] = self._runner.run
         self._parts['retirement'] = self._run_retirement
@@ -293,6 +294,9 @@
         # Callers are better served elsewhere; those that come are served.
         return self._sync.in_outage and self._state.centres.is_isolated()
 
+    def _is_away(self) -> bool:
+        return self._sync.in_outage
+
     async def _metrics(
         self,
         request: HttpRequest,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -5,9 +5,9 @@
 from jacinthmount.errors import MalformedRecord, PeerUnavailable
 from jacinthmount.ports import ObjectStore
 from jacinthmount.rate_shares import (
-    AccountDemand,
     AccountPart,
     ShareAllotment,
+    ShareReport,
 )
 from jacinthmount.records import Record
 
@@ -94,7 +94,7 @@
     def allot(
         self,
         host: str,
-        demands: list[AccountDemand],
+        report: ShareReport,
     ) -> list[AccountPart]:
         """Allots parts of rates to a host that reports its demand."""
         if not self.may_allot() or not self.state.configured:
@@ -105,10 +105,11 @@
             if not one.runs_batches
         }
         self.allotment.keep_hosts(fronts)
-        self.allotment.on_report(host, demands)
+        if not self.allotment.on_report(host, report):
+            return []
         return self.allotment.parts_of(
             host,
-            demands,
+            report,
             self.state.config.bursts(),
         )
 
@@ -128,7 +129,7 @@
         leadership.on_named(body.active, now)
     reply = HostReportReply(
         state=leadership.state(),
-        revisions={},
+        revisions=desk.sync.revisions() if desk.runner else {},
         views=[],
         parts=[],
         segments={},
@@ -139,9 +140,8 @@
     if leadership.active:
         await desk.runner.on_load_change()
         reply.views = desk.rooms.views(body.host)
-        reply.revisions = desk.sync.revisions()
-        if body.demands is not None and body.state is None:
-            reply.parts = desk.allot(body.host, body.demands)
+        if body.shares is not None and body.state is None:
+            reply.parts = desk.allot(body.host, body.shares)
             reply.segments = desk.runner.open_segments()
     return reply
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -2,7 +2,7 @@
 
 from jacinthmount.leadership import RunnerState
 from jacinthmount.ports import Stored
-from jacinthmount.rate_shares import AccountDemand, AccountPart
+from jacinthmount.rate_shares import AccountPart, ShareReport
 from jacinthmount.records import Record
 
 from jacinthmount_node.relay.object_watch import PrefixSnapshot
@@ -62,17 +62,17 @@
 
     ``state`` is what a runner says of itself, ``active`` the runner that the
     host takes for the active one. ``waiting`` counts online requests that wait
-    for an endpoint. ``demands`` is None except at intervals.
+    for an endpoint. ``shares`` is None except at intervals.
     """
 
-    __slots__ = ('host', 'state', 'active', 'waiting', 'uses', 'demands')
+    __slots__ = ('host', 'state', 'active', 'waiting', 'uses', 'shares')
 
     host: str
     state: RunnerState | None
     active: RunnerState | None
     waiting: int
     uses: list[EndpointUseReport]
-    demands: list[AccountDemand] | None
+    shares: ShareReport | None
 
 
 class EndpointView(Record):
@@ -86,12 +86,12 @@
 
 
 class HostReportReply(Record):
-    """What a runner knows; only the active one fills more than its state.
+    """What a runner knows; only the active one fills the last three.
 
     ``revisions`` tells by prefix how new the objects are that it holds,
     ``parts`` which parts of rates the host may use. ``segments`` counts the
     result segments of open batches by key. The last two are empty except in
-    answers to reports with demands.
+    answers to reports with shares.
     """
 
     __slots__ = ('state', 'revisions', 'views', 'parts', 'segments')
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -105,6 +105,13 @@
             except StoreUnavailable as exc:
                 self._note_outage(exc)
 
+    async def refresh(self) -> None:
+        """Lists once beside the watch, which may wait in vain."""
+        try:
+            await self._relist()
+        except StoreUnavailable as exc:
+            self._note_outage(exc)
+
     async def take_snapshot(self, snapshot: PrefixSnapshot) -> None:
         """Takes the state of another host if it is newer."""
         if snapshot.revision > self.revision:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -4,7 +4,7 @@
 from jacinthmount.errors import PeerUnavailable
 from jacinthmount.leadership import RunnerState
 from jacinthmount.members import rank_hosts
-from jacinthmount.rate_shares import AccountDemand, HeldShares
+from jacinthmount.rate_shares import HeldShares, ShareReport
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.peers import PeerLinks
@@ -84,11 +84,14 @@
 
     async def _run_interval(self) -> None:
         while True:
-            demands = self._shares.demands(self._state.now())
+            shares = self._shares.make_report(
+                self._state.incarnation,
+                self._state.now(),
+            )
             for runner in self._state.runners():
-                await curio.spawn(self._report, runner, demands, daemon=True)
+                await curio.spawn(self._report, runner, shares, daemon=True)
             if self.find_active() is None:
-                await curio.spawn(self._report_by_peer, demands, daemon=True)
+                await curio.spawn(self._report_by_peer, shares, daemon=True)
             await curio.sleep(INTERVAL_S)
 
     async def _run_changes(self) -> None:
@@ -104,7 +107,7 @@
 
     def _make_report(
         self,
-        demands: list[AccountDemand] | None,
+        shares: ShareReport | None,
     ) -> HostReport:
         state = self._state
         own = state.leadership.state() if state.settings.runs_batches else None
@@ -114,7 +117,7 @@
             host=state.host,
             state=own,
             active=claim[0] if claim else None,
-            demands=demands,
+            shares=shares,
             waiting=state.waiting,
             uses=[
                 EndpointUseReport(
@@ -130,13 +133,13 @@
     async def _report(
         self,
         runner: RelayHost,
-        demands: list[AccountDemand] | None,
+        shares: ShareReport | None,
     ) -> None:
         asked_at = self._state.now()
         try:
             reply = await self._links.request_at(
                 runner.peer_address,
-                self._make_report(demands),
+                self._make_report(shares),
                 TIMEOUT_S,
             )
         except PeerUnavailable:
@@ -145,14 +148,14 @@
             return
         self._state.centres.on_heard(runner.data_centre, self._state.now())
         if isinstance(reply, HostReportReply):
-            await self._take_reply(runner.peer_address, reply)
             self._note_claim(reply.state)
-            if demands is not None and reply.state.active:
-                self._take_allotment(reply)
+            await self._take_reply(runner.peer_address, reply)
+            if shares is not None and reply.state.active:
+                self._take_allotment(shares.number, reply)
 
     async def _report_by_peer(
         self,
-        demands: list[AccountDemand] | None,
+        shares: ShareReport | None,
     ) -> None:
         # Cut off from the runners, this host still loads their endpoints.
         peer = self._state.pick_peer()
@@ -161,19 +164,20 @@
         try:
             reply = await self._links.request_at(
                 peer.peer_address,
-                Forward(body=self._make_report(demands)),
+                Forward(body=self._make_report(shares)),
                 TIMEOUT_S,
             )
         except PeerUnavailable:
             return
         if isinstance(reply, HostReportReply):
             await self._take_reply(peer.peer_address, reply)
-            if demands is not None and reply.state.active:
-                self._take_allotment(reply)
+            if shares is not None and reply.state.active:
+                self._take_allotment(shares.number, reply)
 
-    def _take_allotment(self, reply: HostReportReply) -> None:
+    def _take_allotment(self, number: int, reply: HostReportReply) -> None:
         now = self._state.now()
-        self._shares.on_parts(reply.parts, now)
+        if reply.parts:
+            self._shares.on_parts(number, reply.parts, now)
         self._state.segments.replace(reply.segments, now)
 
     def _note_lost(self, host: str) -> None:
@@ -196,6 +200,8 @@
         address: str,
         reply: HostReportReply,
     ) -> None:
+        # Any runner may be the first to see a change.
+        await self._sync.catch_up(address, reply.revisions)
         now = self._state.now()
         if not reply.state.active:
             return
@@ -207,7 +213,6 @@
             if use is not None:
                 use.on_view(view.online, view.batch, now)
         await self.on_view()
-        await self._sync.catch_up(address, reply.revisions)
 
 
 async def _ignore_view() -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -26,6 +26,7 @@
 HOST_PREFIX = 'hosts/'
 PEER_ASK_S = 0.5
 PEER_TIMEOUT_S = 0.5
+REFRESH_S = 0.8
 SETTLE_CHECK_S = 0.1
 REGISTER_RETRY_S = 0.5
 
@@ -92,11 +93,13 @@
             await group.spawn(self._run_register)
             await group.spawn(self._run_settle)
             await group.spawn(self._run_peer_asks)
+            if self._state.settings.runs_batches:
+                await group.spawn(self._run_refresh)
 
     @property
     def in_outage(self) -> bool:
         """Tells whether the store does not answer this host."""
-        return self._config_watch.in_outage
+        return any(watch.in_outage for watch in self._watches())
 
     @property
     def is_loaded(self) -> bool:
@@ -233,6 +236,17 @@
             if table.settle(self._state.now()):
                 self._state.refresh_placements()
 
+    async def _run_refresh(self) -> None:
+        # Others rely on the active runner, and a watch that waits does not
+        # show that the store turns this host away.
+        while True:
+            await curio.sleep(REFRESH_S)
+            if self._state.leadership.active or self.in_outage:
+                await self._config_watch.refresh()
+                await self._endpoint_watch.refresh()
+                if self._host_watch.in_outage:
+                    await self._host_watch.refresh()
+
     async def _run_register(self) -> None:
         cfg = self._state.settings
         record = RelayHost(
@@ -263,7 +277,7 @@
     async def _run_peer_asks(self) -> None:
         while True:
             await curio.sleep(PEER_ASK_S)
-            if any(watch.in_outage for watch in self._watches()):
+            if self.in_outage:
                 await self._ask_any_peer()
 
     async def _ask_any_peer(self) -> None:
--- a/packages/jacinthmount/jacinthmount/rate_shares.py
+++ b/packages/jacinthmount/jacinthmount/rate_shares.py
@@ -9,7 +9,13 @@
 from jacinthmount.records import Record
 from jacinthmount.token_bucket import TokenBucket
 
-__all__ = ('AccountDemand', 'AccountPart', 'HeldShares', 'ShareAllotment')
+__all__ = (
+    'AccountDemand',
+    'AccountPart',
+    'HeldShares',
+    'ShareAllotment',
+    'ShareReport',
+)
 
 # Parts and pool together stay within the rate and a twentieth.
 TOTAL_PART = 1.05
@@ -34,6 +40,20 @@
     part: float
 
 
+class ShareReport(Record):
+    """Demand and parts of a host.
+
+    ``number`` counts the reports of one start of the host. It applies no answer
+    to a report before this one any more.
+    """
+
+    __slots__ = ('incarnation', 'number', 'demands')
+
+    incarnation: str
+    number: int
+    demands: list[AccountDemand]
+
+
 class AccountPart(Record):
     """The part of an account's rate that a host may hold from now on."""
 
@@ -76,10 +96,12 @@
     allots, and gives up its parts when it has not been allotted any for long.
     """
 
-    __slots__ = ('_allotted_at', '_held')
+    __slots__ = ('_allotted_at', '_answered', '_held', '_number')
 
     def __init__(self, *, now: float) -> None:
         """Starts without accounts."""
+        self._number = 0
+        self._answered = True
         self._held: dict[str, _Held] = {}
         self._allotted_at = now
 
@@ -126,8 +148,20 @@
             held.granted += tokens
             held.granted_until = asked_at + GRANT_VALID_S
 
-    def on_parts(self, parts: list[AccountPart], now: float) -> None:
-        """Takes the parts allotted to this host."""
+    def on_parts(
+        self,
+        number: int,
+        parts: list[AccountPart],
+        now: float,
+    ) -> None:
+        """Takes the parts allotted in answer to a report.
+
+        Only the first answer to the newest report counts, since whoever has
+        that report takes its parts for what this host holds.
+        """
+        if number != self._number or self._answered:
+            return
+        self._answered = True
         self._allotted_at = now
         for one in parts:
             self._find(one.account, 1, now).part = one.part
@@ -144,6 +178,16 @@
             f'demand {held.demand_per_s:.1f} a second'
         )
 
+    def make_report(self, incarnation: str, now: float) -> ShareReport:
+        """Makes the next report of this host."""
+        self._number += 1
+        self._answered = False
+        return ShareReport(
+            incarnation=incarnation,
+            number=self._number,
+            demands=self.demands(now),
+        )
+
     def demands(self, now: float) -> list[AccountDemand]:
         """Lists demand and parts of the accounts seen here."""
         found = []
@@ -176,10 +220,18 @@
 
     @property
     def held(self) -> float:
-        """Counts what the host may still use."""
+        """Counts what the host may use now or after an answer on its way."""
         return max(self.reported, self.sent)
 
 
+class _Reporter:
+    __slots__ = ('incarnation', 'number')
+
+    def __init__(self, *, incarnation: str, number: int) -> None:
+        self.incarnation = incarnation
+        self.number = number
+
+
 class ShareAllotment:
     """Allots parts to hosts; decreases first, increases once that is known.
 
@@ -187,46 +239,58 @@
     is allotted anew until every registered host has reported.
     """
 
-    __slots__ = ('_accounts', '_heard', '_hosts', '_pools')
+    __slots__ = ('_accounts', '_hosts', '_pools', '_reporters')
 
     def __init__(self) -> None:
         """Starts without reports."""
         self._accounts: dict[str, dict[str, _Allotted]] = {}
-        self._heard: set[str] = set()
+        self._reporters: dict[str, _Reporter] = {}
         self._hosts: set[str] = set()
         self._pools: dict[str, TokenBucket] = {}
 
     def clear(self) -> None:
         """Forgets everything, when another host may have allotted since."""
         self._accounts.clear()
-        self._heard.clear()
+        self._reporters.clear()
         self._pools.clear()
 
     def keep_hosts(self, hosts: set[str]) -> None:
         """Takes the registered hosts; parts of others are free again."""
         self._hosts = hosts
-        self._heard &= hosts
+        for gone in set(self._reporters) - hosts:
+            self._reporters.pop(gone)
         for allotted in self._accounts.values():
             for host in set(allotted) - hosts:
                 allotted.pop(host)
 
-    def on_report(
-        self,
-        host: str,
-        demands: list[AccountDemand],
-    ) -> None:
-        """Takes demand and parts of a host."""
-        self._heard.add(host)
-        for one in demands:
+    def on_report(self, host: str, report: ShareReport) -> bool:
+        """Takes demand and parts of a host.
+
+        :returns: whether the report counts; an older one that comes late tells
+            what is no longer so.
+        """
+        known = self._reporters.get(host)
+        if known is not None and known.incarnation == report.incarnation:
+            if report.number <= known.number:
+                return False
+        elif known is not None:
+            self._forget(host)
+        self._reporters[host] = _Reporter(
+            incarnation=report.incarnation,
+            number=report.number,
+        )
+        for one in report.demands:
             by_host = self._accounts.setdefault(one.account, {})
             allotted = by_host.setdefault(host, _Allotted())
             allotted.demand_per_s = one.demand_per_s
             allotted.reported = one.part
+            allotted.sent = 0.0
+        return True
 
     def parts_of(
         self,
         host: str,
-        demands: list[AccountDemand],
+        report: ShareReport,
         bursts: dict[str, float],
     ) -> list[AccountPart]:
         """Allots the parts of a host.
@@ -234,17 +298,16 @@
         :param bursts: burst by account; a part that holds no token is not
             worth allotting.
         """
-        named = {one.account for one in demands}
+        named = {one.account for one in report.demands}
         for unnamed in set(self._accounts) - named:
             # The host holds its first part without knowing the account yet.
             self._accounts[unnamed].setdefault(host, self._first())
-        return [
-            AccountPart(
-                account=account,
-                part=self._allot(account, host, bursts.get(account, 0.0)),
-            )
-            for account in self._accounts
-        ]
+        found = []
+        for account, by_host in self._accounts.items():
+            part = self._allot(account, host, bursts.get(account, 0.0))
+            by_host[host].sent = part
+            found.append(AccountPart(account=account, part=part))
+        return found
 
     def grant(
         self,
@@ -280,7 +343,11 @@
         return max(0.0, TOTAL_PART - self._held(account))
 
     def _unheard(self) -> bool:
-        return not self._hosts <= self._heard
+        return not self._hosts <= set(self._reporters)
+
+    def _forget(self, host: str) -> None:
+        for by_host in self._accounts.values():
+            by_host.pop(host, None)
 
     def _held(self, account: str) -> float:
         by_host = self._accounts.get(account, {})
@@ -290,7 +357,7 @@
 
     def _first(self) -> _Allotted:
         allotted = _Allotted()
-        allotted.sent = HELD_PART / max(1, len(self._hosts))
+        allotted.reported = HELD_PART / max(1, len(self._hosts))
         return allotted
 
     def _allot(self, account: str, host: str, burst: float) -> float:
@@ -308,5 +375,4 @@
             if not self._unheard():
                 free = max(0.0, HELD_PART - self._held(account))
             wanted = min(wanted, allotted.held + free)
-        allotted.sent = wanted
         return wanted
--- /dev/null
+++ b/tests/test_object_watch.py
@@ -0,0 +1,174 @@
+"""Watches of a prefix: outages, lost history, and never an older state."""
+
+import random
+
+import curio
+import pytest
+from jacinthmount.errors import HistoryGone, StoreUnavailable
+from jacinthmount.ports import ABSENT, Stored
+from jacinthmount.stores import MemoryStore
+from jacinthmount_node.relay.object_watch import ObjectWatch
+
+NAME = 'things/a'
+
+
+class _Store(MemoryStore):
+    """A store whose watches wait, and that can be away."""
+
+    __slots__ = ('away', 'calls', 'gone')
+
+    def __init__(self):
+        super().__init__()
+        self.away = False
+        self.gone = False
+        self.calls = []
+
+    async def list_names(self, prefix):
+        """See the port."""
+        self.calls.append('list')
+        if self.away:
+            raise StoreUnavailable(detail='away')
+        return await super().list_names(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        """Waits in vain, as a watch that was silently cut does."""
+        self.calls.append('watch')
+        if self.gone:
+            self.gone = False
+            raise HistoryGone(detail=prefix)
+        await curio.sleep(wait_s)
+        return []
+
+
+@pytest.fixture
+def store():
+    """A store with one object."""
+    found = _Store()
+    curio.run(found.write, NAME, 'one', ABSENT)
+    return found
+
+
+def make_watch(store, seen, **changes):
+    """Makes a watch that notes what it tells."""
+
+    async def note(watch, changed):
+        seen.extend((one.name, one.body) for one in changed)
+
+    return ObjectWatch(
+        store=store,
+        prefix='things/',
+        on_change=note,
+        rng=random.Random(1),
+        **changes,
+    )
+
+
+async def run_for(watch, seconds, meanwhile=None):
+    """Runs a watch for a time, with something beside it."""
+    task = await curio.spawn(watch.run, daemon=True)
+    await curio.sleep(0.05)
+    if meanwhile is not None:
+        await meanwhile()
+    await curio.sleep(seconds)
+    await task.cancel()
+
+
+def test_refresh_shows_an_outage_that_a_waiting_watch_hides(store):
+    """A host that is turned away learns it though its watch still waits.
+
+    Seen first as an active runner that fed others with a configuration that
+    was five seconds old.
+    """
+    watch = make_watch(store, [])
+
+    async def turn_away():
+        assert not watch.in_outage
+        store.away = True
+        await watch.refresh()
+
+    curio.run(run_for, watch, 0.05, turn_away)
+    assert watch.in_outage
+
+
+def test_refresh_brings_what_the_watch_missed(store):
+    """A change is seen though the watch was silently cut."""
+    seen = []
+    watch = make_watch(store, seen)
+
+    async def change():
+        await store.write(NAME, 'two', 1)
+        await watch.refresh()
+
+    curio.run(run_for, watch, 0.05, change)
+    assert seen[-1] == (NAME, 'two')
+
+
+def test_outage_ends_with_a_listing(store):
+    """After an outage the prefix is listed before it is watched again.
+
+    Seen first as a long watch that hid for seconds that the store was back.
+    """
+    store.away = True
+    watch = make_watch(store, [])
+
+    async def come_back():
+        assert watch.in_outage
+        store.away = False
+
+    curio.run(run_for, watch, 1.0, come_back)
+    assert not watch.in_outage
+    assert store.calls[-2:] == ['list', 'watch']
+
+
+def test_lost_history_is_listed_anew(store):
+    """A watch whose history is gone starts from a listing."""
+    store.gone = True
+    watch = make_watch(store, [])
+    curio.run(run_for, watch, 0.1)
+    assert store.calls == ['list', 'watch', 'list', 'watch']
+
+
+def test_fed_host_makes_no_calls(store):
+    """While a peer feeds this host it lists once and watches nothing."""
+    watch = make_watch(store, [], is_fed=lambda: True)
+    curio.run(run_for, watch, 0.5)
+    assert store.calls == ['list']
+
+
+def test_state_of_a_peer_is_taken_only_if_newer(store):
+    """Neither a stale peer nor a stale listing brings back an older state."""
+    seen = []
+    watch = make_watch(store, seen)
+    other = make_watch(store, [])
+
+    async def play():
+        await other.refresh()
+        stale = other.snapshot(0)
+        await store.write(NAME, 'two', 1)
+        await watch.refresh()
+        await watch.take_snapshot(stale)
+        await other.refresh()
+        newer = other.snapshot(stale.revision)
+        await store.delete(NAME, 2)
+        await watch.refresh()
+        await watch.take_snapshot(newer)
+
+    curio.run(play)
+    assert seen == [(NAME, 'two'), (NAME, None)]
+    assert not watch.objects()
+
+
+def test_snapshot_holds_only_what_the_other_lacks(store):
+    """Names of all, bodies of what is newer."""
+    watch = make_watch(store, [])
+
+    async def play():
+        await store.write('things/b', 'new', ABSENT)
+        await watch.refresh()
+        return watch.snapshot(1)
+
+    snapshot = curio.run(play)
+    assert sorted(snapshot.names) == [NAME, 'things/b']
+    assert snapshot.objects == [
+        Stored(name='things/b', version=2, body='new'),
+    ]
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -7,8 +7,10 @@
     HELD_PART,
     TOTAL_PART,
     AccountDemand,
+    AccountPart,
     HeldShares,
     ShareAllotment,
+    ShareReport,
 )
 
 RATE_PER_S = 34.0
@@ -43,10 +45,10 @@
         """Lets hosts report and take their parts."""
         self.allotment.keep_hosts(set(FRONTS))
         for host in hosts:
-            demands = self.shares[host].demands(now)
-            self.allotment.on_report(host, demands)
-            parts = self.allotment.parts_of(host, demands, {'gin': BURST})
-            self.shares[host].on_parts(parts, now)
+            report = self.shares[host].make_report('i', now)
+            self.allotment.on_report(host, report)
+            parts = self.allotment.parts_of(host, report, {'gin': BURST})
+            self.shares[host].on_parts(report.number, parts, now)
 
     def held(self, now=0.0):
         """Sums the parts that hosts hold."""
@@ -63,6 +65,21 @@
     return Fleet()
 
 
+def make_report(number, *, part, demand_per_s):
+    """Builds the report of a host on one account."""
+    return ShareReport(
+        incarnation='i',
+        number=number,
+        demands=[
+            AccountDemand(
+                account='gin',
+                demand_per_s=demand_per_s,
+                part=part,
+            ),
+        ],
+    )
+
+
 def play(fleet, seconds, demand_by_host, *, cut=(), start=0.0, seed=1):
     """Plays random demand with reports three times a second."""
     rng = random.Random(seed)
@@ -134,17 +151,15 @@
     allotment = ShareAllotment()
     allotment.keep_hosts(set(FRONTS))
     parts = {host: HELD_PART / len(FRONTS) for host in FRONTS}
-    for _ in range(500):
+    for number in range(1, 500):
         host = rng.choice(FRONTS)
-        demands = [
-            AccountDemand(
-                account='gin',
-                demand_per_s=rng.random() * 30,
-                part=parts[host],
-            ),
-        ]
-        allotment.on_report(host, demands)
-        allotted = allotment.parts_of(host, demands, {'gin': BURST})
+        report = make_report(
+            number,
+            part=parts[host],
+            demand_per_s=rng.random() * 30,
+        )
+        allotment.on_report(host, report)
+        allotted = allotment.parts_of(host, report, {'gin': BURST})
         if rng.randrange(5):
             parts[host] = allotted[0].part
         assert sum(parts.values()) <= HELD_PART + ROUNDING
@@ -155,10 +170,10 @@
     """Tiny parts of many hosts would be of no use to any."""
     allotment = ShareAllotment()
     allotment.keep_hosts(set(FRONTS))
-    demands = [AccountDemand(account='gin', demand_per_s=1.0, part=0.0)]
+    report = make_report(1, part=0.0, demand_per_s=1.0)
     for host in FRONTS:
-        allotment.on_report(host, demands)
-    parts = allotment.parts_of('h1', demands, {'gin': 2.0})
+        allotment.on_report(host, report)
+    parts = allotment.parts_of('h1', report, {'gin': 2.0})
     assert not parts[0].part
 
 
@@ -167,3 +182,43 @@
     shares = HeldShares(now=0.0)
     assert shares.take('gin', RATE_PER_S, BURST, 1, 1.0)
     assert not shares.take('gin', RATE_PER_S, BURST, 1, 100.0)
+
+
+def test_answer_that_comes_late_changes_nothing():
+    """A host takes parts only from the answer to its newest report.
+
+    Refuted by the specification before: one that allots anew counted what a
+    host reported, and an answer of its predecessor raised it afterwards.
+    """
+    shares = HeldShares(now=0.0)
+    for _ in range(2):
+        shares.make_report('i', 1.0)
+    shares.on_parts(1, [AccountPart(account='gin', part=0.4)], 1.0)
+    shares.on_parts(2, [AccountPart(account='gin', part=0.1)], 1.0)
+    shares.on_parts(2, [AccountPart(account='gin', part=0.3)], 1.0)
+    assert shares.demands(1.0)[0].part == pytest.approx(0.1)
+
+
+def test_part_on_its_way_counts_as_held():
+    """A raise that was sent and not yet applied may still be applied."""
+    allotment = ShareAllotment()
+    allotment.keep_hosts({'h1', 'h2'})
+    idle = make_report(1, part=0.0, demand_per_s=0.0)
+    allotment.on_report('h2', idle)
+    busy = make_report(1, part=0.0, demand_per_s=30.0)
+    allotment.on_report('h1', busy)
+    raised = allotment.parts_of('h1', busy, {'gin': BURST})[0].part
+    busy = make_report(2, part=0.0, demand_per_s=30.0)
+    allotment.on_report('h2', busy)
+    other = allotment.parts_of('h2', busy, {'gin': BURST})[0].part
+    assert raised + other <= HELD_PART + ROUNDING
+
+
+def test_report_that_comes_late_is_ignored():
+    """An old report must not lower what a host is known to hold."""
+    allotment = ShareAllotment()
+    allotment.keep_hosts({'h1'})
+    newer = make_report(2, part=0.4, demand_per_s=1.0)
+    assert allotment.on_report('h1', newer)
+    older = make_report(1, part=0.1, demand_per_s=1.0)
+    assert not allotment.on_report('h1', older)
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -7,6 +7,7 @@
     engine_orders,
     keyed_call,
     loans,
+    rate_parts,
     result_log,
     share_table,
 )
@@ -19,6 +20,7 @@
     ),
     'loans': loans.build(loans.Rules()),
     'share table': share_table.build(share_table.Rules()),
+    'parts of a rate': rate_parts.build(rate_parts.Rules()),
     'configuration spread': config_spread.build(config_spread.Rules()),
     'keyed call': keyed_call.build(keyed_call.Rules()),
     'engine orders, fenced': engine_orders.build(
@@ -30,6 +32,15 @@
 }
 
 BROKEN = {
+    'part on its way not counted': rate_parts.build(
+        rate_parts.Rules(allotment=rate_parts.TrustsReports),
+    ),
+    'unheard hosts hold nothing': rate_parts.build(
+        rate_parts.Rules(allotment=rate_parts.AllotsUnheard),
+    ),
+    'old answer applied': rate_parts.build(
+        rate_parts.Rules(apply_any=True),
+    ),
     'last result wins': result_log.build(
         result_log.Rules(last_wins=True, idempotent=True),
     ),
