--- a/packages/jacinthmount-node/jacinthmount_node/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/http_server.py
@@ -326,9 +326,9 @@
             await self._accepting.cancel()
         await self._sock.close()
         await curio.sleep(LAST_REQUESTS_S)
-        for conn in self._connections:
-            if not conn.busy:
-                conn.abort()
+        for waiting in self._connections:
+            if not waiting.busy:
+                waiting.abort()
         while any(conn.busy for conn in self._connections):
             await curio.sleep(POLL_S)
 
