--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -6,7 +6,7 @@
 from jacinthmount.ports import ObjectStore
 from jacinthmount.rate_shares import (
     AccountPart,
-    ShareAllotment,
+    ShareAllocation,
     ShareReport,
 )
 from jacinthmount.records import Record
@@ -41,7 +41,7 @@
     """What this host does for others; runner parts are None elsewhere."""
 
     __slots__ = (
-        'allotment',
+        'allocation',
         'rooms',
         'runner',
         'runner_link',
@@ -70,44 +70,44 @@
         self.runner_link = runner_link
         self.rooms = rooms
         self.runner = runner
-        self.allotment = ShareAllotment()
+        self.allocation = ShareAllocation()
 
     async def handle(self, body: Record, hello: Hello) -> Record | None:
         """Answers one message."""
         return await _answer(body, self)
 
-    def may_allot(self) -> bool:
-        """Tells whether this host allots rates.
+    def may_allocate(self) -> bool:
+        """Tells whether this host allocates rates.
 
         Only the active runner does, and only while it hears a majority. What
         it knew counts no more once that was not so.
         """
-        allots = (
+        allocates = (
             self.rooms is not None
             and self.state.leadership.active
             and self.rooms.heard_hosts() * 2 >= len(self.state.hosts)
         )
-        if not allots:
-            self.allotment.clear()
-        return allots
+        if not allocates:
+            self.allocation.clear()
+        return allocates
 
-    def allot(
+    def allocate(
         self,
         host: str,
         report: ShareReport,
     ) -> list[AccountPart]:
-        """Allots parts of rates to a host that reports its demand."""
-        if not self.may_allot() or not self.state.configured:
+        """Allocates parts of rates to a host that reports its demand."""
+        if not self.may_allocate() or not self.state.configured:
             return []
         fronts = {
             one.host
             for one in self.state.hosts.values()
             if not one.runs_batches
         }
-        self.allotment.keep_hosts(fronts)
-        if not self.allotment.on_report(host, report):
+        self.allocation.keep_hosts(fronts)
+        if not self.allocation.on_report(host, report):
             return []
-        return self.allotment.parts_of(
+        return self.allocation.parts_of(
             host,
             report,
             self.state.config.bursts(),
@@ -141,7 +141,7 @@
         await desk.runner.on_load_change()
         reply.views = desk.rooms.views(body.host)
         if body.shares is not None and body.state is None:
-            reply.parts = desk.allot(body.host, body.shares)
+            reply.parts = desk.allocate(body.host, body.shares)
             reply.segments = desk.runner.open_segments()
     return reply
 
@@ -171,12 +171,12 @@
 @_answer.register
 async def _(body: TokenAsk, desk: RelayDesk) -> Record | None:
     account = None
-    if desk.may_allot() and desk.state.configured:
+    if desk.may_allocate() and desk.state.configured:
         account = desk.state.config.find_account(body.account)
     if account is None:
         return TokenGrant(granted=0, wait_s=0.5)
     now = desk.state.now()
-    granted = desk.allotment.grant(
+    granted = desk.allocation.grant(
         account.name,
         account.rate_per_s,
         account.burst,
@@ -185,7 +185,7 @@
     )
     return TokenGrant(
         granted=granted,
-        wait_s=desk.allotment.wait_s(account.name, now),
+        wait_s=desk.allocation.wait_s(account.name, now),
     )
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -151,7 +151,7 @@
             self._note_claim(reply.state)
             await self._take_reply(runner.peer_address, reply)
             if shares is not None and reply.state.active:
-                self._take_allotment(shares.number, reply)
+                self._take_allocation(shares.number, reply)
 
     async def _report_by_peer(
         self,
@@ -172,9 +172,9 @@
         if isinstance(reply, HostReportReply):
             await self._take_reply(peer.peer_address, reply)
             if shares is not None and reply.state.active:
-                self._take_allotment(shares.number, reply)
+                self._take_allocation(shares.number, reply)
 
-    def _take_allotment(self, number: int, reply: HostReportReply) -> None:
+    def _take_allocation(self, number: int, reply: HostReportReply) -> None:
         now = self._state.now()
         if reply.parts:
             self._shares.on_parts(number, reply.parts, now)
--- a/packages/jacinthmount/jacinthmount/rate_shares.py
+++ b/packages/jacinthmount/jacinthmount/rate_shares.py
@@ -1,7 +1,7 @@
 """Rate and burst of accounts over all hosts, without a wait a request.
 
 Answers accounts whose requests enter at every host, also at hosts that are cut
-off from the one that allots. Each host holds a part of the rate and keeps it
+off from the one that allocates. Each host holds a part of the rate and keeps it
 for as long as nobody else can reach it; parts follow the demand. What nobody
 holds is a pool from which single tokens are granted.
 """
@@ -13,7 +13,7 @@
     'AccountDemand',
     'AccountPart',
     'HeldShares',
-    'ShareAllotment',
+    'ShareAllocation',
     'ShareReport',
 )
 
@@ -93,17 +93,18 @@
     """The parts that this host holds, and tokens granted to it.
 
     It starts with an equal part of every rate, for the time in which nobody
-    allots, and gives up its parts when it has not been allotted any for long.
+    allocates, and gives up its parts when it has not been allocated any for
+    long.
     """
 
-    __slots__ = ('_allotted_at', '_answered', '_held', '_number')
+    __slots__ = ('_allocated_at', '_answered', '_held', '_number')
 
     def __init__(self, *, now: float) -> None:
         """Starts without accounts."""
         self._number = 0
         self._answered = True
         self._held: dict[str, _Held] = {}
-        self._allotted_at = now
+        self._allocated_at = now
 
     def take(
         self,
@@ -118,7 +119,7 @@
         :param hosts: hosts that share the rates.
         """
         held = self._find(account, hosts, now)
-        if now - self._allotted_at > KEPT_UNHEARD_S:
+        if now - self._allocated_at > KEPT_UNHEARD_S:
             held.part = 0
         capacity = burst * held.part
         if held.part > 0:
@@ -154,7 +155,7 @@
         parts: list[AccountPart],
         now: float,
     ) -> None:
-        """Takes the parts allotted in answer to a report.
+        """Takes the parts allocated in answer to a report.
 
         Only the first answer to the newest report counts, since whoever has
         that report takes its parts for what this host holds.
@@ -162,7 +163,7 @@
         if number != self._number or self._answered:
             return
         self._answered = True
-        self._allotted_at = now
+        self._allocated_at = now
         for one in parts:
             self._find(one.account, 1, now).part = one.part
 
@@ -172,9 +173,9 @@
         if held is None:
             return 'no part'
         held.decay(now)
-        age_s = now - self._allotted_at
+        age_s = now - self._allocated_at
         return (
-            f'part {held.part:.3f} allotted {age_s:.2f} s ago, '
+            f'part {held.part:.3f} allocated {age_s:.2f} s ago, '
             f'demand {held.demand_per_s:.1f} a second'
         )
 
@@ -210,7 +211,7 @@
         return held
 
 
-class _Allotted:
+class _Allocated:
     __slots__ = ('demand_per_s', 'reported', 'sent')
 
     def __init__(self) -> None:
@@ -232,24 +233,24 @@
         self.number = number
 
 
-class ShareAllotment:
-    """Allots parts to hosts; decreases first, increases once that is known.
+class ShareAllocation:
+    """Allocates parts to hosts; decreases first, increases once that is known.
 
     A host that has not been heard holds whatever the others don't, so nothing
-    is allotted anew until every registered host has reported.
+    is allocated anew until every registered host has reported.
     """
 
     __slots__ = ('_accounts', '_hosts', '_pools', '_reporters')
 
     def __init__(self) -> None:
         """Starts without reports."""
-        self._accounts: dict[str, dict[str, _Allotted]] = {}
+        self._accounts: dict[str, dict[str, _Allocated]] = {}
         self._reporters: dict[str, _Reporter] = {}
         self._hosts: set[str] = set()
         self._pools: dict[str, TokenBucket] = {}
 
     def clear(self) -> None:
-        """Forgets everything, when another host may have allotted since."""
+        """Forgets everything, when another host may have allocated since."""
         self._accounts.clear()
         self._reporters.clear()
         self._pools.clear()
@@ -259,9 +260,9 @@
         self._hosts = hosts
         for gone in set(self._reporters) - hosts:
             self._reporters.pop(gone)
-        for allotted in self._accounts.values():
-            for host in set(allotted) - hosts:
-                allotted.pop(host)
+        for allocated in self._accounts.values():
+            for host in set(allocated) - hosts:
+                allocated.pop(host)
 
     def on_report(self, host: str, report: ShareReport) -> bool:
         """Takes demand and parts of a host.
@@ -281,10 +282,10 @@
         )
         for one in report.demands:
             by_host = self._accounts.setdefault(one.account, {})
-            allotted = by_host.setdefault(host, _Allotted())
-            allotted.demand_per_s = one.demand_per_s
-            allotted.reported = one.part
-            allotted.sent = 0.0
+            allocated = by_host.setdefault(host, _Allocated())
+            allocated.demand_per_s = one.demand_per_s
+            allocated.reported = one.part
+            allocated.sent = 0.0
         return True
 
     def parts_of(
@@ -293,10 +294,10 @@
         report: ShareReport,
         bursts: dict[str, float],
     ) -> list[AccountPart]:
-        """Allots the parts of a host.
+        """Allocates the parts of a host.
 
         :param bursts: burst by account; a part that holds no token is not
-            worth allotting.
+            worth allocating.
         """
         named = {one.account for one in report.demands}
         for unnamed in set(self._accounts) - named:
@@ -304,7 +305,7 @@
             self._accounts[unnamed].setdefault(host, self._first())
         found = []
         for account, by_host in self._accounts.items():
-            part = self._allot(account, host, bursts.get(account, 0.0))
+            part = self._allocate(account, host, bursts.get(account, 0.0))
             by_host[host].sent = part
             found.append(AccountPart(account=account, part=part))
         return found
@@ -355,24 +356,24 @@
         unknown = len(self._hosts) - len(by_host)
         return known + unknown * self._first().held
 
-    def _first(self) -> _Allotted:
-        allotted = _Allotted()
-        allotted.reported = HELD_PART / max(1, len(self._hosts))
-        return allotted
+    def _first(self) -> _Allocated:
+        allocated = _Allocated()
+        allocated.reported = HELD_PART / max(1, len(self._hosts))
+        return allocated
 
-    def _allot(self, account: str, host: str, burst: float) -> float:
+    def _allocate(self, account: str, host: str, burst: float) -> float:
         by_host = self._accounts[account]
-        allotted = by_host[host]
+        allocated = by_host[host]
         demands = sum(
             one.demand_per_s + DEMAND_FLOOR_PER_S for one in by_host.values()
         )
-        own = allotted.demand_per_s + DEMAND_FLOOR_PER_S
+        own = allocated.demand_per_s + DEMAND_FLOOR_PER_S
         wanted = HELD_PART * own / demands
         if burst * wanted < 1:
             wanted = 0.0
-        if wanted >= allotted.held * DECREASE_BELOW:
+        if wanted >= allocated.held * DECREASE_BELOW:
             free = 0.0
             if not self._unheard():
                 free = max(0.0, HELD_PART - self._held(account))
-            wanted = min(wanted, allotted.held + free)
+            wanted = min(wanted, allocated.held + free)
         return wanted
--- a/spec/rate_parts.py
+++ b/spec/rate_parts.py
@@ -1,14 +1,14 @@
 """Parts of a rate: what hosts hold never sums to more than may be held.
 
 Two hosts report their demand; answers are lost, late or out of order, and one
-host that allots is replaced by another that knows nothing. The allotment is
+host that allocates is replaced by another that knows nothing. The allocation is
 the project's own code.
 """
 
 from jacinthmount.rate_shares import (
     HELD_PART,
     AccountDemand,
-    ShareAllotment,
+    ShareAllocation,
     ShareReport,
 )
 from minicheck import Protocol
@@ -27,7 +27,7 @@
 ROUNDING = 1e-4
 
 
-class TrustsReports(ShareAllotment):
+class TrustsReports(ShareAllocation):
     """Broken variant: a part on its way does not count as held."""
 
     __slots__ = ()
@@ -40,7 +40,7 @@
         return found
 
 
-class AllotsUnheard(ShareAllotment):
+class AllocatesUnheard(ShareAllocation):
     """Broken variant: hosts that were not heard yet hold nothing."""
 
     __slots__ = ()
@@ -53,16 +53,16 @@
 class Rules:
     """What a broken variant changes."""
 
-    __slots__ = ('allotment', 'apply_any')
+    __slots__ = ('allocation', 'apply_any')
 
     def __init__(
         self,
         *,
-        allotment: type[ShareAllotment] = ShareAllotment,
+        allocation: type[ShareAllocation] = ShareAllocation,
         apply_any: bool = False,
     ) -> None:
         """Keeps every rule by default."""
-        self.allotment = allotment
+        self.allocation = allocation
         self.apply_any = apply_any
 
 
@@ -78,7 +78,7 @@
             'numbers',
             'asked',
             'told',
-            'allotment',
+            'allocation',
             'replaced',
         ),
         initial=(
@@ -86,7 +86,7 @@
             (0, 0),
             (),
             (),
-            freeze(rules.allotment()),
+            freeze(rules.allocation()),
             False,
         ),
         transitions=lambda fields: _transitions(fields, rules),
@@ -103,17 +103,17 @@
     for host, _ in enumerate(HOSTS):
         found.extend(_report_steps(fields, host))
     for place, _ in enumerate(fields[2]):
-        found.append(_allot_step(fields, place))
+        found.append(_allocate_step(fields, place))
     for waiting, _ in enumerate(fields[3]):
         found.extend(_answer_steps(fields, waiting, rules))
     if not fields[5]:
-        fresh = freeze(rules.allotment())
+        fresh = freeze(rules.allocation())
         found.append(('replaced', (*fields[:4], fresh, True)))
     return found
 
 
 def _report_steps(fields: tuple, host: int) -> list[tuple[str, tuple]]:
-    parts, numbers, asked, told, allotment, replaced = fields
+    parts, numbers, asked, told, allocation, replaced = fields
     if numbers[host] >= MAX_REPORTS or len(asked) >= MAX_IN_FLIGHT:
         return []
     number = numbers[host] + 1
@@ -125,7 +125,7 @@
                 _changed(numbers, host, number),
                 (*asked, (host, number, parts[host], demand)),
                 told,
-                allotment,
+                allocation,
                 replaced,
             ),
         )
@@ -133,10 +133,10 @@
     ]
 
 
-def _allot_step(fields: tuple, place: int) -> tuple[str, tuple]:
+def _allocate_step(fields: tuple, place: int) -> tuple[str, tuple]:
     parts, numbers, asked, told, frozen, replaced = fields
     host, number, part, demand = asked[place]
-    allotment = thaw(frozen)
+    allocation = thaw(frozen)
     report = ShareReport(
         incarnation='i',
         number=number,
@@ -144,10 +144,10 @@
             AccountDemand(account=ACCOUNT, demand_per_s=demand, part=part),
         ],
     )
-    allotment.keep_hosts(set(HOSTS))
-    if allotment.on_report(HOSTS[host], report):
-        allotted = allotment.parts_of(HOSTS[host], report, BURSTS)[0].part
-        told = (*told, (host, number, round(allotted, DIGITS)))
+    allocation.keep_hosts(set(HOSTS))
+    if allocation.on_report(HOSTS[host], report):
+        allocated = allocation.parts_of(HOSTS[host], report, BURSTS)[0].part
+        told = (*told, (host, number, round(allocated, DIGITS)))
     return (
         f'report {number} of h{host} arrives',
         (
@@ -155,7 +155,7 @@
             numbers,
             _without(asked, place),
             told,
-            freeze(allotment),
+            freeze(allocation),
             replaced,
         ),
     )
@@ -166,10 +166,10 @@
     place: int,
     rules: Rules,
 ) -> list[tuple[str, tuple]]:
-    parts, numbers, asked, told, allotment, replaced = fields
+    parts, numbers, asked, told, allocation, replaced = fields
     host, number, part = told[place]
     left = _without(told, place)
-    lost = (parts, numbers, asked, left, allotment, replaced)
+    lost = (parts, numbers, asked, left, allocation, replaced)
     found = [(f'answer {number} of h{host} is lost', lost)]
     if number == numbers[host] or rules.apply_any:
         found.append((
@@ -179,7 +179,7 @@
                 numbers,
                 asked,
                 left,
-                allotment,
+                allocation,
                 replaced,
             ),
         ))
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -9,7 +9,7 @@
     AccountDemand,
     AccountPart,
     HeldShares,
-    ShareAllotment,
+    ShareAllocation,
     ShareReport,
 )
 
@@ -20,12 +20,12 @@
 
 
 class Fleet:
-    """Hosts that take tokens and report to one that allots."""
+    """Hosts that take tokens and report to one that allocates."""
 
     def __init__(self):
         """Starts all hosts at 0 s."""
         self.shares = {host: HeldShares(now=0.0) for host in FRONTS}
-        self.allotment = ShareAllotment()
+        self.allocation = ShareAllocation()
         self.taken = []
         self.refused = []
 
@@ -36,18 +36,18 @@
         shares.note_demand('gin', count, now)
         taken = shares.take('gin', RATE_PER_S, BURST, count, now)
         if not taken and pool:
-            granted = self.allotment.grant('gin', RATE_PER_S, BURST, 1, now)
+            granted = self.allocation.grant('gin', RATE_PER_S, BURST, 1, now)
             shares.on_grant('gin', granted, now)
             taken = shares.take('gin', RATE_PER_S, BURST, count, now)
         (self.taken if taken else self.refused).append((now, host))
 
     def report(self, now, hosts=FRONTS):
         """Lets hosts report and take their parts."""
-        self.allotment.keep_hosts(set(FRONTS))
+        self.allocation.keep_hosts(set(FRONTS))
         for host in hosts:
             report = self.shares[host].make_report('i', now)
-            self.allotment.on_report(host, report)
-            parts = self.allotment.parts_of(host, report, {'gin': BURST})
+            self.allocation.on_report(host, report)
+            parts = self.allocation.parts_of(host, report, {'gin': BURST})
             self.shares[host].on_parts(report.number, parts, now)
 
     def held(self, now=0.0):
@@ -136,10 +136,10 @@
     assert busiest_window(fleet.taken) <= limit
 
 
-def test_new_allotment_gives_nothing_before_all_were_heard(fleet):
+def test_new_allocation_gives_nothing_before_all_were_heard(fleet):
     """A host that takes over does not know what silent ones hold."""
     play(fleet, 10, {'h1': 10.0, 'h2': 10.0})
-    fleet.allotment = ShareAllotment()
+    fleet.allocation = ShareAllocation()
     before = fleet.held()
     play(fleet, 5, {'h2': 60.0}, cut=('h1',), start=10.0)
     assert fleet.held() <= max(before, HELD_PART) + 1e-9
@@ -148,8 +148,8 @@
 def test_parts_and_pool_stay_within_the_total():
     """Whatever hosts report, parts and pool never exceed the total."""
     rng = random.Random(7)
-    allotment = ShareAllotment()
-    allotment.keep_hosts(set(FRONTS))
+    allocation = ShareAllocation()
+    allocation.keep_hosts(set(FRONTS))
     parts = {host: HELD_PART / len(FRONTS) for host in FRONTS}
     for number in range(1, 500):
         host = rng.choice(FRONTS)
@@ -158,26 +158,26 @@
             part=parts[host],
             demand_per_s=rng.random() * 30,
         )
-        allotment.on_report(host, report)
-        allotted = allotment.parts_of(host, report, {'gin': BURST})
+        allocation.on_report(host, report)
+        allocated = allocation.parts_of(host, report, {'gin': BURST})
         if rng.randrange(5):
-            parts[host] = allotted[0].part
+            parts[host] = allocated[0].part
         assert sum(parts.values()) <= HELD_PART + ROUNDING
     assert HELD_PART < TOTAL_PART
 
 
 def test_part_that_holds_no_token_is_left_to_the_pool(fleet):
     """Tiny parts of many hosts would be of no use to any."""
-    allotment = ShareAllotment()
-    allotment.keep_hosts(set(FRONTS))
+    allocation = ShareAllocation()
+    allocation.keep_hosts(set(FRONTS))
     report = make_report(1, part=0.0, demand_per_s=1.0)
     for host in FRONTS:
-        allotment.on_report(host, report)
-    parts = allotment.parts_of('h1', report, {'gin': 2.0})
+        allocation.on_report(host, report)
+    parts = allocation.parts_of('h1', report, {'gin': 2.0})
     assert not parts[0].part
 
 
-def test_part_lapses_when_nobody_allots_for_long():
+def test_part_lapses_when_nobody_allocates_for_long():
     """A host that was forgotten must not use its part for ever."""
     shares = HeldShares(now=0.0)
     assert shares.take('gin', RATE_PER_S, BURST, 1, 1.0)
@@ -187,7 +187,7 @@
 def test_answer_that_comes_late_changes_nothing():
     """A host takes parts only from the answer to its newest report.
 
-    Refuted by the specification before: one that allots anew counted what a
+    Refuted by the specification before: one that allocates anew counted what a
     host reported, and an answer of its predecessor raised it afterwards.
     """
     shares = HeldShares(now=0.0)
@@ -201,24 +201,24 @@
 
 def test_part_on_its_way_counts_as_held():
     """A raise that was sent and not yet applied may still be applied."""
-    allotment = ShareAllotment()
-    allotment.keep_hosts({'h1', 'h2'})
+    allocation = ShareAllocation()
+    allocation.keep_hosts({'h1', 'h2'})
     idle = make_report(1, part=0.0, demand_per_s=0.0)
-    allotment.on_report('h2', idle)
+    allocation.on_report('h2', idle)
     busy = make_report(1, part=0.0, demand_per_s=30.0)
-    allotment.on_report('h1', busy)
-    raised = allotment.parts_of('h1', busy, {'gin': BURST})[0].part
+    allocation.on_report('h1', busy)
+    raised = allocation.parts_of('h1', busy, {'gin': BURST})[0].part
     busy = make_report(2, part=0.0, demand_per_s=30.0)
-    allotment.on_report('h2', busy)
-    other = allotment.parts_of('h2', busy, {'gin': BURST})[0].part
+    allocation.on_report('h2', busy)
+    other = allocation.parts_of('h2', busy, {'gin': BURST})[0].part
     assert raised + other <= HELD_PART + ROUNDING
 
 
 def test_report_that_comes_late_is_ignored():
     """An old report must not lower what a host is known to hold."""
-    allotment = ShareAllotment()
-    allotment.keep_hosts({'h1'})
+    allocation = ShareAllocation()
+    allocation.keep_hosts({'h1'})
     newer = make_report(2, part=0.4, demand_per_s=1.0)
-    assert allotment.on_report('h1', newer)
+    assert allocation.on_report('h1', newer)
     older = make_report(1, part=0.1, demand_per_s=1.0)
-    assert not allotment.on_report('h1', older)
+    assert not allocation.on_report('h1', older)
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -33,10 +33,10 @@
 
 BROKEN = {
     'part on its way not counted': rate_parts.build(
-        rate_parts.Rules(allotment=rate_parts.TrustsReports),
+        rate_parts.Rules(allocation=rate_parts.TrustsReports),
     ),
     'unheard hosts hold nothing': rate_parts.build(
-        rate_parts.Rules(allotment=rate_parts.AllotsUnheard),
+        rate_parts.Rules(allocation=rate_parts.AllocatesUnheard),
     ),
     'old answer applied': rate_parts.build(
         rate_parts.Rules(apply_any=True),
