Let a runner vouch for a batch only while the store answers it

A runner now says nothing of segments unless the store answered it within the last second, less than a successor needs to take over and write. Ruled out: the front's own cache (it had no entry).

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -35,6 +35,8 @@
 CHECK_S = 0.1
 LOAD_RETRY_S = 0.3
 MS = 1000
+# Less than it takes another runner to take over and write.
+STORE_ANSWER_VALID_S = 1.0
 CLOCK_MARGIN_MS = 5000
 
 
@@ -49,6 +51,7 @@
         '_rooms',
         '_scheduler',
         '_state',
+        '_store_age_s',
         '_watch',
     )
 
@@ -60,14 +63,17 @@
         item_runner: ItemRunner,
         copies: RecentObjects,
         is_away: Callable[[], bool],
+        store_age_s: Callable[[], float],
     ) -> None:
         """Starts without jobs.
 
         :param is_away: tells whether the store does not answer this host.
+        :param store_age_s: tells how long ago it last answered, in seconds.
         :param copies: where results written here are kept for readers.
         """
         self._copies = copies
         self._is_away = is_away
+        self._store_age_s = store_age_s
         self._state = state
         self._rooms = rooms
         self._jobs: dict[str, BatchJob] = {}
@@ -147,10 +153,10 @@
     def open_segments(self) -> dict[str, int]:
         """Counts the result segments of the batches that are not complete.
 
-        Nothing is said while the store is out of reach, when another runner
-        may have taken over.
+        Nothing is said unless the store answered this host lately: a runner
+        that is cut off does not know what its successor has written.
         """
-        if self._watch.in_outage:
+        if self._store_age_s() > STORE_ANSWER_VALID_S:
             return {}
         return {
             job.key: job.log.next_index
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -214,6 +214,7 @@
             ),
             copies=self._store.copies,
             is_away=self._is_away,
+            store_age_s=self._store_age_s,
         )
         self._parts['batches'] = self._runner.run
         self._parts['retirement'] = self._run_retirement
@@ -296,6 +297,9 @@
         # Callers are better served elsewhere; those that come are served.
         return self._sync.in_outage and self._state.centres.is_isolated()
 
+    def _store_age_s(self) -> float:
+        return self._sync.store_age_s
+
     def _is_away(self) -> bool:
         return self._sync.in_outage
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -1,5 +1,6 @@
 """Watches of object prefixes that survive outages and lost history."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -53,6 +54,7 @@
         '_store',
         'in_outage',
         'prefix',
+        'reached_at',
         'revision',
     )
 
@@ -74,6 +76,7 @@
         self.prefix = prefix
         self.revision = 0
         self.in_outage = True
+        self.reached_at = -math.inf
 
     def objects(self) -> list[Stored]:
         """Lists the objects known."""
@@ -151,7 +154,9 @@
                 return
 
     async def _relist(self) -> None:
+        asked_at = await curio.clock()
         listing = await self._store.list_names(self.prefix)
+        self.reached_at = asked_at
         self._note_return()
         names = {one.name for one in listing.objects}
         if listing.revision >= self.revision:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -26,7 +26,7 @@
 HOST_PREFIX = 'hosts/'
 PEER_ASK_S = 0.5
 PEER_TIMEOUT_S = 0.5
-REFRESH_S = 0.8
+REFRESH_S = 0.5
 SETTLE_CHECK_S = 0.1
 REGISTER_RETRY_S = 0.5
 
@@ -101,6 +101,11 @@
         """Tells whether the store does not answer this host."""
         return any(watch.in_outage for watch in self._watches())
 
+    @property
+    def store_age_s(self) -> float:
+        """Tells how long ago the store was last known to answer this host."""
+        return self._state.now() - self._config_watch.reached_at
+
     @property
     def is_loaded(self) -> bool:
         """Tells whether configuration and endpoints are known."""
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -11,13 +11,20 @@
     RouteRule,
     WeightedService,
 )
-from jacinthmount.item_batches import BatchItem, ItemResult, ResultSegment
+from jacinthmount.item_batches import (
+    BatchItem,
+    BodyChunk,
+    ItemBatch,
+    ItemResult,
+    ResultSegment,
+)
 from jacinthmount.keys import hash_secret
 
 __all__ = (
     'make_config',
     'make_entry',
     'make_item',
+    'make_manifest',
     'make_route',
     'make_run',
     'make_segment',
@@ -119,3 +126,24 @@
         ],
         write_id='-'.join(item_ids),
     )
+
+
+def make_manifest(**changes: Any) -> ItemBatch:
+    """Builds the manifest of four items."""
+    fields: dict[str, Any] = {
+        'batch_id': 'b1',
+        'account': 'gin',
+        'route': 'audit',
+        'host_name': 'scans.example',
+        'accepted_at_ms': 0,
+        'due_at_ms': 18_000,
+        'keep_until_ms': 60_000,
+        'max_attempts': 3,
+        'item_ids': ['a', 'b', 'c', 'd'],
+        'token_counts': [100, 100, 100, 100],
+        'embedded': BodyChunk(carried='', items=[]),
+        'chunks': 1,
+        'ended': False,
+        'write_id': 'w',
+    }
+    return ItemBatch(**{**fields, **changes})
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -5,8 +5,6 @@
 from jacinthmount.errors import StoreUnavailable
 from jacinthmount.item_batches import (
     BatchLog,
-    BodyChunk,
-    ItemBatch,
     batch_name,
     chunk_name,
     make_chunks,
@@ -24,7 +22,7 @@
     write_results,
 )
 
-from tests.relay_builders import make_item, make_segment
+from tests.relay_builders import make_item, make_manifest, make_segment
 
 KEY = 'k'
 ITEMS = ('a', 'b', 'c', 'd')
@@ -40,27 +38,6 @@
         raise StoreUnavailable(detail='away')
 
 
-def make_manifest(**changes):
-    """Builds the manifest of four items."""
-    fields = {
-        'batch_id': 'b1',
-        'account': 'gin',
-        'route': 'audit',
-        'host_name': 'scans.example',
-        'accepted_at_ms': 0,
-        'due_at_ms': 18_000,
-        'keep_until_ms': 60_000,
-        'max_attempts': 3,
-        'item_ids': list(ITEMS),
-        'token_counts': [100, 100, 100, 100],
-        'embedded': BodyChunk(carried='', items=[]),
-        'chunks': 1,
-        'ended': False,
-        'write_id': 'w',
-    }
-    return ItemBatch(**{**fields, **changes})
-
-
 @pytest.fixture
 def store():
     """A store with the input of the batch in one chunk."""
--- a/tests/test_fallback_store.py
+++ b/tests/test_fallback_store.py
@@ -13,6 +13,8 @@
 from jacinthmount.ports import ABSENT, Stored
 from jacinthmount.recent_objects import RecentObjects
 from jacinthmount.stores import MemoryStore, write_definitely
+from jacinthmount_node.relay.batch_jobs import BatchJob
+from jacinthmount_node.relay.batch_runner import RelayBatchRunner
 from jacinthmount_node.relay.fallback_store import (
     FallbackStore,
     answer_store_call,
@@ -21,6 +23,8 @@
 from jacinthmount_node.relay.settings import RelaySettings
 from jacinthmount_node.relay.state import RelayState
 
+from tests.relay_builders import make_manifest
+
 
 class _TurnedAway(MemoryStore):
     """A store that refuses this host while told so."""
@@ -178,3 +182,27 @@
     assert recent.find('a') is not None
     recent.put(Stored(name='e', version=1, body='x' * 99))
     assert recent.find('e') is None
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'said'),
+    [(0.4, {'k': 0}), (1.1, {}), (float('inf'), {})],
+)
+def test_cut_off_runner_says_nothing_of_segments(direct, age_s, said):
+    """A reader asks the store where the runner has not heard it lately.
+
+    Seen first as a read in a data centre that was cut off, which found no
+    result at a position that had been read elsewhere.
+    """
+    runner = RelayBatchRunner(
+        state=make_state(direct),
+        rooms=None,
+        item_runner=None,
+        copies=RecentObjects(limit_bytes=0),
+        is_away=bool,
+        store_age_s=lambda: age_s,
+    )
+    job = BatchJob(key='k', manifest=make_manifest())
+    job.ready = True
+    runner._jobs['k'] = job
+    assert runner.open_segments() == said
