Admit on credit while no runner answers; send refused clients back in order

Cause: parts of small rates hold no token, so hosts lived from the runner's pool; while a runner was replaced (1.4 s), after a loss of power and in a data centre that is cut off they refused what was within the rate. Each request also asked the silent runner again and waited for it. Ruled out: demand above the rate (parts were 0.000, demand 0.5 a second).

Change: the operator's tolerance beyond a rate (bounds of the settings) is used: half of it divided among hosts as credit in each window, paid back from later grants; a quarter fills the pool of a runner that takes over, once in 10 s. A question without an answer is not repeated for 0.3 s. Refused clients get times to return one after another, as fast as tokens accrue. A runner that others still name counts as active for 0.45 s instead of 0.7 s.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -70,7 +70,7 @@
         self.runner_link = runner_link
         self.rooms = rooms
         self.runner = runner
-        self.allocation = ShareAllocation()
+        self.allocation = ShareAllocation(slack=state.settings.rate_slack)
 
     async def handle(self, body: Record, hello: Hello) -> Record | None:
         """Answers one message."""
@@ -174,7 +174,7 @@
     if desk.may_allocate() and desk.state.configured:
         account = desk.state.config.find_account(body.account)
     if account is None:
-        return TokenGrant(granted=0, wait_s=0.5)
+        return TokenGrant(known=False, granted=0, wait_s=0)
     now = desk.state.now()
     granted = desk.allocation.grant(
         account.name,
@@ -184,6 +184,7 @@
         now,
     )
     return TokenGrant(
+        known=True,
         granted=granted,
         wait_s=desk.allocation.wait_s(account.name, now),
     )
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -113,10 +113,15 @@
 
 
 class TokenGrant(Record):
-    """Tokens granted; ``wait_s`` is when to ask again."""
+    """Tokens granted; ``wait_s`` is when to ask again.
 
-    __slots__ = ('granted', 'wait_s')
+    ``known`` is false where the host does not allocate this rate, so that its
+    answer tells nothing about the rate.
+    """
+
+    __slots__ = ('known', 'granted', 'wait_s')
 
+    known: bool
     granted: int
     wait_s: float
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
@@ -3,7 +3,9 @@
 from jacinthmount.errors import PeerUnavailable, RateExceeded
 from jacinthmount.fleet_config import AccountRule
 from jacinthmount.rate_shares import HeldShares
+from jacinthmount.return_order import ReturnOrder
 
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.relay.messages import TokenAsk, TokenGrant
 from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
@@ -13,12 +15,21 @@
 ASK_TIMEOUT_S = 0.15
 TOKENS_AHEAD = 2
 MIN_WAIT_S = 0.1
+# About as long as the next report needs to find another runner.
+UNANSWERED_S = 0.3
 
 
 class AccountQuota:
     """Takes a token for each request, from the pool where none is here."""
 
-    __slots__ = ('_runner_link', '_shares', '_state', '_wait_until')
+    __slots__ = (
+        '_returns',
+        '_runner_link',
+        '_shares',
+        '_state',
+        '_unanswered_until',
+        '_wait_until',
+    )
 
     def __init__(
         self,
@@ -32,6 +43,8 @@
         self._runner_link = runner_link
         self._shares = shares
         self._wait_until: dict[str, float] = {}
+        self._unanswered_until = 0.0
+        self._returns = ReturnOrder()
 
     async def take(self, account: AccountRule) -> None:
         """Takes one token of an account.
@@ -41,22 +54,38 @@
         if account.rate_per_s <= 0:
             return
         now = self._state.now()
-        self._shares.note_demand(account.name, self._count_fronts(), now)
+        fronts = self._count_fronts()
+        self._shares.note_demand(account.name, fronts, now)
         if self._take_here(account):
             return
-        # Where the pool was empty just now, asking again would be in vain.
-        if now >= self._wait_until.get(account.name, 0):
+        # Where the pool was empty just now, or where nobody answered, asking
+        # again would be in vain.
+        ask_at = self._wait_until.get(account.name, 0)
+        if now >= max(ask_at, self._unanswered_until):
             await self._ask(account)
             if self._take_here(account):
                 return
-        wait_s = self._wait_until.get(account.name, 0) - self._state.now()
-        raise RateExceeded(
+        if self._take_on_credit(account, fronts):
+            return
+        raise self._make_refusal(account, fronts)
+
+    def _make_refusal(self, account: AccountRule, fronts: int) -> RateExceeded:
+        now = self._state.now()
+        silent_s = max(0.0, self._unanswered_until - now)
+        empty_s = max(0.0, self._wait_until.get(account.name, 0) - now)
+        return RateExceeded(
             detail=(
                 f'rate of {account.name} is used up: '
                 f'{self._shares.describe(account.name, now)}, '
-                f'pool empty for {wait_s:.2f} s'
+                f'pool empty for {empty_s:.2f} s, '
+                f'runner silent for {silent_s:.2f} s more'
+            ),
+            retry_after_s=self._returns.plan_wait_s(
+                account.name,
+                account.rate_per_s / max(1, fronts),
+                max(MIN_WAIT_S, empty_s, silent_s),
+                now,
             ),
-            retry_after_s=max(MIN_WAIT_S, wait_s),
         )
 
     def _count_fronts(self) -> int:
@@ -71,6 +100,15 @@
             self._state.now(),
         )
 
+    def _take_on_credit(self, account: AccountRule, fronts: int) -> bool:
+        now = self._state.now()
+        if now >= self._unanswered_until:
+            return False
+        if not self._shares.take_on_credit(account.name, fronts, now):
+            return False
+        log_event('rate_credit', account=account.name, fronts=fronts)
+        return True
+
     async def _ask(self, account: AccountRule) -> None:
         asked_at = self._state.now()
         wait_s = await self._ask_runner(account)
@@ -84,8 +122,9 @@
                 ASK_TIMEOUT_S,
             )
         except PeerUnavailable:
-            return MIN_WAIT_S
-        if not isinstance(reply, TokenGrant):
+            reply = None
+        if not isinstance(reply, TokenGrant) or not reply.known:
+            self._unanswered_until = self._state.now() + UNANSWERED_S
             return MIN_WAIT_S
         self._shares.on_grant(account.name, reply.granted, asked_at)
         return 0.0 if reply.granted else reply.wait_s
--- a/packages/jacinthmount-node/jacinthmount_node/relay/settings.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/settings.py
@@ -10,6 +10,9 @@
 
     ``seeds`` are peer addresses known before the store is reached.
     ``stop_s`` is how long after SIGTERM the process may still run.
+    ``rate_slack`` counts the requests of an account that are tolerated beyond
+    its rate and burst over all hosts, in any ``rate_window_s``; 0 keeps hosts
+    from admitting on credit.
     ``config_object`` and ``endpoint_prefix`` name objects of the operator and
     of the endpoints in the store.
     """
@@ -26,6 +29,8 @@
         'platform',
         'runs_batches',
         'stop_s',
+        'rate_slack',
+        'rate_window_s',
         'config_object',
         'endpoint_prefix',
     )
@@ -41,5 +46,7 @@
     platform: str
     runs_batches: bool
     stop_s: float
+    rate_slack: float
+    rate_window_s: float
     config_object: str
     endpoint_prefix: str
--- a/packages/jacinthmount-node/jacinthmount_node/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/sockets.py
@@ -57,8 +57,15 @@
 
 
 def abort_socket(sock) -> None:
-    """Ends both directions; a task that reads sees the end."""
-    with contextlib.suppress(OSError), sock.blocking() as raw:
+    """Ends both directions; a task that reads sees the end.
+
+    Nothing happens to a socket that is closed already.
+    """
+    # A closed socket of curio has lost the one that it wraps.
+    with (
+        contextlib.suppress(OSError, AttributeError),
+        sock.blocking() as raw,
+    ):
         raw.shutdown(std_socket.SHUT_RDWR)
 
 
--- a/packages/jacinthmount/jacinthmount/leadership.py
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -12,7 +12,7 @@
 
 RUNNER_LIVE_S = 1.2
 START_WAIT_S = 0.8
-NAMED_VALID_S = 0.7
+NAMED_VALID_S = 0.45
 
 
 class RunnerState(Record):
--- a/packages/jacinthmount/jacinthmount/rate_shares.py
+++ b/packages/jacinthmount/jacinthmount/rate_shares.py
@@ -4,8 +4,14 @@
 off from the one that allocates. Each host holds a part of the rate and keeps it
 for as long as nobody else can reach it; parts follow the demand. What nobody
 holds is a pool from which single tokens are granted.
+
+Answers as well small accounts whose parts would not hold a token while the
+runner that grants tokens is replaced: hosts then admit on credit, out of what
+the operator tolerates beyond a rate, and pay it back from later grants.
 """
 
+from collections import deque
+
 from jacinthmount.records import Record
 from jacinthmount.token_bucket import TokenBucket
 
@@ -28,6 +34,10 @@
 # used as much; far less than a burst.
 START_LEVEL_S = 0.4
 DECREASE_BELOW = 0.9
+# Of what is tolerated beyond a rate; the rest is left for hosts that restart.
+CREDIT_PART = 0.5
+POOL_START_PART = 0.25
+POOL_START_EVERY_S = 10.0
 
 
 class AccountDemand(Record):
@@ -67,10 +77,12 @@
     __slots__ = (
         'at',
         'bucket',
+        'credits',
         'demand_per_s',
         'granted',
         'granted_until',
         'is_new',
+        'owed',
         'part',
     )
 
@@ -81,6 +93,9 @@
         self.demand_per_s = 0.0
         self.granted = 0
         self.granted_until = 0.0
+        self.owed = 0
+        # When tokens were taken on credit in the last window.
+        self.credits: deque[float] = deque()
         self.bucket = TokenBucket(rate_per_s=0, burst=1, level=1, now=now)
 
     def decay(self, now: float) -> None:
@@ -97,10 +112,30 @@
     long.
     """
 
-    __slots__ = ('_allocated_at', '_answered', '_held', '_number')
+    __slots__ = (
+        '_allocated_at',
+        '_answered',
+        '_held',
+        '_number',
+        '_slack',
+        '_window_s',
+    )
 
-    def __init__(self, *, now: float) -> None:
-        """Starts without accounts."""
+    def __init__(
+        self,
+        *,
+        now: float,
+        slack: float = 0.0,
+        window_s: float = 5.0,
+    ) -> None:
+        """Starts without accounts.
+
+        :param slack: requests of an account that are tolerated beyond its rate
+            and burst, over all hosts, in any window.
+        :param window_s: length of such a window in seconds.
+        """
+        self._slack = slack
+        self._window_s = window_s
         self._number = 0
         self._answered = True
         self._held: dict[str, _Held] = {}
@@ -130,12 +165,33 @@
             held.is_new = False
             held.bucket.add(rate_per_s * held.part * START_LEVEL_S)
         if held.bucket.take(now):
+            if held.owed and held.bucket.take(now):
+                held.owed -= 1
             return True
         if held.granted >= 1 and now < held.granted_until:
             held.granted -= 1
             return True
         return False
 
+    def take_on_credit(self, account: str, hosts: int, now: float) -> bool:
+        """Takes a token that is paid back later, if any may be owed.
+
+        For the time in which nobody answers a question for tokens.
+
+        :param hosts: hosts that share the rates; without them it is not known
+            how much each may owe.
+        """
+        if not hosts:
+            return False
+        held = self._find(account, hosts, now)
+        while held.credits and now - held.credits[0] > self._window_s:
+            held.credits.popleft()
+        if len(held.credits) >= int(self._slack * CREDIT_PART / hosts):
+            return False
+        held.credits.append(now)
+        held.owed += 1
+        return True
+
     def note_demand(self, account: str, hosts: int, now: float) -> None:
         """Counts a request, whether it gets a token or not."""
         held = self._find(account, hosts, now)
@@ -146,7 +202,10 @@
         """Adds tokens granted to a question that was sent at a time."""
         held = self._held.get(account)
         if held is not None:
-            held.granted += tokens
+            # The first token is for the request that asked.
+            repaid = min(held.owed, max(0, tokens - 1))
+            held.owed -= repaid
+            held.granted += tokens - repaid
             held.granted_until = asked_at + GRANT_VALID_S
 
     def on_parts(
@@ -240,10 +299,23 @@
     is allocated anew until every registered host has reported.
     """
 
-    __slots__ = ('_accounts', '_hosts', '_pools', '_reporters')
+    __slots__ = (
+        '_accounts',
+        '_hosts',
+        '_pools',
+        '_reporters',
+        '_slack',
+        '_started_at',
+    )
+
+    def __init__(self, *, slack: float = 0.0) -> None:
+        """Starts without reports.
 
-    def __init__(self) -> None:
-        """Starts without reports."""
+        :param slack: requests of an account that are tolerated beyond its rate
+            and burst, over all hosts.
+        """
+        self._slack = slack
+        self._started_at: dict[str, float] = {}
         self._accounts: dict[str, dict[str, _Allocated]] = {}
         self._reporters: dict[str, _Reporter] = {}
         self._hosts: set[str] = set()
@@ -322,11 +394,10 @@
         part = self._pool_part(account)
         pool = self._pools.get(account)
         if pool is None:
-            # What the host before granted is not known, so it starts empty.
             pool = TokenBucket(
                 rate_per_s=rate_per_s * part,
                 burst=burst * part,
-                level=0.0,
+                level=self._start_level(account, now),
                 now=now,
             )
             self._pools[account] = pool
@@ -338,6 +409,15 @@
         pool = self._pools.get(account)
         return pool.wait_s(now) if pool else 0.0
 
+    def _start_level(self, account: str, now: float) -> float:
+        # What the runner before granted is not known; only what is tolerated
+        # beyond the rate is there at once.
+        before = self._started_at.get(account)
+        if before is not None and now - before < POOL_START_EVERY_S:
+            return 0.0
+        self._started_at[account] = now
+        return self._slack * POOL_START_PART
+
     def _pool_part(self, account: str) -> float:
         if self._unheard():
             return TOTAL_PART - HELD_PART
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -19,11 +19,13 @@
     ResultSegment,
 )
 from jacinthmount.keys import hash_secret
+from jacinthmount_node.relay.settings import RelaySettings
 
 __all__ = (
     'make_config',
     'make_entry',
     'make_item',
+    'make_relay_settings',
     'make_manifest',
     'make_route',
     'make_run',
@@ -45,6 +47,28 @@
     return EndpointEntry(**{**fields, **changes})
 
 
+def make_relay_settings(**changes: Any) -> RelaySettings:
+    """Builds the settings of a front that serves nothing."""
+    fields: dict[str, Any] = {
+        'host': 'h1',
+        'data_centre': 'east',
+        'ip': '',
+        'front_listen': '',
+        'ready_listen': '',
+        'peer_listen': 'h1:1',
+        'metrics_listen': '',
+        'seeds': [],
+        'platform': '',
+        'runs_batches': False,
+        'stop_s': 8,
+        'rate_slack': 0,
+        'rate_window_s': 5,
+        'config_object': 'config/main',
+        'endpoint_prefix': 'servers/',
+    }
+    return RelaySettings(**{**fields, **changes})
+
+
 def make_route(name: str, **changes: Any) -> RouteRule:
     """Builds a route of streams that may not be repeated."""
     fields: dict[str, Any] = {
@@ -94,6 +118,7 @@
     """Builds an item of a batch that is due at 10 s."""
     fields: dict[str, Any] = {
         'batch': 'b',
+        'batch_id': 'b1',
         'item_id': item_id,
         'account': 'gin',
         'host_name': 'scans.example',
--- a/tests/test_fallback_store.py
+++ b/tests/test_fallback_store.py
@@ -20,10 +20,9 @@
     answer_store_call,
 )
 from jacinthmount_node.relay.messages import CopyRead, RelayHost, StoreFound
-from jacinthmount_node.relay.settings import RelaySettings
 from jacinthmount_node.relay.state import RelayState
 
-from tests.relay_builders import make_manifest
+from tests.relay_builders import make_manifest, make_relay_settings
 
 
 class _TurnedAway(MemoryStore):
@@ -68,21 +67,7 @@
 def make_state(store):
     """Builds the state of a front that knows one other host."""
     state = RelayState(
-        settings=RelaySettings(
-            host='h1',
-            data_centre='east',
-            ip='',
-            front_listen='',
-            ready_listen='',
-            peer_listen='h1:1',
-            metrics_listen='',
-            seeds=[],
-            platform='',
-            runs_batches=False,
-            stop_s=8,
-            config_object='config/main',
-            endpoint_prefix='servers/',
-        ),
+        settings=make_relay_settings(),
         store=store,
         clock=ManualClock(),
         rng=random.Random(1),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -49,6 +49,8 @@
 [bounds]
 grace_s = 8
 cancel_ms = 3000
+quota_slack = 20
+quota_window_s = 6
 [platform]
 address = "10.200.1.7:8688"
 """
@@ -144,15 +146,26 @@
     assert settings.peer_listen == '10.1.0.21:8683'
     assert settings.platform == '10.200.1.7:8688'
     assert settings.stop_s == 8
+    assert settings.rate_slack == 20
+    assert settings.rate_window_s == 6
     assert not settings.runs_batches
 
 
+@pytest.mark.parametrize('line', ['', 'quota_slack = 0'])
+def test_rate_may_be_strict(line):
+    """Where nothing is tolerated beyond a rate, the slack is nothing."""
+    text = SETTINGS.replace('quota_slack = 20', line)
+    settings = parse_platform_settings(text, 'settings.toml')
+    assert not settings.rate_slack
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'field'),
     [
         ('node_name = "front-1"', '', 'node_name'),
         ('zone = "east"', 'zone = 5', 'zone'),
         ('grace_s = 8', 'grace_s = "long"', 'bounds.grace_s'),
+        ('quota_slack = 20', 'quota_slack = -1', 'bounds.quota_slack'),
         ('address = "10.200.1.7:8688"', '', 'platform.address'),
         ('control = "10.1.0.21:8683"', '', 'listen.control'),
         ('seeds = ["10.1.0.22:8683"]', 'seeds = "x"', 'seeds'),
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -22,23 +22,30 @@
 class Fleet:
     """Hosts that take tokens and report to one that allocates."""
 
-    def __init__(self):
-        """Starts all hosts at 0 s."""
-        self.shares = {host: HeldShares(now=0.0) for host in FRONTS}
-        self.allocation = ShareAllocation()
+    def __init__(self, *, rate_per_s=RATE_PER_S, slack=0.0):
+        """Starts all hosts at 0 s; the burst is a second of the rate."""
+        self.rate_per_s = rate_per_s
+        self.slack = slack
+        self.shares = {
+            host: HeldShares(now=0.0, slack=slack) for host in FRONTS
+        }
+        self.allocation = ShareAllocation(slack=slack)
         self.taken = []
         self.refused = []
 
     def ask(self, host, now, *, pool=True):
         """Takes a token, from the pool if there is none at the host."""
         shares = self.shares[host]
-        count = len(FRONTS)
-        shares.note_demand('gin', count, now)
-        taken = shares.take('gin', RATE_PER_S, BURST, count, now)
+        shares.note_demand('gin', len(FRONTS), now)
+        taken = self._take(shares, now)
         if not taken and pool:
-            granted = self.allocation.grant('gin', RATE_PER_S, BURST, 1, now)
+            granted = self.allocation.grant(
+                'gin', self.rate_per_s, self.rate_per_s, 2, now
+            )
             shares.on_grant('gin', granted, now)
-            taken = shares.take('gin', RATE_PER_S, BURST, count, now)
+            taken = self._take(shares, now)
+        if not taken and not pool:
+            taken = shares.take_on_credit('gin', len(FRONTS), now)
         (self.taken if taken else self.refused).append((now, host))
 
     def report(self, now, hosts=FRONTS):
@@ -47,7 +54,9 @@
         for host in hosts:
             report = self.shares[host].make_report('i', now)
             self.allocation.on_report(host, report)
-            parts = self.allocation.parts_of(host, report, {'gin': BURST})
+            parts = self.allocation.parts_of(
+                host, report, {'gin': self.rate_per_s}
+            )
             self.shares[host].on_parts(report.number, parts, now)
 
     def held(self, now=0.0):
@@ -58,6 +67,11 @@
             for demand in shares.demands(now)
         )
 
+    def _take(self, shares, now):
+        return shares.take(
+            'gin', self.rate_per_s, self.rate_per_s, len(FRONTS), now
+        )
+
 
 @pytest.fixture
 def fleet():
@@ -222,3 +236,60 @@
     assert allocation.on_report('h1', newer)
     older = make_report(1, part=0.1, demand_per_s=1.0)
     assert not allocation.on_report('h1', older)
+
+
+def test_small_account_is_served_while_the_runner_is_replaced():
+    """Parts of a small rate hold no token; hosts admit on credit meanwhile.
+
+    The load of a day on which runners are replaced: some requests a second of
+    one account over all hosts, nobody to ask for 1.4 s.
+    """
+    fleet = Fleet(rate_per_s=4.0, slack=20.0)
+    demand = dict.fromkeys(FRONTS, 0.6)
+    play(fleet, 10, demand)
+    fleet.refused.clear()
+    play(fleet, 1.4, demand, cut=FRONTS, start=10.0, seed=2)
+    fleet.allocation = ShareAllocation(slack=fleet.slack)
+    play(fleet, 3, demand, start=11.4, seed=3)
+    assert not fleet.refused
+
+
+def test_credit_stays_within_what_is_tolerated():
+    """Pressing on every host with no runner, and runners that change."""
+    fleet = Fleet(rate_per_s=4.0, slack=20.0)
+    demand = dict.fromkeys(FRONTS, 30.0)
+    for start in range(0, 20, 2):
+        cut = FRONTS if start % 4 else ()
+        if not cut:
+            fleet.allocation = ShareAllocation(slack=fleet.slack)
+        play(fleet, 2, demand, cut=cut, start=start, seed=start)
+    limit = (fleet.rate_per_s * 5 + fleet.rate_per_s) * 1.1 + fleet.slack
+    assert busiest_window(fleet.taken) <= limit
+
+
+def test_data_centre_that_is_cut_off_has_credit_in_each_window():
+    """One request a window and host, for as long as the cut lasts."""
+    shares = HeldShares(now=0.0, slack=20.0, window_s=5.0)
+    taken = [
+        second
+        for second in range(20)
+        if shares.take_on_credit('gin', 8, float(second))
+    ]
+    assert taken == [0, 6, 12, 18]
+
+
+def test_credit_is_paid_back():
+    """Over a long time an account gets its rate and no more."""
+    fleet = Fleet(rate_per_s=4.0, slack=20.0)
+    demand = dict.fromkeys(FRONTS, 30.0)
+    for start in range(0, 60, 10):
+        play(fleet, 8, demand, start=start, seed=start)
+        play(fleet, 2, demand, cut=FRONTS, start=start + 8, seed=start)
+    assert len(fleet.taken) <= fleet.rate_per_s * 60 * TOTAL_PART + fleet.slack
+
+
+@pytest.mark.parametrize(('slack', 'hosts'), [(0.0, 4), (20.0, 0), (4.0, 4)])
+def test_no_credit_without_tolerance_or_known_hosts(slack, hosts):
+    """Nothing is tolerated, or nobody knows how many hosts may owe."""
+    shares = HeldShares(now=0.0, slack=slack)
+    assert not shares.take_on_credit('gin', hosts, 1.0)
