Keep the progress of running batch items in the store

Cause: events of running items were in the memory of the active runner only. Ruled out: slow takeover (active again 0.8 s after the start).

Change: the active runner writes the events of unfinished items into one object of its own, at most once a second, and when it stops; one that takes over reads all of them. Nothing depends on it: an older object repeats the difference, a failed write is left out.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from collections.abc import Iterable
 
 import curio
 from jacinthmount.batch_order import ItemRun
@@ -24,6 +25,7 @@
 
 __all__ = (
     'BatchJob',
+    'list_unfinished',
     'read_items',
     'read_log',
     'read_open_items',
@@ -108,6 +110,7 @@
         body = b''
     return ItemRun(
         batch=key,
+        batch_id=manifest.batch_id,
         item_id=item.item_id,
         account=manifest.account,
         host_name=manifest.host_name,
@@ -119,6 +122,11 @@
     )
 
 
+def list_unfinished(jobs: Iterable[BatchJob]) -> list[ItemRun]:
+    """Lists the items of jobs that have no result yet."""
+    return [run for job in jobs for run in job.runs.values()]
+
+
 async def read_items(
     store: ObjectStore,
     key: str,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -16,6 +16,7 @@
 from jacinthmount_node.relay.batch_cleanup import run_cleanup
 from jacinthmount_node.relay.batch_jobs import (
     BatchJob,
+    list_unfinished,
     read_open_items,
     write_results,
 )
@@ -25,6 +26,7 @@
     BatchAdmissionReply,
 )
 from jacinthmount_node.relay.object_watch import ObjectWatch
+from jacinthmount_node.relay.progress_log import ProgressLog
 from jacinthmount_node.relay.run_scheduler import RunScheduler
 from jacinthmount_node.relay.runner_rooms import RunnerRooms
 from jacinthmount_node.relay.state import RelayState
@@ -48,6 +50,7 @@
         '_copies',
         '_is_away',
         '_jobs',
+        '_progress',
         '_rooms',
         '_scheduler',
         '_state',
@@ -85,6 +88,11 @@
             find_service=self._find_service,
             on_end=self._on_end,
         )
+        self._progress = ProgressLog(
+            store=state.store,
+            host=state.host,
+            find_runs=lambda: list_unfinished(self._jobs.values()),
+        )
         self._watch = ObjectWatch(
             store=state.store,
             prefix=BATCH_PREFIX,
@@ -97,6 +105,7 @@
         async with curio.TaskGroup() as group:
             await group.spawn(self._watch.run)
             await group.spawn(self._run_checks)
+            await group.spawn(self._progress.run)
             await group.spawn(
                 run_cleanup,
                 self._state,
@@ -107,6 +116,8 @@
         """Ends all runs, writes the results at hand and stays inactive."""
         self._scheduler.stopped = True
         await self._scheduler.clear()
+        if list_unfinished(self._jobs.values()):
+            await self._progress.write()
         for job in list(self._jobs.values()):
             await self._write_once(job)
 
@@ -197,20 +208,29 @@
             try:
                 items = await read_open_items(self._state.store, job)
             except StoreUnavailable as exc:
-                log_event('batch_unread', batch=job.key, detail=exc.detail)
+                log_event(
+                    'batch_unread',
+                    batch=job.manifest.batch_id,
+                    detail=exc.detail,
+                )
                 await curio.sleep(LOAD_RETRY_S)
             except MalformedRecord as exc:
-                log_event('bad_batch', batch=job.key, detail=exc.detail)
+                log_event(
+                    'bad_batch', batch=job.manifest.batch_id, detail=exc.detail
+                )
                 return
         if items is None or self._jobs.get(job.key) is not job:
             return
         due_in_s = job.manifest.due_at_ms / MS - time.time()
-        for run in job.fill(items, self._state.now() + due_in_s):
+        runs = job.fill(items, self._state.now() + due_in_s)
+        adopted = self._progress.adopt(job.key, job.runs)
+        for run in runs:
             self._scheduler.add(run)
         log_event(
             'batch_open',
             batch=job.manifest.batch_id,
             items=len(job.runs),
+            adopted_events=adopted,
             due_in_s=round(due_in_s, 2),
         )
         await self._scheduler.pump()
@@ -253,6 +273,7 @@
         log_event(
             'item_done',
             item=run.item_id,
+            batch=run.batch_id,
             completed=completed,
             endpoint=run.endpoint_id,
             starts=run.starts,
@@ -292,7 +313,9 @@
         try:
             await write_results(self._state.store, job, self._copies)
         except StoreUnavailable as exc:
-            log_event('results_wait', batch=job.key, detail=exc.detail)
+            log_event(
+                'results_wait', batch=job.manifest.batch_id, detail=exc.detail
+            )
             return False
         return True
 
@@ -317,6 +340,7 @@
 
     async def _on_role(self, *, active: bool) -> None:
         if active:
+            await self._progress.read()
             for one in self._watch.objects():
                 await self._take_manifest(one)
             return
@@ -332,7 +356,11 @@
 
     async def _give_up_job(self, job: BatchJob) -> None:
         for run in list(job.runs.values()):
-            log_event('item_given_up', item=run.item_id)
+            log_event(
+                'item_given_up',
+                item=run.item_id,
+                batch=run.batch_id,
+            )
             await self._scheduler.remove(run)
             await self._finish(job, run, completed=False)
 
--- a/packages/jacinthmount/jacinthmount/batch_order.py
+++ b/packages/jacinthmount/jacinthmount/batch_order.py
@@ -14,6 +14,7 @@
 class ItemRun:
     """A batch item on its way, with the events received so far.
 
+    ``batch`` is the key of its batch, ``batch_id`` the id that its caller gave.
     ``due_at`` is in monotonic seconds. ``failures`` counts answers by which
     the endpoint said that it failed.
     """
@@ -21,6 +22,7 @@
     __slots__ = (
         'account',
         'batch',
+        'batch_id',
         'body',
         'due_at',
         'endpoint_id',
@@ -43,6 +45,7 @@
         self,
         *,
         batch: str,
+        batch_id: str,
         item_id: str,
         account: str,
         host_name: str,
@@ -54,6 +57,7 @@
     ) -> None:
         """Starts with nothing received."""
         self.batch = batch
+        self.batch_id = batch_id
         self.item_id = item_id
         self.account = account
         self.host_name = host_name
--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -274,6 +274,22 @@
     assert all(row['text'].count('\n') == 39 for row in rows)
 
 
+def test_items_go_on_where_the_lost_runner_had_come(site):
+    """The other runner asks for the events after those that are kept."""
+    for port in site.engines.values():
+        site.switch(port, event_s=0.1)
+    assert submit(site, make_items(4, events=50)) == 202
+    eventually(lambda: len(site.ran()) == 4)
+    # Long enough for some events to be received, kept, and received further.
+    time.sleep(2.5)
+    site.kill(find_active(site))
+    eventually(lambda: is_complete(site))
+    after = [int(run['headers'].get('last-event-id', 0)) for run in site.ran()]
+    assert len(after) == 8
+    assert sum(number >= 3 for number in after) == 4
+    assert all(row['text'].count('\n') == 49 for row in read(site)['results'])
+
+
 def test_graceful_stop_cuts_no_stream(site):
     """SIGTERM while streams run: each ends whole, then the process exits.
 
--- /dev/null
+++ b/tests/test_run_progress.py
@@ -0,0 +1,163 @@
+"""Progress of batch items: what is kept, and what a runner takes of it."""
+
+import curio
+import pytest
+from jacinthmount.errors import StoreUnavailable
+from jacinthmount.ports import ABSENT
+from jacinthmount.records import parse_json, serialize_json
+from jacinthmount.run_progress import (
+    MAX_CHARS,
+    RunnerProgress,
+    adopt_progress,
+    make_progress,
+    progress_name,
+    write_interval_s,
+)
+from jacinthmount.stores import MemoryStore
+from jacinthmount_node.relay.progress_log import ProgressLog
+
+from tests.relay_builders import make_run
+
+
+class _Away(MemoryStore):
+    """A store that may be away."""
+
+    __slots__ = ('away',)
+
+    def __init__(self):
+        super().__init__()
+        self.away = True
+
+    async def write(self, name, body, expected):
+        """See the port."""
+        if self.away:
+            raise StoreUnavailable(detail='away')
+        return await super().write(name, body, expected)
+
+    async def list_names(self, prefix):
+        """See the port."""
+        raise StoreUnavailable(detail='away')
+
+
+def make_begun(item_id, events, **changes):
+    """Builds an item that has received events."""
+    run = make_run(item_id, **changes)
+    run.texts = [f'{item_id} {number}' for number in range(1, events + 1)]
+    run.last_event = events
+    return run
+
+
+@pytest.fixture
+def fresh():
+    """Two items of a batch as another runner loads them."""
+    return {'i1': make_run('i1'), 'i2': make_run('i2')}
+
+
+@pytest.fixture
+def store():
+    """An empty store."""
+    return MemoryStore()
+
+
+def make_log(store, runs, host='s1'):
+    """Builds the log of a runner with the items it works on."""
+    return ProgressLog(store=store, host=host, find_runs=lambda: runs)
+
+
+def test_run_goes_on_after_what_is_kept(fresh):
+    """The events are there, and the next one is asked for."""
+    kept = make_progress([make_begun('i1', 3)], 'w')
+    assert adopt_progress(fresh, 'b', [kept]) == 3
+    assert fresh['i1'].texts == ['i1 1', 'i1 2', 'i1 3']
+    assert fresh['i1'].last_event == 3
+    assert fresh['i2'].last_event is None
+
+
+def test_longest_progress_counts(fresh):
+    """Two runners worked on the item, one after the other."""
+    older = make_progress([make_begun('i1', 2)], 'w')
+    newer = make_progress([make_begun('i1', 5)], 'w')
+    adopt_progress(fresh, 'b', [newer, older])
+    assert fresh['i1'].last_event == 5
+
+
+def test_item_of_another_batch_is_not_taken(fresh):
+    """Ids of items are only unique within a batch."""
+    kept = make_progress([make_begun('i1', 3, batch='other')], 'w')
+    assert not adopt_progress(fresh, 'b', [kept])
+
+
+def test_run_that_has_begun_here_is_left_alone(fresh):
+    """Its events come from its own stream."""
+    fresh['i1'].starts = 1
+    kept = make_progress([make_begun('i1', 3)], 'w')
+    adopt_progress(fresh, 'b', [kept])
+    assert not fresh['i1'].texts
+
+
+def test_failed_attempts_stay_counted(fresh):
+    """An item that always fails is not tried anew by each runner."""
+    failed = make_run('i1')
+    failed.failures = 2
+    adopt_progress(fresh, 'b', [make_progress([failed], 'w')])
+    assert fresh['i1'].failures == 2
+
+
+def test_size_is_bounded_and_longest_go_first():
+    """What does not fit one object is left out."""
+    part = 'x' * (MAX_CHARS // 4)
+    big = make_run('big')
+    big.texts = [part, part, part]
+    more = make_run('more')
+    more.texts = [part + part, part + part]
+    progress = make_progress([more, big, make_run('new')], 'w')
+    assert [one.item_id for one in progress.items] == ['big']
+
+
+def test_large_progress_is_written_less_often():
+    """Bytes a second stay about the same."""
+    small = make_progress([make_begun('i1', 3)], 'w')
+    big = make_run('big')
+    big.texts = ['x' * (MAX_CHARS - 1)]
+    assert write_interval_s(small) == pytest.approx(1.0)
+    assert write_interval_s(make_progress([big], 'w')) > 2
+
+
+def test_another_runner_reads_what_was_written(store, fresh):
+    """Through the store, after the loss of the first runner."""
+    curio.run(make_log(store, [make_begun('i1', 4)]).write)
+    other = make_log(store, [], host='s2')
+    curio.run(other.read)
+    assert other.adopt('b', fresh) == 4
+
+
+def test_runner_that_started_again_replaces_its_object(store, fresh):
+    """It finds the version that its predecessor has written."""
+    curio.run(make_log(store, [make_begun('i1', 4)]).write)
+    again = make_log(store, [make_begun('i1', 6)])
+    curio.run(again.write)
+    curio.run(again.write)
+    curio.run(again.read)
+    assert again.adopt('b', fresh) == 6
+
+
+def test_outage_costs_only_the_write():
+    """Nothing is raised, and the next write goes through."""
+    away = _Away()
+    log = make_log(away, [make_begun('i1', 4)])
+    curio.run(log.write)
+    curio.run(log.read)
+    away.away = False
+    curio.run(log.write)
+    written = curio.run(away.read, progress_name('s1'))
+    assert parse_json(RunnerProgress, written.body).items
+
+
+def test_object_that_cannot_be_read_is_left_out(store, fresh):
+    """Another version's object costs repeated work only."""
+    curio.run(store.write, progress_name('s3'), '{"x": 1}', ABSENT)
+    kept = serialize_json(make_progress([make_begun('i2', 2)], 'w'))
+    curio.run(store.write, progress_name('s2'), kept, ABSENT)
+    log = make_log(store, [])
+    curio.run(log.read)
+    assert log.adopt('b', fresh) == 2
