Send batches elsewhere at once from a data centre that is cut off

Ruled out: the store (it answered the other data centres all the while).

Change: once neither the store nor another data centre answers, calls about batches are refused at once and may be repeated at once elsewhere; what is at hand and can't change is still read. A submission is settled within 1.5 s.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
@@ -3,6 +3,7 @@
 import base64
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 
 import curio
 from jacinthmount.errors import (
@@ -40,6 +41,7 @@
 )
 from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
+from jacinthmount_node.sockets import bounded
 
 __all__ = ('BatchDesk',)
 
@@ -51,21 +53,36 @@
 WAIT_MARGIN_S = 0.05
 WAIT_CHECK_S = 0.15
 RETRY_AFTER_S = 1.0
+SUBMIT_TIMEOUT_S = 1.5
+# Another attempt enters elsewhere and need not wait.
+ELSEWHERE_S = 0.05
 MS = 1000
 
 
 class BatchDesk:
     """Serves the callers' side of batches; keeps nothing that must last."""
 
-    __slots__ = ('_logs', '_manifests', '_runner_link', '_state')
+    __slots__ = (
+        '_is_isolated',
+        '_logs',
+        '_manifests',
+        '_runner_link',
+        '_state',
+    )
 
     def __init__(
         self,
         *,
         state: RelayState,
         runner_link: RunnerLink,
+        is_isolated: Callable[[], bool],
     ) -> None:
-        """Starts with nothing cached."""
+        """Starts with nothing cached.
+
+        :param is_isolated: tells whether this host reaches neither the store
+            nor any other data centre.
+        """
+        self._is_isolated = is_isolated
         self._state = state
         self._runner_link = runner_link
         self._logs: OrderedDict[str, BatchLog] = OrderedDict()
@@ -85,46 +102,20 @@
         :raises StoreUnavailable: no part of it is kept.
         :raises OutcomeUnknown: it may be kept; the caller has to repeat it.
         """
-        key = batch_key(account, batch_id)
-        if await self._is_accepted(key, account, route, items):
-            return
-        chunks = make_chunks(items)
-        embedded = BodyChunk(carried='', items=[])
-        if is_small(chunks):
-            embedded = chunks.pop()
-        for index, chunk in enumerate(chunks):
-            await self._create(chunk_name(key, index), serialize_json(chunk))
-        now_ms = int(time.time() * MS)
-        manifest = ItemBatch(
-            batch_id=batch_id,
-            account=account,
-            route=route.name,
-            host_name=host_name,
-            accepted_at_ms=now_ms,
-            due_at_ms=now_ms + int(route.completion_s * MS),
-            keep_until_ms=now_ms + int(route.retention_s * MS),
-            max_attempts=route.max_attempts,
-            item_ids=[item.item_id for item in items],
-            token_counts=[item.tokens for item in items],
-            embedded=embedded,
-            chunks=len(chunks),
-            ended=False,
-            write_id=new_write_id(),
-        )
+        self._expect_reach()
         try:
-            await self._create(batch_name(key), serialize_json(manifest))
-        except StoreRefused:
-            raise
-        except StoreUnavailable as exc:
-            # The write may still take effect, so nothing is promised.
-            raise OutcomeUnknown(detail=exc.detail) from exc
-        log_event(
-            'batch_accepted',
-            batch=batch_id,
-            account=account,
-            items=len(items),
-            tokens=sum(manifest.token_counts),
-        )
+            await bounded(
+                SUBMIT_TIMEOUT_S,
+                self._submit,
+                account,
+                route,
+                batch_id,
+                host_name,
+                items,
+            )
+        except TimeoutError as exc:
+            # Another host may have a better way to the store.
+            raise OutcomeUnknown(detail=str(exc)) from exc
 
     async def read_results(
         self,
@@ -178,6 +169,7 @@
         :raises NotFound: no such batch of this account.
         :raises StoreUnavailable: it may be ended; repeat it.
         """
+        self._expect_reach()
         name = batch_name(batch_key(account, batch_id))
         while True:
             stored = await self._state.store.read(name)
@@ -205,6 +197,62 @@
             log_event('batch_ended', batch=batch_id, account=account)
             return
 
+    async def _submit(
+        self,
+        account: str,
+        route: RouteRule,
+        batch_id: str,
+        host_name: str,
+        items: list[BatchItem],
+    ) -> None:
+        key = batch_key(account, batch_id)
+        if await self._is_accepted(key, account, route, items):
+            return
+        chunks = make_chunks(items)
+        embedded = BodyChunk(carried='', items=[])
+        if is_small(chunks):
+            embedded = chunks.pop()
+        for index, chunk in enumerate(chunks):
+            await self._create(chunk_name(key, index), serialize_json(chunk))
+        now_ms = int(time.time() * MS)
+        manifest = ItemBatch(
+            batch_id=batch_id,
+            account=account,
+            route=route.name,
+            host_name=host_name,
+            accepted_at_ms=now_ms,
+            due_at_ms=now_ms + int(route.completion_s * MS),
+            keep_until_ms=now_ms + int(route.retention_s * MS),
+            max_attempts=route.max_attempts,
+            item_ids=[item.item_id for item in items],
+            token_counts=[item.tokens for item in items],
+            embedded=embedded,
+            chunks=len(chunks),
+            ended=False,
+            write_id=new_write_id(),
+        )
+        try:
+            await self._create(batch_name(key), serialize_json(manifest))
+        except StoreRefused:
+            raise
+        except StoreUnavailable as exc:
+            # The write may still take effect, so nothing is promised.
+            raise OutcomeUnknown(detail=exc.detail) from exc
+        log_event(
+            'batch_accepted',
+            batch=batch_id,
+            account=account,
+            items=len(items),
+            tokens=sum(manifest.token_counts),
+        )
+
+    def _expect_reach(self) -> None:
+        if self._is_isolated():
+            raise StoreUnavailable(
+                detail='this data centre is cut off',
+                retry_after_s=ELSEWHERE_S,
+            )
+
     def _is_current(self, key: str, log: BatchLog) -> bool:
         return self._state.segments.is_current(
             key,
@@ -216,6 +264,7 @@
         if log.complete or self._is_current(key, log):
             return
         try:
+            self._expect_reach()
             await read_log(self._state.store, key, log)
         except StoreUnavailable:
             # What is at hand never changes, so it may be given without more.
@@ -291,6 +340,7 @@
         known = self._manifests.get(key)
         if known is not None:
             return known
+        self._expect_reach()
         # Only the mark of its end changes, and it is not looked at here.
         stored = await self._state.store.read_immutable(batch_name(key))
         if stored is None or stored.body is None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -141,7 +141,11 @@
             decoder=ports.decoder,
             on_config=self._on_config,
         )
-        self._shares = HeldShares(now=state.now())
+        self._shares = HeldShares(
+            now=state.now(),
+            slack=state.settings.rate_slack,
+            window_s=state.settings.rate_window_s,
+        )
         self._reporter = HostReporter(
             state=state,
             links=links,
@@ -241,6 +245,7 @@
             batches=BatchDesk(
                 state=state,
                 runner_link=self._runner_link,
+                is_isolated=self._is_isolated,
             ),
         )
         self._reporter.on_view = relay.pump
