Tell the story of a request or a batch from logs: jacinthmount explain

Each line now names its host and its number since the start, lines of items name their batch, so that explain can tell where lines are missing.

--- a/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
@@ -4,7 +4,7 @@
 
 import attrs
 import cappa
-from jacinthmount_node.options import choose, flag, option, word
+from jacinthmount_node.options import choose, flag, option, word, words
 
 __all__ = ('COMMAND_LINE', 'JacinthmountCommand')
 
@@ -125,6 +125,14 @@
     undo: bool
 
 
+@attrs.define(kw_only=True)
+class ExplainCommand:
+    """Tells the story of a request, an item or a batch from logs."""
+
+    wanted_id: str
+    files: list[str]
+
+
 @attrs.define(kw_only=True)
 class JacinthmountCommand:
     """Options that all commands share."""
@@ -295,6 +303,17 @@
                     flag('undo', 'Let it have work again.'),
                 ],
             ),
+            cappa.Command(
+                ExplainCommand,
+                name='explain',
+                help='Tell from logs what happened to a request or a batch.',
+                arguments=[
+                    word('wanted_id', 'Id of a request, an item or a batch.'),
+                    words(
+                        'files', 'Log files; standard input if there is none.'
+                    ),
+                ],
+            ),
         ),
     ],
 )
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
@@ -13,6 +13,7 @@
 from jacinthmount.errors import (
     InvalidDeclarations,
     JacinthmountError,
+    NotFound,
     StoreConflict,
     StoreUnavailable,
 )
@@ -26,6 +27,7 @@
 from jacinthmount_ctl import commands, porcelain
 from jacinthmount_ctl.caller import Caller
 from jacinthmount_ctl.changes import describe_change
+from jacinthmount_ctl.stories import iter_lines, iter_story, read_story
 
 __all__ = ('main',)
 
@@ -278,6 +280,16 @@
     return await porcelain.drain_endpoint(store, endpoint, leaving=leaving)
 
 
+@run.register
+def _run_explain(command: commands.ExplainCommand, context: Context) -> int:
+    story = read_story(iter_lines(command.files), command.wanted_id)
+    if not story.lines:
+        raise NotFound(detail=f'no line names {command.wanted_id}')
+    for line in iter_story(story):
+        context.say(line)
+    return 0
+
+
 @run.register
 def _run_batch(command: commands.BatchCommand, context: Context) -> int:
     if not command.front or not command.key_file:
--- a/packages/jacinthmount-node/jacinthmount_node/log_writer.py
+++ b/packages/jacinthmount-node/jacinthmount_node/log_writer.py
@@ -7,6 +7,7 @@
 
 import json
 import threading
+import time
 from collections import deque
 from typing import BinaryIO
 
@@ -22,6 +23,7 @@
     __slots__ = (
         '_closing',
         '_dropped',
+        '_host',
         '_lines',
         '_max_lines',
         '_stream',
@@ -32,13 +34,16 @@
         self,
         *,
         stream: BinaryIO,
+        host: str,
         max_lines: int = MAX_LINES,
     ) -> None:
         """Starts the thread that writes.
 
+        :param host: name of this host, for the note on dropped lines.
         :param max_lines: lines that may wait; about 1.5 MB.
         """
         self._stream = stream
+        self._host = host
         self._max_lines = max_lines
         self._lines: deque[bytes] = deque()
         self._dropped = 0
@@ -76,6 +81,8 @@
         if dropped:
             self._dropped = 0
             note = {
+                'timestamp': time.time(),
+                'host': self._host,
                 'message_type': 'jacinthmount:log_dropped',
                 'lines': dropped,
             }
--- a/packages/jacinthmount-node/jacinthmount_node/main.py
+++ b/packages/jacinthmount-node/jacinthmount_node/main.py
@@ -48,7 +48,7 @@
     if command.check:
         sys.stdout.write('settings are valid\n')
         return
-    open_log(settings.log_file)
+    open_log(settings.log_file, settings.host)
     try:
         run_daemon(settings, token)
     except OSError as exc:
--- a/packages/jacinthmount-node/jacinthmount_node/options.py
+++ b/packages/jacinthmount-node/jacinthmount_node/options.py
@@ -5,7 +5,7 @@
 
 import cappa
 
-__all__ = ('choose', 'flag', 'option', 'word')
+__all__ = ('choose', 'flag', 'option', 'word', 'words')
 
 
 def word(name: str, purpose: str) -> cappa.Arg[Any]:
@@ -20,6 +20,19 @@
     )
 
 
+def words(name: str, purpose: str) -> cappa.Arg[Any]:
+    """Makes any number of arguments without a dash."""
+    return cappa.Arg(
+        field_name=name,
+        value_name=name,
+        help=purpose,
+        default=[],
+        parse=list,
+        required=False,
+        num_args=-1,
+    )
+
+
 def option(
     name: str,
     purpose: str,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -72,6 +72,7 @@
             log_event(
                 'item_lost',
                 item=run.item_id,
+                batch=run.batch_id,
                 endpoint=use.entry.endpoint_id,
                 events=len(run.texts),
                 error=f'{type(exc).__name__}: {exc}',
@@ -135,6 +136,7 @@
         log_event(
             'item_refused',
             item=run.item_id,
+            batch=run.batch_id,
             endpoint=use.entry.endpoint_id,
             status=status,
             not_run=answer.not_run,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -113,7 +113,12 @@
                     await self._stop_stalled(run, now)
 
     async def _stop_stalled(self, run: ItemRun, now: float) -> None:
-        log_event('item_stalled', item=run.item_id, endpoint=run.endpoint_id)
+        log_event(
+            'item_stalled',
+            item=run.item_id,
+            batch=run.batch_id,
+            endpoint=run.endpoint_id,
+        )
         use = self._state.find_use(run.endpoint_id)
         if use is not None:
             use.on_failure(now)
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -32,7 +32,7 @@
 def test_lines_are_written_in_order():
     """Everything that was logged before the end is written."""
     target = io.BytesIO()
-    writer = LogWriter(stream=target)
+    writer = LogWriter(stream=target, host='h1')
     for number in range(100):
         writer.write(f'{number}\n'.encode())
     writer.close(2)
@@ -41,7 +41,11 @@
 
 def test_stuck_output_holds_nobody_up(stream):
     """With an output that nobody reads, a line costs no time."""
-    writer = LogWriter(stream=stream, max_lines=MAX_LINES)
+    writer = LogWriter(
+        stream=stream,
+        host='h1',
+        max_lines=MAX_LINES,
+    )
     started = time.monotonic()
     for _ in range(10_000):
         writer.write(b'line\n')
@@ -52,7 +56,11 @@
 
 def test_dropped_lines_are_counted_and_said(stream):
     """What was dropped is said once lines can be written again."""
-    writer = LogWriter(stream=stream, max_lines=MAX_LINES)
+    writer = LogWriter(
+        stream=stream,
+        host='h1',
+        max_lines=MAX_LINES,
+    )
     for _ in range(500):
         writer.write(b'line\n')
     stream.go_on.set()
