--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+import subprocess
+import sys
 from typing import Any
 
 import curio
@@ -180,6 +182,36 @@
     )
 
 
+def check(tmp_path, text):
+    """Runs the check of a settings file."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(text)
+    return subprocess.run(
+        [sys.executable, '-m', 'jacinthmount_platform.check', str(path)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_check_accepts_good_settings(tmp_path):
+    """An operator sees what the process would be."""
+    done = check(tmp_path, SETTINGS)
+    assert not done.returncode
+    assert 'front-1, a front' in done.stdout
+
+
+def test_check_names_every_wrong_field(tmp_path):
+    """All problems at once, and an exit code."""
+    text = SETTINGS.replace('grace_s = 8', 'grace_s = 0').replace(
+        'zone = "east"', ''
+    )
+    done = check(tmp_path, text)
+    assert done.returncode == 2
+    assert 'settings.toml: zone: must be a text' in done.stderr
+    assert 'settings.toml: bounds.grace_s: must be' in done.stderr
+
+
 def test_settings_that_are_no_toml_are_refused():
     """Text that can't be parsed is one clear problem."""
     with pytest.raises(InvalidDeclarations):
