--- a/packages/jacinthmount-node/jacinthmount_node/relay/heard_links.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/heard_links.py
@@ -34,3 +34,10 @@
             now = self._state.now()
             self._state.centres.on_heard(host.data_centre, now)
         return reply
+
+    async def keep_only(self, addresses: set[str]) -> None:
+        """Closes the links to hosts that are gone.
+
+        Seeds that are no hosts are linked to again when they are asked.
+        """
+        await self._links.keep_only(addresses)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -24,6 +24,7 @@
 
 INTERVAL_S = 0.3
 FLUSH_S = 0.01
+BY_PEER_S = 0.1
 TIMEOUT_S = 0.3
 RUNNER_LIVE_S = 1.2
 
@@ -125,6 +126,8 @@
             active = self.find_active()
             if active is None:
                 await curio.spawn(self._report_by_peer, None, daemon=True)
+                # Each such question costs two hosts a message.
+                await curio.sleep(BY_PEER_S)
             elif active.host != self._state.host:
                 await curio.spawn(self._report, active, None, daemon=True)
             await curio.sleep(FLUSH_S)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -226,6 +226,8 @@
                 continue
             hosts[record.host] = record
         self._state.hosts = hosts
+        addresses = {host.peer_address for host in hosts.values()}
+        await self._links.keep_only(addresses)
         log_event('hosts', known=len(hosts))
 
     async def _run_settle(self) -> None:
--- a/packages/jacinthmount/jacinthmount/leadership.py
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -11,7 +11,7 @@
 __all__ = ('Leadership', 'RunnerState')
 
 RUNNER_LIVE_S = 1.2
-START_WAIT_S = 0.8
+START_WAIT_S = 0.5
 NAMED_VALID_S = 0.7
 
 
