--- a/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
@@ -18,8 +18,8 @@
     StoreUnavailable,
 )
 from jacinthmount.records import Record, parse_json
-from jacinthmount_node.http_client import ClientPool
-from jacinthmount_node.object_api import HttpStore
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.object_api import HttpStore
 from rich.console import Console
 from rich.progress import Progress
 from rich.table import Table
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
@@ -31,7 +31,7 @@
     serialize_json,
 )
 from jacinthmount.stores import new_write_id, write_definitely
-from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
+from jacinthmount_node.net.http_client import TRANSPORT_ERRORS, ClientPool
 
 from jacinthmount_ctl.changes import Change, check_shares, compare
 
--- a/packages/jacinthmount-node/jacinthmount_node/admin.py
+++ b/packages/jacinthmount-node/jacinthmount_node/admin.py
@@ -7,9 +7,9 @@
 from jacinthmount.errors import KeyMissing, MalformedRequest, NotFound, shorten
 from jacinthmount.keys import parse_bearer
 
-from jacinthmount_node.batch_runner import BatchRunner
-from jacinthmount_node.config_sync import ConfigSync
-from jacinthmount_node.http_server import HttpRequest, Responder
+from jacinthmount_node.batches.batch_runner import BatchRunner
+from jacinthmount_node.members.config_sync import ConfigSync
+from jacinthmount_node.net.http_server import HttpRequest, Responder
 from jacinthmount_node.node import Node
 
 __all__ = ('Admin',)
--- a/packages/jacinthmount-node/jacinthmount_node/assembly.py
+++ b/packages/jacinthmount-node/jacinthmount_node/assembly.py
@@ -4,17 +4,17 @@
 
 from jacinthmount.settings import Settings
 
-from jacinthmount_node.engine import HttpEngine
-from jacinthmount_node.engine_control import HttpEngineControl
-from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.http_client import ClientPool
-from jacinthmount_node.load_slots import LoadSlots
+from jacinthmount_node.callers.plain_service import HttpPlainService
+from jacinthmount_node.engines.engine import HttpEngine
+from jacinthmount_node.engines.engine_control import HttpEngineControl
+from jacinthmount_node.engines.engine_rooms import EngineRooms
+from jacinthmount_node.engines.load_slots import LoadSlots
+from jacinthmount_node.engines.order_task import OrderTask
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.object_api import HttpStore, HttpWeightStore
+from jacinthmount_node.net.peers import PeerLinks
+from jacinthmount_node.net.sockets import SystemClock
 from jacinthmount_node.node import Node
-from jacinthmount_node.object_api import HttpStore, HttpWeightStore
-from jacinthmount_node.order_task import OrderTask
-from jacinthmount_node.peers import PeerLinks
-from jacinthmount_node.plain_service import HttpPlainService
-from jacinthmount_node.sockets import SystemClock
 
 __all__ = ('make_node', 'make_orders')
 
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/__init__.py
@@ -0,0 +1,1 @@
+"""Batches and their items on this host."""
--- a/packages/jacinthmount-node/jacinthmount_node/batch_archive.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_archive.py
@@ -11,7 +11,7 @@
 from jacinthmount.records import parse_json
 from jacinthmount.stores import write_definitely
 
-from jacinthmount_node.config_sync import ConfigSync
+from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.node import Node
 
 __all__ = ('BatchArchive',)
--- a/packages/jacinthmount-node/jacinthmount_node/batch_board.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_board.py
@@ -12,8 +12,8 @@
 from jacinthmount.files import ROUTE_URL_PREFIX
 from jacinthmount.records import parse_json
 
-from jacinthmount_node.batch_chunks import ChunkRun
-from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.batches.batch_chunks import ChunkRun
+from jacinthmount_node.engines.engine_rooms import EngineRooms
 from jacinthmount_node.node import Node
 
 __all__ = ('BatchBoard',)
--- a/packages/jacinthmount-node/jacinthmount_node/batch_chunks.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_chunks.py
@@ -26,7 +26,7 @@
 from jacinthmount.routing import prefix_key, read_prompt
 from jacinthmount.stores import new_write_id, write_definitely
 
-from jacinthmount_node.batches_api import read_results
+from jacinthmount_node.batches.batches_api import read_results
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.node import Node
 
--- a/packages/jacinthmount-node/jacinthmount_node/batch_claims.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_claims.py
@@ -30,12 +30,12 @@
 from jacinthmount.results import FAILED, ResultRecord
 from jacinthmount.stores import new_write_id, write_definitely
 
-from jacinthmount_node.batch_board import BatchBoard
-from jacinthmount_node.batch_chunks import ChunkRun
-from jacinthmount_node.config_sync import ConfigSync
-from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.files_api import FileDesk
+from jacinthmount_node.batches.batch_board import BatchBoard
+from jacinthmount_node.batches.batch_chunks import ChunkRun
+from jacinthmount_node.batches.files_api import FileDesk
+from jacinthmount_node.engines.engine_rooms import EngineRooms
 from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.node import Node
 
 __all__ = ('BatchClaims',)
--- a/packages/jacinthmount-node/jacinthmount_node/batch_feed.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_feed.py
@@ -9,12 +9,12 @@
 from jacinthmount.results import FAILED, ResultRecord
 from jacinthmount.suspects import SuspectBook
 
-from jacinthmount_node.batch_board import BatchBoard
-from jacinthmount_node.batch_chunks import BatchItem, ChunkRun
-from jacinthmount_node.batch_items import run_item
-from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.batches.batch_board import BatchBoard
+from jacinthmount_node.batches.batch_chunks import BatchItem, ChunkRun
+from jacinthmount_node.batches.batch_items import run_item
+from jacinthmount_node.batches.prefix_watch import PrefixWatch
+from jacinthmount_node.engines.engine_rooms import EngineRooms
 from jacinthmount_node.node import Node
-from jacinthmount_node.prefix_watch import PrefixWatch
 
 __all__ = ('BatchFeed',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/batch_items.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_items.py
@@ -12,10 +12,10 @@
 from jacinthmount.ports import BackendCall, BackendExchange
 from jacinthmount.results import DONE, FAILED, ResultRecord
 
-from jacinthmount_node.batch_chunks import BatchItem
-from jacinthmount_node.http_client import ATTEMPT_ERRORS
+from jacinthmount_node.batches.batch_chunks import BatchItem
+from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
+from jacinthmount_node.net.sockets import bounded
 from jacinthmount_node.node import Node
-from jacinthmount_node.sockets import bounded
 
 __all__ = ('ItemOutcome', 'run_item')
 
--- a/packages/jacinthmount-node/jacinthmount_node/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_runner.py
@@ -5,16 +5,16 @@
 from jacinthmount.errors import StoreConflict, StoreUnavailable
 from jacinthmount.ports import CacheEvents, Stored
 
-from jacinthmount_node.batch_archive import BatchArchive
-from jacinthmount_node.batch_board import BatchBoard
-from jacinthmount_node.batch_claims import BatchClaims
-from jacinthmount_node.batch_feed import BatchFeed
-from jacinthmount_node.config_sync import ConfigSync
-from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.files_api import FileDesk
+from jacinthmount_node.batches.batch_archive import BatchArchive
+from jacinthmount_node.batches.batch_board import BatchBoard
+from jacinthmount_node.batches.batch_claims import BatchClaims
+from jacinthmount_node.batches.batch_feed import BatchFeed
+from jacinthmount_node.batches.files_api import FileDesk
+from jacinthmount_node.batches.prefix_watch import PrefixWatch
+from jacinthmount_node.engines.engine_rooms import EngineRooms
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.node import Node
-from jacinthmount_node.prefix_watch import PrefixWatch
 
 __all__ = ('BatchRunner',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/batches_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batches_api.py
@@ -40,8 +40,8 @@
 )
 from jacinthmount.stores import new_write_id, write_definitely
 
-from jacinthmount_node.config_sync import ConfigSync
-from jacinthmount_node.files_api import FileDesk, output_file_ids
+from jacinthmount_node.batches.files_api import FileDesk, output_file_ids
+from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.node import Node
 
 __all__ = ('BatchDesk', 'describe_batch', 'read_results')
--- a/packages/jacinthmount-node/jacinthmount_node/files_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/files_api.py
@@ -20,8 +20,8 @@
 from jacinthmount.stores import new_write_id, write_definitely
 from python_multipart.exceptions import MultipartParseError
 
-from jacinthmount_node.forms import UploadForm, make_parser
-from jacinthmount_node.http_server import HttpRequest
+from jacinthmount_node.net.forms import UploadForm, make_parser
+from jacinthmount_node.net.http_server import HttpRequest
 from jacinthmount_node.node import Node
 
 __all__ = ('FileDesk', 'describe_file')
--- a/packages/jacinthmount-node/jacinthmount_node/prefix_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/prefix_watch.py
@@ -6,8 +6,8 @@
 from jacinthmount.ports import CacheEvents
 from jacinthmount.prefixes import PrefixBook
 
-from jacinthmount_node.batch_board import BatchBoard
-from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.batches.batch_board import BatchBoard
+from jacinthmount_node.engines.engine_rooms import EngineRooms
 from jacinthmount_node.node import Node
 
 __all__ = ('PrefixWatch',)
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers, from the listener to the answer."""
--- a/packages/jacinthmount-node/jacinthmount_node/admission.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/admission.py
@@ -14,8 +14,8 @@
 from jacinthmount.shares import AccountLimit
 
 from jacinthmount_node.messages import LoanAsk, LoanReply, Take, TakeReply
+from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
-from jacinthmount_node.peers import PeerLinks
 
 __all__ = ('Admission',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -30,9 +30,9 @@
 from jacinthmount.routing import EndpointState
 from jacinthmount.stores import new_write_id, write_definitely
 
-from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.http_client import ATTEMPT_ERRORS
+from jacinthmount_node.engines.engine_rooms import EngineRooms
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
 from jacinthmount_node.node import Node
 
 __all__ = ('PlainAnswer', 'PlainCall', 'PlainRunner')
--- a/packages/jacinthmount-node/jacinthmount_node/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -17,19 +17,23 @@
 from jacinthmount.keys import KeyRecord, holds_key, parse_bearer
 from jacinthmount.routing import prefix_key, read_prompt
 
-from jacinthmount_node.admission import Admission
-from jacinthmount_node.calls import PlainCall, PlainRunner
-from jacinthmount_node.front_batches import (
+from jacinthmount_node.callers.admission import Admission
+from jacinthmount_node.callers.calls import PlainCall, PlainRunner
+from jacinthmount_node.callers.front_batches import (
     BATCHES_PATH,
     BatchRoutes,
     read_idempotency_key,
 )
-from jacinthmount_node.front_files import FILES_PATH, FileRoutes
-from jacinthmount_node.gate import OnlineCall
-from jacinthmount_node.http_server import HttpRequest, Responder, parse_object
+from jacinthmount_node.callers.front_files import FILES_PATH, FileRoutes
+from jacinthmount_node.callers.gate import OnlineCall
+from jacinthmount_node.callers.online import OnlineRunner
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.http_server import (
+    HttpRequest,
+    Responder,
+    parse_object,
+)
 from jacinthmount_node.node import Node
-from jacinthmount_node.online import OnlineRunner
 
 __all__ = ('Front',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/front_batches.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front_batches.py
@@ -5,9 +5,9 @@
 from jacinthmount.batches import BatchManifest
 from jacinthmount.errors import MalformedRequest, NotFound, shorten
 
-from jacinthmount_node.admission import Admission
-from jacinthmount_node.batches_api import BatchDesk, describe_batch
-from jacinthmount_node.http_server import HttpRequest, Responder, list_page
+from jacinthmount_node.batches.batches_api import BatchDesk, describe_batch
+from jacinthmount_node.callers.admission import Admission
+from jacinthmount_node.net.http_server import HttpRequest, Responder, list_page
 
 __all__ = ('BATCHES_PATH', 'BatchRoutes', 'read_idempotency_key')
 
--- a/packages/jacinthmount-node/jacinthmount_node/front_files.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front_files.py
@@ -4,10 +4,10 @@
 
 from jacinthmount.errors import NotFound, shorten
 
-from jacinthmount_node.admission import Admission
-from jacinthmount_node.batches_api import BatchDesk
-from jacinthmount_node.files_api import FileDesk, describe_file
-from jacinthmount_node.http_server import HttpRequest, Responder, list_page
+from jacinthmount_node.batches.batches_api import BatchDesk
+from jacinthmount_node.batches.files_api import FileDesk, describe_file
+from jacinthmount_node.callers.admission import Admission
+from jacinthmount_node.net.http_server import HttpRequest, Responder, list_page
 
 __all__ = ('FILES_PATH', 'FileRoutes')
 
--- a/packages/jacinthmount-node/jacinthmount_node/gate.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/gate.py
@@ -6,9 +6,9 @@
 from jacinthmount.fairness import FairQueue
 from jacinthmount.routing import EndpointState, Router
 
-from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.engines.engine_rooms import EngineRooms
+from jacinthmount_node.net.sockets import bounded
 from jacinthmount_node.node import Node
-from jacinthmount_node.sockets import bounded
 
 __all__ = ('Gate', 'OnlineCall')
 
--- a/packages/jacinthmount-node/jacinthmount_node/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -17,13 +17,13 @@
 from jacinthmount.ports import BackendCall, BackendExchange, StreamEvent
 from jacinthmount.routing import EndpointState
 
-from jacinthmount_node.backends import REQUEST_ID
-from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.gate import Gate, OnlineCall
-from jacinthmount_node.http_client import ATTEMPT_ERRORS
-from jacinthmount_node.http_server import Responder
+from jacinthmount_node.callers.gate import Gate, OnlineCall
+from jacinthmount_node.engines.backends import REQUEST_ID
+from jacinthmount_node.engines.engine_rooms import EngineRooms
+from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
+from jacinthmount_node.net.http_server import Responder
+from jacinthmount_node.net.sockets import bounded
 from jacinthmount_node.node import Node
-from jacinthmount_node.sockets import bounded
 
 __all__ = ('OnlineRunner',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/plain_service.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/plain_service.py
@@ -2,7 +2,7 @@
 
 from jacinthmount.ports import BackendCall
 
-from jacinthmount_node.backends import (
+from jacinthmount_node.engines.backends import (
     REQUEST_ID,
     HttpBackend,
     HttpBackendExchange,
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -9,30 +9,33 @@
 from jacinthmount.shares import SHARE_PREFIX
 
 from jacinthmount_node.admin import Admin
-from jacinthmount_node.admission import Admission
 from jacinthmount_node.assembly import make_node, make_orders
-from jacinthmount_node.batch_runner import BatchRunner
-from jacinthmount_node.batches_api import BatchDesk
-from jacinthmount_node.calls import PlainRunner
-from jacinthmount_node.config_sync import ConfigSync
-from jacinthmount_node.engine import EngineCacheEvents, EngineLoadReports
-from jacinthmount_node.engine_polls import EnginePolls
-from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.files_api import FileDesk
-from jacinthmount_node.front import Front
-from jacinthmount_node.front_batches import BatchRoutes
-from jacinthmount_node.front_files import FileRoutes
+from jacinthmount_node.batches.batch_runner import BatchRunner
+from jacinthmount_node.batches.batches_api import BatchDesk
+from jacinthmount_node.batches.files_api import FileDesk
+from jacinthmount_node.callers.admission import Admission
+from jacinthmount_node.callers.calls import PlainRunner
+from jacinthmount_node.callers.front import Front
+from jacinthmount_node.callers.front_batches import BatchRoutes
+from jacinthmount_node.callers.front_files import FileRoutes
+from jacinthmount_node.callers.online import OnlineRunner
+from jacinthmount_node.engines.engine import (
+    EngineCacheEvents,
+    EngineLoadReports,
+)
+from jacinthmount_node.engines.engine_polls import EnginePolls
+from jacinthmount_node.engines.engine_rooms import EngineRooms
 from jacinthmount_node.handlers import PeerDesk
-from jacinthmount_node.http_client import ClientPool
-from jacinthmount_node.http_server import HttpServer
 from jacinthmount_node.logs import log_event, log_failure
-from jacinthmount_node.membership import Membership
+from jacinthmount_node.members.config_sync import ConfigSync
+from jacinthmount_node.members.membership import Membership
+from jacinthmount_node.members.share_task import ShareTask
 from jacinthmount_node.messages import Hello
-from jacinthmount_node.object_api import HttpHostList
-from jacinthmount_node.online import OnlineRunner
-from jacinthmount_node.peers import PeerLinks, PeerServer, make_contexts
-from jacinthmount_node.share_task import ShareTask
-from jacinthmount_node.sockets import listen, parse_address
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.http_server import HttpServer
+from jacinthmount_node.net.object_api import HttpHostList
+from jacinthmount_node.net.peers import PeerLinks, PeerServer, make_contexts
+from jacinthmount_node.net.sockets import listen, parse_address
 
 __all__ = ('Daemon', 'run_daemon')
 
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Engines: load, room, orders and requests to them."""
--- a/packages/jacinthmount-node/jacinthmount_node/backends.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
@@ -7,7 +7,7 @@
 from jacinthmount.errors import EndpointFailed, EndpointLost
 from jacinthmount.ports import Backend, BackendCall, BackendExchange
 
-from jacinthmount_node.http_client import ClientPool, Exchange
+from jacinthmount_node.net.http_client import ClientPool, Exchange
 
 __all__ = ('REQUEST_ID', 'HttpBackend', 'HttpBackendExchange', 'losses')
 
--- a/packages/jacinthmount-node/jacinthmount_node/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
@@ -15,12 +15,12 @@
 )
 from jacinthmount.records import parse_json
 
-from jacinthmount_node.backends import (
+from jacinthmount_node.engines.backends import (
     REQUEST_ID,
     HttpBackend,
     HttpBackendExchange,
 )
-from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
+from jacinthmount_node.net.http_client import TRANSPORT_ERRORS, ClientPool
 
 __all__ = (
     'EngineCacheEvents',
--- a/packages/jacinthmount-node/jacinthmount_node/engine_reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine_reports.py
@@ -5,15 +5,15 @@
 from jacinthmount.ports import EngineLoad
 from jacinthmount.routing import EndpointState
 
-from jacinthmount_node.deciders import Deciders
+from jacinthmount_node.members.deciders import Deciders
 from jacinthmount_node.messages import (
     EngineOnline,
     EngineReport,
     EngineReportReply,
     EngineView,
 )
+from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
-from jacinthmount_node.peers import PeerLinks
 
 __all__ = ('REPORT_TIMEOUT_S', 'EngineReporter')
 
--- a/packages/jacinthmount-node/jacinthmount_node/engine_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine_rooms.py
@@ -7,10 +7,13 @@
 from jacinthmount.permits import EngineRoom
 from jacinthmount.routing import EndpointState
 
-from jacinthmount_node.broadcast import tell_host
-from jacinthmount_node.deciders import Deciders
-from jacinthmount_node.engine_polls import EnginePolls
-from jacinthmount_node.engine_reports import REPORT_TIMEOUT_S, EngineReporter
+from jacinthmount_node.engines.engine_polls import EnginePolls
+from jacinthmount_node.engines.engine_reports import (
+    REPORT_TIMEOUT_S,
+    EngineReporter,
+)
+from jacinthmount_node.members.broadcast import tell_host
+from jacinthmount_node.members.deciders import Deciders
 from jacinthmount_node.messages import (
     EngineClosed,
     EngineOnline,
@@ -19,8 +22,8 @@
     EngineSilent,
     EngineView,
 )
+from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
-from jacinthmount_node.peers import PeerLinks
 
 __all__ = ('EngineRooms',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/order_task.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/order_task.py
@@ -32,13 +32,13 @@
 from jacinthmount.records import parse_json, serialize_json
 from jacinthmount.stores import new_write_id, write_definitely
 
-from jacinthmount_node.broadcast import tell_host
-from jacinthmount_node.engine_rooms import EngineRooms
-from jacinthmount_node.load_slots import HeldSlot, LoadSlots
+from jacinthmount_node.engines.engine_rooms import EngineRooms
+from jacinthmount_node.engines.load_slots import HeldSlot, LoadSlots
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.members.broadcast import tell_host
 from jacinthmount_node.messages import EngineClosed
+from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
-from jacinthmount_node.peers import PeerLinks
 
 __all__ = ('OrderTask',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/handlers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/handlers.py
@@ -5,9 +5,10 @@
 from jacinthmount.errors import MalformedRecord
 from jacinthmount.records import Record
 
-from jacinthmount_node.admission import Admission
-from jacinthmount_node.config_sync import ConfigSync
-from jacinthmount_node.engine_rooms import EngineRooms
+from jacinthmount_node.callers.admission import Admission
+from jacinthmount_node.engines.engine_rooms import EngineRooms
+from jacinthmount_node.members.config_sync import ConfigSync
+from jacinthmount_node.members.share_task import ShareTask
 from jacinthmount_node.messages import (
     Ack,
     Digest,
@@ -23,7 +24,6 @@
     Take,
     Withdraw,
 )
-from jacinthmount_node.share_task import ShareTask
 
 __all__ = ('PeerDesk', 'answer')
 
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/members/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts, shares and the configuration in force."""
--- a/packages/jacinthmount-node/jacinthmount_node/broadcast.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/broadcast.py
@@ -3,8 +3,8 @@
 from jacinthmount.errors import PeerUnavailable
 from jacinthmount.records import Record
 
+from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
-from jacinthmount_node.peers import PeerLinks
 
 __all__ = ('tell_host',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
@@ -23,8 +23,8 @@
     Push,
     Withdraw,
 )
+from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
-from jacinthmount_node.peers import PeerLinks
 
 __all__ = ('ConfigSync',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/membership.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/membership.py
@@ -10,10 +10,10 @@
 from jacinthmount.records import serialize_json
 from jacinthmount.stores import new_write_id, write_definitely
 
-from jacinthmount_node.config_sync import ConfigSync
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.members.config_sync import ConfigSync
+from jacinthmount_node.members.share_task import ShareTask
 from jacinthmount_node.node import Node
-from jacinthmount_node.share_task import ShareTask
 
 __all__ = ('Membership',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/share_task.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/share_task.py
@@ -20,11 +20,11 @@
 )
 from jacinthmount.stores import new_write_id, write_definitely
 
-from jacinthmount_node.config_sync import ConfigSync
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.messages import Give, Ping, Pong
+from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
-from jacinthmount_node.peers import PeerLinks
 
 __all__ = ('ShareTask',)
 
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP, links to peers and the object API."""
--- a/packages/jacinthmount-node/jacinthmount_node/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -10,7 +10,7 @@
 from jacinthmount.dispatch import Stage
 from jacinthmount.errors import EndpointFailed
 
-from jacinthmount_node.sockets import abort_socket, bounded, connect
+from jacinthmount_node.net.sockets import abort_socket, bounded, connect
 
 __all__ = ('ATTEMPT_ERRORS', 'ClientPool', 'Exchange', 'TRANSPORT_ERRORS')
 
--- a/packages/jacinthmount-node/jacinthmount_node/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -19,7 +19,7 @@
 )
 
 from jacinthmount_node.logs import log_failure
-from jacinthmount_node.sockets import abort_socket, bounded
+from jacinthmount_node.net.sockets import abort_socket, bounded
 
 __all__ = (
     'HttpRequest',
--- a/packages/jacinthmount-node/jacinthmount_node/object_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/object_api.py
@@ -24,8 +24,8 @@
     WeightStore,
 )
 
-from jacinthmount_node.http_client import TRANSPORT_ERRORS, ClientPool
-from jacinthmount_node.sockets import bounded
+from jacinthmount_node.net.http_client import TRANSPORT_ERRORS, ClientPool
+from jacinthmount_node.net.sockets import bounded
 
 __all__ = ('HttpHostList', 'HttpStore', 'HttpWeightStore')
 
--- a/packages/jacinthmount-node/jacinthmount_node/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/peers.py
@@ -15,7 +15,7 @@
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.messages import Envelope, Hello
 from jacinthmount_node.metrics import Metrics
-from jacinthmount_node.sockets import abort_socket, bounded, connect
+from jacinthmount_node.net.sockets import abort_socket, bounded, connect
 
 __all__ = ('PeerLink', 'PeerLinks', 'PeerServer', 'make_contexts')
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
@@ -33,6 +33,7 @@
 from jacinthmount.stores import new_write_id, write_definitely
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.sockets import bounded
 from jacinthmount_node.relay.batch_jobs import read_items, read_log
 from jacinthmount_node.relay.host_reach import HostReach
 from jacinthmount_node.relay.messages import (
@@ -41,7 +42,6 @@
 )
 from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
-from jacinthmount_node.sockets import bounded
 
 __all__ = ('BatchDesk',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -7,14 +7,15 @@
 import curio
 from jacinthmount.rate_shares import HeldShares
 
-from jacinthmount_node.http_client import ClientPool
-from jacinthmount_node.http_server import (
+from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.messages import Hello
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.http_server import (
     HttpServer,
     ServerLimits,
 )
-from jacinthmount_node.logs import log_event, log_failure
-from jacinthmount_node.messages import Hello
-from jacinthmount_node.peers import PeerLinks, PeerServer
+from jacinthmount_node.net.peers import PeerLinks, PeerServer
+from jacinthmount_node.net.sockets import listen
 from jacinthmount_node.relay.batch_desk import BatchDesk
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
 from jacinthmount_node.relay.desk import RelayDesk
@@ -36,7 +37,6 @@
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.status_pages import StatusPages
 from jacinthmount_node.relay.sync import RelaySync
-from jacinthmount_node.sockets import listen
 
 __all__ = ('RelayDaemon', 'run_relay')
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_probes.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_probes.py
@@ -3,8 +3,8 @@
 import curio
 from jacinthmount.placement import EndpointUse
 
-from jacinthmount_node.http_client import ClientPool
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.http_client import ClientPool
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('EndpointProbes',)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
@@ -13,6 +13,7 @@
 from jacinthmount.records import Record
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.sockets import bounded
 from jacinthmount_node.relay.messages import (
     CopyRead,
     RelayHost,
@@ -24,7 +25,6 @@
 )
 from jacinthmount_node.relay.peer_help import PeerHelp
 from jacinthmount_node.relay.state import RelayState
-from jacinthmount_node.sockets import bounded
 
 __all__ = ('FallbackStore', 'answer_store_call')
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -13,8 +13,8 @@
 from jacinthmount.fleet_config import AccountRule, RouteRule
 from jacinthmount.records import Record
 
-from jacinthmount_node.http_server import HttpRequest, Responder, error_body
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.http_server import HttpRequest, Responder, error_body
 from jacinthmount_node.relay.batch_desk import BatchDesk
 from jacinthmount_node.relay.online import OnlineRelay
 from jacinthmount_node.relay.online_call import OnlineCall
--- a/packages/jacinthmount-node/jacinthmount_node/relay/heard_links.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/heard_links.py
@@ -2,7 +2,7 @@
 
 from jacinthmount.records import Record
 
-from jacinthmount_node.peers import PeerLinks
+from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('HeardLinks',)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -8,19 +8,19 @@
 from jacinthmount.event_stream import EventChecker
 from jacinthmount.placement import EndpointUse
 
-from jacinthmount_node.http_client import (
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.http_client import (
     ATTEMPT_ERRORS,
     ClientPool,
     Exchange,
 )
-from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.sockets import bounded
 from jacinthmount_node.relay.protocols import (
     EndpointAnswer,
     EndpointProtocol,
     EndpointRequest,
 )
 from jacinthmount_node.relay.state import RelayState
-from jacinthmount_node.sockets import bounded
 
 __all__ = ('ItemRunner', 'RunEnd', 'idle_limit')
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -10,7 +10,7 @@
 from jacinthmount.records import Record
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.sockets import bounded
+from jacinthmount_node.net.sockets import bounded
 
 __all__ = ('ObjectWatch', 'PrefixSnapshot')
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -12,13 +12,13 @@
 from jacinthmount.event_stream import EventChecker
 from jacinthmount.placement import EndpointUse
 
-from jacinthmount_node.http_client import (
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.http_client import (
     ATTEMPT_ERRORS,
     ClientPool,
     Exchange,
 )
-from jacinthmount_node.http_server import Responder
-from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.http_server import Responder
 from jacinthmount_node.relay.item_runs import idle_limit
 from jacinthmount_node.relay.online_call import OnlineCall, make_failure
 from jacinthmount_node.relay.online_queue import OnlineQueue
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
@@ -6,8 +6,8 @@
 from jacinthmount.overload import OverloadGuard
 from jacinthmount.placement import EndpointUse, Placement
 
+from jacinthmount_node.net.sockets import bounded
 from jacinthmount_node.relay.state import RelayState
-from jacinthmount_node.sockets import bounded
 
 __all__ = ('OnlineQueue',)
 
--- a/packages/jacinthmount-standin/jacinthmount_standin/bench.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/bench.py
@@ -9,7 +9,7 @@
 
 import curio
 from jacinthmount_ctl import porcelain
-from jacinthmount_node.object_api import HttpStore
+from jacinthmount_node.net.object_api import HttpStore
 
 from jacinthmount_standin.callers import call_http
 from jacinthmount_standin.declare import Declared
--- a/packages/jacinthmount-standin/jacinthmount_standin/engine.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/engine.py
@@ -11,13 +11,13 @@
 from jacinthmount.hashing import hash_hex
 from jacinthmount.records import serialize_json
 from jacinthmount.routing import prefix_key, read_prompt
-from jacinthmount_node.http_server import (
+from jacinthmount_node.net.http_server import (
     HttpRequest,
     HttpServer,
     Responder,
     parse_object,
 )
-from jacinthmount_node.sockets import listen
+from jacinthmount_node.net.sockets import listen
 
 from jacinthmount_standin.loaded_model import LoadedModel
 from jacinthmount_standin.prefix_cache import PrefixCache
--- a/packages/jacinthmount-standin/jacinthmount_standin/load.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/load.py
@@ -8,8 +8,8 @@
 import curio
 from hdrh.histogram import HdrHistogram
 from jacinthmount.ports import Backend, BackendCall, BackendExchange
-from jacinthmount_node.engine import EngineExchange, HttpEngine
-from jacinthmount_node.http_client import ATTEMPT_ERRORS, ClientPool
+from jacinthmount_node.engines.engine import EngineExchange, HttpEngine
+from jacinthmount_node.net.http_client import ATTEMPT_ERRORS, ClientPool
 
 __all__ = ('LoadPlan', 'LoadReport', 'run_load')
 
--- a/packages/jacinthmount-standin/jacinthmount_standin/operator.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/operator.py
@@ -2,8 +2,8 @@
 
 import curio
 from jacinthmount_ctl import porcelain
-from jacinthmount_node.http_client import ClientPool
-from jacinthmount_node.object_api import HttpStore
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.object_api import HttpStore
 
 from jacinthmount_standin.declare import Declared, write_declarations
 from jacinthmount_standin.fleet import Fleet
--- a/packages/jacinthmount-standin/jacinthmount_standin/plain.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/plain.py
@@ -5,8 +5,8 @@
 from http import HTTPStatus
 
 import curio
-from jacinthmount_node.http_server import HttpRequest, HttpServer, Responder
-from jacinthmount_node.sockets import listen
+from jacinthmount_node.net.http_server import HttpRequest, HttpServer, Responder
+from jacinthmount_node.net.sockets import listen
 
 from jacinthmount_standin.switches import Switches
 
--- a/packages/jacinthmount-standin/jacinthmount_standin/platform.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/platform.py
@@ -10,13 +10,13 @@
 from jacinthmount.errors import StoreConflict, ValueTooLarge
 from jacinthmount.ports import ABSENT, Stored
 from jacinthmount.stores import MemoryStore
-from jacinthmount_node.http_server import (
+from jacinthmount_node.net.http_server import (
     HttpRequest,
     HttpServer,
     Responder,
     parse_object,
 )
-from jacinthmount_node.sockets import listen
+from jacinthmount_node.net.sockets import listen
 
 from jacinthmount_standin.switches import Switches
 
--- a/packages/jacinthmount-standin/jacinthmount_standin/relay.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/relay.py
@@ -6,8 +6,8 @@
 
 import curio
 from jacinthmount.records import Record, parse_json
-from jacinthmount_node.http_server import HttpRequest, HttpServer, Responder
-from jacinthmount_node.sockets import connect, listen
+from jacinthmount_node.net.http_server import HttpRequest, HttpServer, Responder
+from jacinthmount_node.net.sockets import connect, listen
 
 from jacinthmount_standin.switches import Switches
 
--- a/tests/site.py
+++ b/tests/site.py
@@ -13,7 +13,7 @@
 from jacinthmount.errors import StoreUnavailable
 from jacinthmount_ctl import porcelain
 from jacinthmount_ctl.caller import Caller
-from jacinthmount_node.object_api import HttpStore
+from jacinthmount_node.net.object_api import HttpStore
 from jacinthmount_standin.callers import call_http
 from jacinthmount_standin.declare import Declared
 from jacinthmount_standin.fleet import ADMIN_TOKEN, Fleet
--- a/tests/test_batch_desk.py
+++ b/tests/test_batch_desk.py
@@ -11,9 +11,9 @@
     StoreUnavailable,
 )
 from jacinthmount.stores import MemoryStore
+from jacinthmount_node.net.sockets import SystemClock
 from jacinthmount_node.relay.batch_desk import BatchDesk
 from jacinthmount_node.relay.state import RelayState
-from jacinthmount_node.sockets import SystemClock
 
 from tests.relay_builders import make_item, make_relay_settings, make_route
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,8 +3,8 @@
 import curio
 import pytest
 from curio import socket as curio_socket
-from jacinthmount_node.http_server import HttpServer
-from jacinthmount_node.sockets import listen
+from jacinthmount_node.net.http_server import HttpServer
+from jacinthmount_node.net.sockets import listen
 from jacinthmount_standin.addresses import LOOPBACK, PortReserve
 
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,8 +20,9 @@
 )
 from jacinthmount.item_batches import ItemResult
 from jacinthmount.ports import ABSENT
-from jacinthmount_node.http_client import ClientPool
-from jacinthmount_node.http_server import HttpRequest, HttpServer
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.http_server import HttpRequest, HttpServer
+from jacinthmount_node.net.sockets import listen
 from jacinthmount_node.relay.protocols import (
     EndBatch,
     EndpointRequest,
@@ -29,7 +30,6 @@
     ReadResults,
     RelayedRequest,
 )
-from jacinthmount_node.sockets import listen
 from jacinthmount_platform.calls import PlatformCallers, PlatformEngines
 from jacinthmount_platform.objects import PlatformDecoder
 from jacinthmount_platform.settings import parse_platform_settings
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -36,16 +36,16 @@
     StreamEvent,
 )
 from jacinthmount.routing import prefix_key
-from jacinthmount_node.engine import (
+from jacinthmount_node.callers.plain_service import HttpPlainService
+from jacinthmount_node.engines.engine import (
     EngineCacheEvents,
     EngineLoadReports,
     HttpEngine,
 )
-from jacinthmount_node.engine_control import HttpEngineControl
-from jacinthmount_node.http_client import ClientPool
-from jacinthmount_node.object_api import HttpHostList, HttpWeightStore
-from jacinthmount_node.plain_service import HttpPlainService
-from jacinthmount_node.sockets import SystemClock
+from jacinthmount_node.engines.engine_control import HttpEngineControl
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.object_api import HttpHostList, HttpWeightStore
+from jacinthmount_node.net.sockets import SystemClock
 from jacinthmount_standin.addresses import PortReserve
 from jacinthmount_standin.engine import answer_text
 from jacinthmount_standin.fleet import Fleet
--- a/tests/test_results.py
+++ b/tests/test_results.py
@@ -16,7 +16,7 @@
 )
 from jacinthmount.records import replaced
 from jacinthmount.results import STARTED, ChunkResults
-from jacinthmount_node.batch_chunks import BatchItem, ChunkRun
+from jacinthmount_node.batches.batch_chunks import BatchItem, ChunkRun
 
 from tests.builders import make_batch, make_segment
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 from curio.io import Socket
-from jacinthmount_node.sockets import abort_socket
+from jacinthmount_node.net.sockets import abort_socket
 
 
 @pytest.fixture
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -10,8 +10,8 @@
 )
 from jacinthmount.ports import ABSENT, MAX_VALUE_BYTES
 from jacinthmount.stores import MemoryStore, write_definitely
-from jacinthmount_node.http_client import ClientPool
-from jacinthmount_node.object_api import HttpStore
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.object_api import HttpStore
 from jacinthmount_standin.fleet import Fleet
 
 
