Let no answer vouch for results that may be older than it says

(1) The count was dated when the answer had been handled, after up to 0.5 s of fetching a configuration, and an older answer replaced a newer one. It counts from the question now. (2) The runner counted without a segment whose write had no answer yet, up to 4.5 s. It says nothing of such a batch now. Three tests failed before.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -6,7 +6,7 @@
 
 import curio
 from jacinthmount.batch_order import ItemRun
-from jacinthmount.errors import MalformedRecord, StoreConflict
+from jacinthmount.errors import MalformedRecord, StoreConflict, StoreRefused
 from jacinthmount.item_batches import (
     BatchItem,
     BatchLog,
@@ -37,9 +37,14 @@
 
 
 class BatchJob:
-    """One batch with its items that have no result yet."""
+    """One batch with its items that have no result yet.
+
+    ``in_doubt`` tells that a segment may stand in the store that the log does
+    not hold, since the answer to its write is still missing.
+    """
 
     __slots__ = (
+        'in_doubt',
         'key',
         'log',
         'manifest',
@@ -57,6 +62,7 @@
         self.runs: dict[str, ItemRun] = {}
         self.pending: list[ItemResult] = []
         self.ready = False
+        self.in_doubt = False
         self.writing = False
 
     def waiting_tokens(self) -> int:
@@ -188,14 +194,21 @@
         segment = ResultSegment(results=taken, write_id=new_write_id())
         index = job.log.next_index
         name = result_segment_name(job.key, index)
+        body = serialize_json(segment)
+        doubted = job.in_doubt
+        job.in_doubt = True
         try:
-            body = serialize_json(segment)
             version = await write_definitely(store, name, body, ABSENT)
         except StoreConflict:
             await _read_next(store, job)
+        except StoreRefused:
+            # An earlier write at this place may still be there.
+            job.in_doubt = doubted
+            raise
         else:
             copies.put(Stored(name=name, version=version, body=body))
             job.log.append(index, segment)
+        job.in_doubt = job.log.next_index == index
         job.pending = [
             one for one in job.pending if not job.log.holds(one.item_id)
         ]
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -165,14 +165,15 @@
         """Counts the result segments of the batches that are not complete.
 
         Nothing is said unless the store answered this host lately: a runner
-        that is cut off does not know what its successor has written.
+        that is cut off does not know what its successor has written. Nor is
+        anything said of a batch while the answer to a write is missing.
         """
         if self._reach.store_age_s() > STORE_ANSWER_VALID_S:
             return {}
         return {
             job.key: job.log.next_index
             for job in self._jobs.values()
-            if job.ready and not job.log.complete
+            if job.ready and not job.in_doubt and not job.log.complete
         }
 
     async def _on_manifests(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -179,13 +179,14 @@
             return
         if isinstance(reply, HostReportReply):
             self._note_claim(reply.state)
-            await self._take_reply(runner.peer_address, reply, shares)
+            await self._take_reply(runner.peer_address, reply, shares, asked_at)
 
     async def _report_by_peer(
         self,
         shares: ShareReport | None,
     ) -> None:
         # Cut off from the runners, this host still loads their endpoints.
+        asked_at = self._state.now()
         peer = self._help.choose()
         if peer is None or self._state.settings.runs_batches:
             return
@@ -198,7 +199,7 @@
         except PeerUnavailable:
             return
         if isinstance(reply, HostReportReply):
-            await self._take_reply(peer.peer_address, reply, shares)
+            await self._take_reply(peer.peer_address, reply, shares, asked_at)
 
     def _take_views(self, views: EndpointViews, now: float) -> None:
         counts = zip(
@@ -212,11 +213,16 @@
             if use is not None:
                 use.on_view(online, batch, now)
 
-    def _take_allocation(self, number: int, reply: HostReportReply) -> None:
-        now = self._state.now()
+    def _take_allocation(
+        self,
+        number: int,
+        reply: HostReportReply,
+        asked_at: float,
+    ) -> None:
         if reply.parts:
-            self._shares.on_parts(number, reply.parts, now)
-        self._state.segments.replace(reply.segments, now)
+            self._shares.on_parts(number, reply.parts, self._state.now())
+        # Results may have been written since the answer was made.
+        self._state.segments.replace(reply.segments, asked_at)
 
     def _note_lost(self, host: str) -> None:
         self._state.leadership.on_lost(host)
@@ -238,6 +244,7 @@
         address: str,
         reply: HostReportReply,
         shares: ShareReport | None,
+        asked_at: float,
     ) -> None:
         # Any runner may be the first to see a change.
         await self._sync.catch_up(address, reply.revisions)
@@ -250,7 +257,7 @@
         if reply.views is not None:
             self._take_views(reply.views, now)
         if shares is not None:
-            self._take_allocation(shares.number, reply)
+            self._take_allocation(shares.number, reply, asked_at)
         await self.on_view()
 
 
--- a/packages/jacinthmount/jacinthmount/item_batches.py
+++ b/packages/jacinthmount/jacinthmount/item_batches.py
@@ -236,8 +236,8 @@
 class SegmentCounts:
     """Result segments of open batches, as the runner that writes them says.
 
-    What was said counts for a short time, so that a reader who finds nothing
-    new need not ask the store.
+    What was said counts for a short time from the question on, so that a reader
+    who finds nothing new need not ask the store.
     """
 
     __slots__ = ('_at', '_counts')
@@ -247,10 +247,12 @@
         self._counts: dict[str, int] = {}
         self._at = 0.0
 
-    def replace(self, counts: dict[str, int], now: float) -> None:
-        """Takes the counts of all open batches."""
+    def replace(self, counts: dict[str, int], asked_at: float) -> None:
+        """Takes the counts of all open batches, unless newer ones are known."""
+        if asked_at < self._at:
+            return
         self._counts = counts
-        self._at = now
+        self._at = asked_at
 
     def is_current(self, key: str, known: int, now: float) -> bool:
         """Tells whether a batch surely has no more segments than known."""
--- a/tests/test_fallback_store.py
+++ b/tests/test_fallback_store.py
@@ -14,7 +14,7 @@
 from jacinthmount.ports import ABSENT, Stored
 from jacinthmount.recent_objects import RecentObjects
 from jacinthmount.stores import MemoryStore, write_definitely
-from jacinthmount_node.relay.batch_jobs import BatchJob
+from jacinthmount_node.relay.batch_jobs import BatchJob, write_results
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
 from jacinthmount_node.relay.fallback_store import (
     FallbackStore,
@@ -24,7 +24,11 @@
 from jacinthmount_node.relay.peer_help import PeerHelp
 from jacinthmount_node.relay.state import RelayState
 
-from tests.relay_builders import make_manifest, make_relay_settings
+from tests.relay_builders import (
+    make_manifest,
+    make_relay_settings,
+    make_segment,
+)
 
 
 class _TurnedAway(MemoryStore):
@@ -54,6 +58,29 @@
             raise StoreRefused(detail='turned away')
 
 
+class _Unanswered(MemoryStore):
+    """A store that does what it is asked and does not answer."""
+
+    __slots__ = ('answers',)
+
+    def __init__(self):
+        super().__init__()
+        self.answers = False
+
+    async def read(self, name):
+        self._expect_answer()
+        return await super().read(name)
+
+    async def write(self, name, body, expected):
+        version = await super().write(name, body, expected)
+        self._expect_answer()
+        return version
+
+    def _expect_answer(self):
+        if not self.answers:
+            raise StoreUnavailable(detail='no answer')
+
+
 class _Peer:
     """Links to a peer that reaches the store."""
 
@@ -189,18 +216,10 @@
         return self.age_s
 
 
-@pytest.mark.parametrize(
-    ('age_s', 'said'),
-    [(0.4, {'k': 0}), (1.1, {}), (float('inf'), {})],
-)
-def test_cut_off_runner_says_nothing_of_segments(direct, age_s, said):
-    """A reader asks the store where the runner has not heard it lately.
-
-    Seen first as a read in a data centre that was cut off, which found no
-    result at a position that had been read elsewhere.
-    """
+def make_runner(store, age_s):
+    """Builds a runner with one batch that it knows."""
     runner = RelayBatchRunner(
-        state=make_state(direct),
+        state=make_state(store),
         rooms=None,
         item_runner=None,
         copies=RecentObjects(limit_bytes=0),
@@ -210,9 +229,59 @@
     job = BatchJob(key='k', manifest=make_manifest())
     job.ready = True
     runner._jobs['k'] = job
+    return runner
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'said'),
+    [(0.4, {'k': 0}), (1.1, {}), (float('inf'), {})],
+)
+def test_cut_off_runner_says_nothing_of_segments(direct, age_s, said):
+    """A reader asks the store where the runner has not heard it lately.
+
+    Seen first as a read in a data centre that was cut off, which found no
+    result at a position that had been read elsewhere.
+    """
+    runner = make_runner(direct, age_s)
     assert runner.open_segments() == said
 
 
+def test_runner_in_doubt_about_its_write_says_nothing_of_it():
+    """Others may have read the segment whose answer the runner has not got."""
+    store = _Unanswered()
+    runner = make_runner(store, 0.1)
+    job = runner._jobs['k']
+    job.pending.append(make_segment('a').results[0])
+    copies = RecentObjects(limit_bytes=10_000)
+    with pytest.raises(StoreUnavailable):
+        curio.run(write_results, store, job, copies)
+    assert runner.open_segments() == {}
+    store.answers = True
+    curio.run(write_results, store, job, copies)
+    assert runner.open_segments() == {'k': 1}
+
+
+def test_refusal_does_not_end_an_earlier_doubt(direct):
+    """A write without an answer came before the one that was refused."""
+    runner = make_runner(direct, 0.1)
+    job = runner._jobs['k']
+    job.in_doubt = True
+    job.pending.append(make_segment('a').results[0])
+    with pytest.raises(StoreRefused):
+        curio.run(write_results, direct, job, RecentObjects(limit_bytes=0))
+    assert runner.open_segments() == {}
+
+
+def test_runner_whose_write_was_refused_is_in_no_doubt(direct):
+    """Nothing was written, so nobody can have read it."""
+    runner = make_runner(direct, 0.1)
+    job = runner._jobs['k']
+    job.pending.append(make_segment('a').results[0])
+    with pytest.raises(StoreRefused):
+        curio.run(write_results, direct, job, RecentObjects(limit_bytes=0))
+    assert runner.open_segments() == {'k': 0}
+
+
 def test_store_known_to_be_away_is_not_tried(store, direct):
     """A watch that found the store away spares each call its time."""
     store.is_away = lambda: True
--- a/tests/test_item_batches.py
+++ b/tests/test_item_batches.py
@@ -73,13 +73,22 @@
 def test_counts_are_current_for_a_short_time():
     """Only a fresh count that equals the known one spares the store."""
     counts = SegmentCounts()
-    counts.replace({'k': 2}, now=10.0)
+    counts.replace({'k': 2}, asked_at=10.0)
     assert counts.is_current('k', 2, now=10.1)
     assert not counts.is_current('k', 1, now=10.1)
     assert not counts.is_current('other', 0, now=10.1)
     assert not counts.is_current('k', 2, now=11.0)
 
 
+def test_older_answer_does_not_replace_a_newer_one():
+    """An answer that was held up on its way says what was true before."""
+    counts = SegmentCounts()
+    counts.replace({'k': 3}, asked_at=10.3)
+    counts.replace({'k': 2}, asked_at=10.0)
+    assert not counts.is_current('k', 2, now=10.4)
+    assert counts.is_current('k', 3, now=10.4)
+
+
 def test_items_in_time_go_before_late_ones():
     """Under overload a late item does not delay one that can be in time."""
     late = make_run('late', due_at=1.0)
