Let fronts try the store as well once they hear nothing from elsewhere

It has its own task at every host now, which also looks for the end of an outage, since a host that is fed, or whose watch still waits, makes no call that would show it.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -94,6 +94,7 @@
             await group.spawn(self._run_register)
             await group.spawn(self._run_settle)
             await group.spawn(self._run_peer_asks)
+            await group.spawn(self._run_probe)
             if self._state.settings.runs_batches:
                 await group.spawn(self._run_refresh)
 
@@ -244,16 +245,24 @@
             if table.settle(self._state.now()):
                 self._state.refresh_placements()
 
+    async def _run_probe(self) -> None:
+        while True:
+            await curio.sleep(REFRESH_S)
+            # The cut may include the store, and a watch that waits hides for
+            # long both that and the return.
+            if self._state.centres.is_isolated(self._state.now()):
+                await self._config_watch.probe(PROBE_S)
+            elif self._config_watch.in_outage:
+                await self._config_watch.refresh()
+
     async def _run_refresh(self) -> None:
         # Others rely on the active runner, and a watch that waits does not
         # show that the store turns this host away.
         while True:
             await curio.sleep(REFRESH_S)
-            if self._state.centres.is_isolated(self._state.now()):
-                # The cut may include the store, which a watch hides for long.
-                await self._config_watch.probe(PROBE_S)
-            if self._state.leadership.active or self.in_outage:
+            if self._state.leadership.active and not self.in_outage:
                 await self._config_watch.refresh()
+            if self._state.leadership.active or self.in_outage:
                 await self._endpoint_watch.refresh()
                 if self._host_watch.in_outage:
                     await self._host_watch.refresh()
--- /dev/null
+++ b/tests/test_relay_sync.py
@@ -0,0 +1,122 @@
+"""The shared state of a host that is cut off."""
+
+import random
+import time
+
+import curio
+import pytest
+from jacinthmount.stores import MemoryStore
+from jacinthmount_node.net.sockets import SystemClock
+from jacinthmount_node.relay.state import RelayState
+from jacinthmount_node.relay.sync import RelaySync
+
+from tests.relay_builders import make_relay_settings
+
+
+class _Store(MemoryStore):
+    """A store that answers until it is cut off, and is silent then."""
+
+    __slots__ = ('cut_off',)
+
+    def __init__(self):
+        super().__init__()
+        self.cut_off = False
+
+    async def list_names(self, prefix):
+        """See the port."""
+        if self.cut_off:
+            await curio.sleep(60)
+        return await super().list_names(prefix)
+
+    async def write(self, name, body, expected):
+        """See the port."""
+        if self.cut_off:
+            await curio.sleep(60)
+        return await super().write(name, body, expected)
+
+    async def watch(self, prefix, after, wait_s):
+        """Waits in vain, as a watch that was silently cut does."""
+        await curio.sleep(60)
+        return []
+
+
+class _NoLinks:
+    """Nobody to ask."""
+
+    async def keep_only(self, addresses):
+        """See the links."""
+
+
+def make_sync(store, **settings):
+    """Builds the sync of a host."""
+    state = RelayState(
+        settings=make_relay_settings(**settings),
+        store=store,
+        clock=SystemClock(),
+        rng=random.Random(1),
+    )
+    return state, RelaySync(
+        state=state,
+        links=_NoLinks(),
+        decoder=None,
+        on_config=bool,
+    )
+
+
+async def wait_until(holds, timeout_s=3.0):
+    """Waits for a condition.
+
+    :returns: whether it came to hold in time.
+    """
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        if holds():
+            return True
+        await curio.sleep(0.02)
+    return False
+
+
+@pytest.mark.parametrize('runs_batches', [False, True])
+def test_cut_is_noticed_though_the_watch_waits(runs_batches):
+    """Once nothing is heard from elsewhere the store is tried, at any host.
+
+    Found by reading: only runners tried it, so that a front that is cut off
+    learned of it when its watch gave up.
+    """
+    store = _Store()
+    state, sync = make_sync(store, runs_batches=runs_batches)
+
+    async def play():
+        task = await curio.spawn(sync.run, daemon=True)
+        assert await wait_until(lambda: not sync.in_outage)
+        store.cut_off = True
+        state.centres.on_heard('west', state.now() - 1)
+        state.centres.on_missed('west', state.now())
+        noticed = await wait_until(lambda: sync.in_outage, 1.5)
+        await task.cancel()
+        return noticed
+
+    assert curio.run(play)
+
+
+def test_end_of_a_short_cut_is_noticed_by_a_host_that_is_fed():
+    """A host that a runner feeds makes no calls that would show it."""
+    store = _Store()
+    state, sync = make_sync(store)
+
+    async def play():
+        task = await curio.spawn(sync.run, daemon=True)
+        await wait_until(lambda: not sync.in_outage)
+        store.cut_off = True
+        state.centres.on_heard('west', state.now() - 1)
+        state.centres.on_missed('west', state.now())
+        assert await wait_until(lambda: sync.in_outage)
+        store.cut_off = False
+        state.centres.on_heard('west', state.now())
+        state.fed_at = state.now() + 60
+        state.fed_by = 's1:1'
+        ended = await wait_until(lambda: not sync.in_outage)
+        await task.cancel()
+        return ended
+
+    assert curio.run(play)
