Let one piece of code serve where two stood; drop what nobody read

What a request that failed ends with (dispatch.make_failure), parts that run until a signal (parts.run_parts), the bucket of tokens under lent parts (TokenBucket), names of fronts (RelayState.fronts), how long a runner counts as live. An attempt at an endpoint ends in one place; it also closes its connection now where the caller had gone first. Routes are found by name without a search, fronts are counted once a request. Nobody read refusals of items and the count of waiting requests that hosts reported; the gauge jacinthmount_queued, which OPERATIONS lists, takes its place in the relay. Behaviour stays otherwise.

--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -6,13 +6,17 @@
 
 import curio
 from jacinthmount.declarations import Profile
-from jacinthmount.dispatch import Attempt, Next, Stage, decide_within
+from jacinthmount.dispatch import (
+    Attempt,
+    Next,
+    Stage,
+    decide_within,
+    make_failure,
+)
 from jacinthmount.errors import (
-    DeadlineExceeded,
     DeadlineUnreachable,
     EndpointFailed,
     JacinthmountError,
-    OutcomeUnknown,
 )
 from jacinthmount.ports import BackendCall, BackendExchange, StreamEvent
 from jacinthmount.routing import EndpointState
@@ -133,7 +137,15 @@
         if outcome in {Next.RETRY, Next.RESUME}:
             return
         self._abort_if_started(responder)
-        raise _failure(outcome, time_left=time_left)
+        raise make_failure(
+            outcome,
+            time_left=time_left,
+            not_run=DeadlineUnreachable(
+                detail='no endpoint could be reached',
+                retry_after_s=1,
+            ),
+            retry_after_s=1,
+        )
 
     async def _attempt(
         self,
@@ -288,16 +300,3 @@
 
 async def _next_event(events):
     return await anext(events, None)
-
-
-def _failure(outcome: Next, *, time_left: bool) -> JacinthmountError:
-    if outcome is Next.NOT_RUN:
-        return DeadlineUnreachable(
-            detail='no endpoint could be reached',
-            retry_after_s=1,
-        )
-    if outcome is Next.UNKNOWN:
-        return OutcomeUnknown(detail='the connection was lost')
-    if not time_left:
-        return DeadlineExceeded(detail='no whole answer before the deadline')
-    return EndpointFailed(detail='endpoints failed', retry_after_s=1)
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -1,7 +1,5 @@
 """Start, run and graceful shutdown of a node."""
 
-import signal
-
 import curio
 from jacinthmount.members import HOST_PREFIX
 from jacinthmount.ports import Stored
@@ -26,7 +24,7 @@
 from jacinthmount_node.engines.engine_polls import EnginePolls
 from jacinthmount_node.engines.engine_rooms import EngineRooms
 from jacinthmount_node.handlers import PeerDesk
-from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.members.membership import Membership
 from jacinthmount_node.members.share_task import ShareTask
@@ -36,6 +34,7 @@
 from jacinthmount_node.net.object_api import HttpHostList
 from jacinthmount_node.net.peers import PeerLinks, PeerServer, make_contexts
 from jacinthmount_node.net.sockets import listen, parse_address
+from jacinthmount_node.parts import run_parts
 
 __all__ = ('Daemon', 'run_daemon')
 
@@ -60,7 +59,6 @@
         '_peer_server',
         '_rooms',
         '_shares',
-        '_stopping',
         '_sync',
     )
 
@@ -72,7 +70,6 @@
         pool = ClientPool()
         node = make_node(settings, pool)
         self._node = node
-        self._stopping = False
         server_context, client_context = make_contexts(
             settings.tls_ca,
             settings.tls_cert,
@@ -162,32 +159,24 @@
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then leaves gracefully."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._on_signal)
-        tasks = [
-            await curio.spawn(self._keep_running, name, part, daemon=True)
-            for name, part in (
-                ('peers', self._peer_server.run),
-                ('admin', self._admin_server.run),
-                ('config', self._sync.run),
-                ('membership', self._membership.run),
-                ('rooms', self._rooms.run),
-                ('online', self._online.run),
-                ('batch', self._batch.run),
-                ('orders', self._orders.run),
-                ('front', self._front_server.run),
-                ('load', self._load),
-            )
-        ]
         log_event('started', host=self._node.host)
-        while not self._stopping:
-            await curio.sleep(SIGNAL_POLL_S)
-        await self._leave()
-        for task in tasks:
-            await task.cancel(blocking=False)
-
-    def _on_signal(self, number: int, frame: object) -> None:
-        self._stopping = True
+        await run_parts(
+            {
+                'peers': self._peer_server.run,
+                'admin': self._admin_server.run,
+                'config': self._sync.run,
+                'membership': self._membership.run,
+                'rooms': self._rooms.run,
+                'online': self._online.run,
+                'batch': self._batch.run,
+                'orders': self._orders.run,
+                'front': self._front_server.run,
+                'load': self._load,
+            },
+            self._leave,
+            restart_pause_s=RESTART_PAUSE_S,
+            poll_s=SIGNAL_POLL_S,
+        )
 
     async def _load(self) -> None:
         while not await self._sync.load():
@@ -206,15 +195,6 @@
         await self._membership.leave()
         log_event('stopped', host=self._node.host)
 
-    async def _keep_running(self, name: str, part) -> None:
-        while True:
-            try:
-                await part()
-                return
-            except Exception as exc:
-                log_failure(name, exc)
-                await curio.sleep(RESTART_PAUSE_S)
-
     async def _on_change(self, changed: list[Stored]) -> None:
         if any(one.name.startswith(HOST_PREFIX) for one in changed):
             known = {
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -2,12 +2,11 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable
 
 import curio
 from jacinthmount.rate_shares import HeldShares
 
-from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.messages import Hello
 from jacinthmount_node.net.http_client import ClientPool
 from jacinthmount_node.net.http_server import (
@@ -16,6 +15,7 @@
 )
 from jacinthmount_node.net.peers import PeerLinks, PeerServer
 from jacinthmount_node.net.sockets import listen
+from jacinthmount_node.parts import Part, run_parts
 from jacinthmount_node.relay.batch_desk import BatchDesk
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
 from jacinthmount_node.relay.desk import RelayDesk
@@ -45,8 +45,6 @@
 BALANCER_S = 3.2
 LAST_ANSWERS_S = 1.0
 
-Part = Callable[[], Awaitable[None]]
-
 
 class RelayDaemon:
     """All parts of one relay process."""
@@ -63,7 +61,6 @@
         '_runner_link',
         '_shares',
         '_state',
-        '_stopping',
         '_store',
         '_sync',
     )
@@ -81,7 +78,6 @@
         )
         self._state = state
         self._ports = ports
-        self._stopping = False
         self._limits = ServerLimits()
         self._front_server: HttpServer | None = None
         self._runner: RelayBatchRunner | None = None
@@ -154,15 +150,12 @@
             rooms=rooms,
             runner=self._runner,
         )
-        self._add_server(
-            'peers',
-            PeerServer(
-                sock=listen(settings.peer_listen),
-                context=None,
-                handler=desk.handle,
-                metrics=state.metrics,
-            ).run,
-        )
+        self._parts['peers'] = PeerServer(
+            sock=listen(settings.peer_listen),
+            context=None,
+            handler=desk.handle,
+            metrics=state.metrics,
+        ).run
         if settings.metrics_listen:
             self._add_http(
                 'metrics', settings.metrics_listen, self._pages.answer_metrics
@@ -170,19 +163,14 @@
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then leaves gracefully."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
-        tasks = [
-            await curio.spawn(self._keep_running, name, part, daemon=True)
-            for name, part in self._parts.items()
-        ]
         log_event('started', incarnation=self._state.incarnation)
-        while not self._stopping:
-            await curio.sleep(SIGNAL_POLL_S)
-        await self._leave()
-        for task in tasks:
-            await task.cancel(blocking=False)
+        await run_parts(
+            self._parts,
+            self._leave,
+            restart_pause_s=RESTART_PAUSE_S,
+            poll_s=SIGNAL_POLL_S,
+        )
 
     def _make_runner(self) -> RunnerRooms:
         rooms = RunnerRooms(state=self._state)
@@ -246,15 +234,9 @@
                 self._pages.answer_readiness,
             )
 
-    def _add_server(self, name: str, part: Part) -> None:
-        self._parts[name] = part
-
     def _add_http(self, name: str, address: str, handler) -> None:
         server = HttpServer(sock=listen(address), handler=handler)
-        self._add_server(name, server.run)
-
-    def _on_stop(self, number: int, frame: object) -> None:
-        self._stopping = True
+        self._parts[name] = server.run
 
     def _on_reload(self, number: int, frame: object) -> None:
         # Everything that changes while a process runs comes from the store.
@@ -281,15 +263,6 @@
         await self._sync.deregister()
         log_event('stopped')
 
-    async def _keep_running(self, name: str, part: Part) -> None:
-        while True:
-            try:
-                await part()
-                return
-            except Exception as exc:
-                log_failure(name, exc)
-                await curio.sleep(RESTART_PAUSE_S)
-
 
 def run_relay(settings: RelaySettings, ports: RelayPorts) -> None:
     """Runs a relay process until it is told to stop."""
--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -104,12 +104,7 @@
         """Allocates parts of rates to a host that reports its demand."""
         if not self.may_allocate() or not self.state.configured:
             return []
-        fronts = {
-            one.host
-            for one in self.state.hosts.values()
-            if not one.runs_batches
-        }
-        self.allocation.keep_hosts(fronts)
+        self.allocation.keep_hosts(set(self.state.fronts()))
         if not self.allocation.on_report(host, report):
             return []
         return self.allocation.parts_of(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -144,7 +144,6 @@
         if status == HTTPStatus.UNPROCESSABLE_ENTITY:
             return RunEnd.IMPOSSIBLE
         if answer.not_run:
-            run.refusals += 1
             use.on_failure(self._state.now())
             return RunEnd.REFUSED
         if status == HTTPStatus.INTERNAL_SERVER_ERROR:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -62,16 +62,14 @@
     """What a host has in flight; sent to runners as it changes.
 
     ``state`` is what a runner says of itself, ``active`` the runner that the
-    host takes for the active one. ``waiting`` counts online requests that wait
-    for an endpoint. ``shares`` is None except at intervals.
+    host takes for the active one. ``shares`` is None except at intervals.
     """
 
-    __slots__ = ('host', 'state', 'active', 'waiting', 'uses', 'shares')
+    __slots__ = ('host', 'state', 'active', 'uses', 'shares')
 
     host: str
     state: RunnerState | None
     active: RunnerState | None
-    waiting: int
     uses: list[EndpointUseReport]
     shares: ShareReport | None
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 import curio
-from jacinthmount.dispatch import Attempt, Next, Stage, decide
+from jacinthmount.dispatch import Attempt, Next, Stage, decide, make_failure
 from jacinthmount.errors import (
     EndpointFailed,
     EndpointsFull,
@@ -20,7 +20,7 @@
 )
 from jacinthmount_node.net.http_server import Responder
 from jacinthmount_node.relay.item_runs import idle_limit
-from jacinthmount_node.relay.online_call import OnlineCall, make_failure
+from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.online_queue import OnlineQueue
 from jacinthmount_node.relay.protocols import (
     EndpointAnswer,
@@ -201,7 +201,7 @@
         responder: Responder,
     ) -> Stage | None:
         exchange = None
-        stage = Stage.CONNECTING
+        kept = False
         try:
             async with curio.timeout_after(
                 max(MIN_ATTEMPT_S, call.deadline - self._state.now()),
@@ -213,29 +213,22 @@
                 )
                 self._running[call] = (use, exchange)
                 idle_s = await self._relay(call, use, exchange, responder)
+            kept = True
         except _Refused as refused:
-            self._running.pop(call, None)
             self._note_refusal(call, use, refused)
-            if exchange is not None:
-                await exchange.close()
             return Stage.CONNECTING
         except ATTEMPT_ERRORS as exc:
-            self._running.pop(call, None)
             if responder.broken:
                 raise
             use.on_failure(self._state.now())
             use.unreachable = exchange is None
-            if exchange is not None:
-                stage = exchange.stage
-                await exchange.close()
+            stage = exchange.stage if exchange else Stage.CONNECTING
             self._log_loss(call, use, stage, exc, exchange)
             return stage
-        except BaseException:
+        finally:
             self._running.pop(call, None)
-            if exchange is not None:
+            if exchange is not None and not kept:
                 await exchange.close()
-            raise
-        self._running.pop(call, None)
         use.on_success()
         await self._pool.release(exchange, idle_s)
         return None
@@ -423,7 +416,14 @@
             return
         if responder.started:
             responder.abort()
-        raise make_failure(outcome, time_left=time_left)
+        raise make_failure(
+            outcome,
+            time_left=time_left,
+            not_run=EndpointsFull(
+                detail='no endpoint took the request',
+                retry_after_s=0.5,
+            ),
+        )
 
     def _queue(self, service: str) -> OnlineQueue:
         queue = self._queues.get(service)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -1,18 +1,10 @@
-"""An online request, how far it came, and the error that it may end with."""
+"""An online request and how far it came."""
 
-from jacinthmount.dispatch import Next
-from jacinthmount.errors import (
-    DeadlineExceeded,
-    EndpointFailed,
-    EndpointsFull,
-    JacinthmountError,
-    OutcomeUnknown,
-)
 from jacinthmount.fleet_config import RouteRule
 
 from jacinthmount_node.relay.protocols import RelayedRequest
 
-__all__ = ('OnlineCall', 'make_failure')
+__all__ = ('OnlineCall',)
 
 
 class OnlineCall:
@@ -60,17 +52,3 @@
         self.attempts = 0
         self.refusals = 0
         self.tried: set[str] = set()
-
-
-def make_failure(outcome: Next, *, time_left: bool) -> JacinthmountError:
-    """Makes the error that tells a caller how its request ended."""
-    if outcome is Next.NOT_RUN:
-        return EndpointsFull(
-            detail='no endpoint took the request',
-            retry_after_s=0.5,
-        )
-    if outcome is Next.UNKNOWN:
-        return OutcomeUnknown(detail='the connection was lost')
-    if not time_left:
-        return DeadlineExceeded(detail='no whole answer before the deadline')
-    return EndpointFailed(detail='endpoints failed')
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
@@ -27,13 +27,14 @@
 class OnlineQueue:
     """Waiting requests of one service on this host."""
 
-    __slots__ = ('_guard', '_placement', '_queue', '_state')
+    __slots__ = ('_guard', '_placement', '_queue', '_queued', '_state')
 
     def __init__(self, *, state: RelayState, service: str) -> None:
         """Starts with nobody waiting."""
         self._state = state
         self._placement: Placement = state.placement(service)
         self._queue: FairQueue[_Waiter] = FairQueue()
+        self._queued = state.metrics.queued.labels(service)
         self._guard = OverloadGuard()
 
     async def acquire(
@@ -146,4 +147,4 @@
         return waiter.use
 
     def _note(self) -> None:
-        self._state.waiting = len(self._queue)
+        self._queued.set(len(self._queue))
--- a/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
@@ -54,16 +54,16 @@
         if account.rate_per_s <= 0:
             return
         now = self._state.now()
-        fronts = self._count_fronts()
+        fronts = len(self._state.fronts())
         self._shares.note_demand(account.name, fronts, now)
-        if self._take_here(account):
+        if self._take_here(account, fronts):
             return
         # Where the pool was empty just now, or where nobody answered, asking
         # again would be in vain.
         ask_at = self._wait_until.get(account.name, 0)
         if now >= max(ask_at, self._unanswered_until):
             await self._ask(account)
-            if self._take_here(account):
+            if self._take_here(account, fronts):
                 return
         if self._take_on_credit(account, fronts):
             return
@@ -88,15 +88,12 @@
             ),
         )
 
-    def _count_fronts(self) -> int:
-        return sum(not one.runs_batches for one in self._state.hosts.values())
-
-    def _take_here(self, account: AccountRule) -> bool:
+    def _take_here(self, account: AccountRule, fronts: int) -> bool:
         return self._shares.take(
             account.name,
             account.rate_per_s,
             account.burst,
-            self._count_fronts(),
+            fronts,
             self._state.now(),
         )
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -2,7 +2,7 @@
 
 import curio
 from jacinthmount.errors import PeerUnavailable
-from jacinthmount.leadership import RunnerState
+from jacinthmount.leadership import RUNNER_LIVE_S, RunnerState
 from jacinthmount.members import rank_hosts
 from jacinthmount.rate_shares import HeldShares, ShareReport
 
@@ -28,7 +28,6 @@
 BY_PEER_S = 0.1
 FLUSH_PER_HOST_S = 0.0007
 TIMEOUT_S = 0.3
-RUNNER_LIVE_S = 1.2
 
 
 class HostReporter:
@@ -149,7 +148,6 @@
             state=own,
             active=claim[0] if claim else None,
             shares=shares,
-            waiting=state.waiting,
             uses=[
                 EndpointUseReport(
                     endpoint_id=use.entry.endpoint_id,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
@@ -1,7 +1,5 @@
 """Load of every endpoint, as all hosts report it to the active runner."""
 
-from collections import Counter
-
 from jacinthmount.batch_order import ItemRun
 from jacinthmount.permits import EngineRoom
 
@@ -21,7 +19,7 @@
     What a host reports counts until it reports anew or stays silent.
     """
 
-    __slots__ = ('_heard', '_rooms', '_running', '_state', 'waiting')
+    __slots__ = ('_heard', '_rooms', '_running', '_state')
 
     def __init__(self, *, state: RelayState) -> None:
         """Starts with nothing reported."""
@@ -29,13 +27,11 @@
         self._rooms: dict[str, EngineRoom] = {}
         self._heard: dict[str, float] = {}
         self._running: dict[str, dict[str, ItemRun]] = {}
-        self.waiting: Counter[str] = Counter()
 
     def take_report(self, report: HostReport) -> None:
         """Takes what a host has in flight; endpoints left out have none."""
         now = self._state.now()
         self._heard[report.host] = now
-        self.waiting[report.host] = report.waiting
         named = {use.endpoint_id: use.online for use in report.uses}
         for entry in self._state.endpoints.entries():
             self._room(entry.endpoint_id, entry.slots).on_report(
@@ -65,7 +61,6 @@
         for host, at in list(self._heard.items()):
             if now - at >= HOST_LIVE_S:
                 self._heard.pop(host)
-                self.waiting.pop(host, None)
         live = set(self._heard)
         known = {one.endpoint_id for one in self._state.endpoints.entries()}
         for endpoint_id in set(self._rooms) - known:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -47,7 +47,6 @@
         'settings',
         'store',
         'suspected_until',
-        'waiting',
     )
 
     def __init__(
@@ -80,7 +79,6 @@
         # Until then the store is given little time, since the runner was
         # silent.
         self.suspected_until = -math.inf
-        self.waiting = 0
         self.leaving = False
 
     def now(self) -> float:
@@ -158,13 +156,13 @@
                 return host
         return None
 
+    def fronts(self) -> list[str]:
+        """Names the hosts that serve callers."""
+        return [one.host for one in self.hosts.values() if not one.runs_batches]
+
     def pick_peer(self) -> RelayHost | None:
         """Picks another host that serves callers, to ask on its behalf."""
-        others = [
-            one.host
-            for one in self.hosts.values()
-            if one.host != self.host and not one.runs_batches
-        ]
+        others = [one for one in self.fronts() if one != self.host]
         chosen = self.peer_choice.choose(others, self.now())
         return self.hosts[chosen] if chosen else None
 
--- a/packages/jacinthmount/jacinthmount/batch_order.py
+++ b/packages/jacinthmount/jacinthmount/batch_order.py
@@ -33,7 +33,6 @@
         'item_id',
         'last_event',
         'path',
-        'refusals',
         'service',
         'started_at',
         'starts',
@@ -71,7 +70,6 @@
         self.texts: list[str] = []
         self.last_event: int | None = None
         self.failures = 0
-        self.refusals = 0
         self.starts = 0
         self.started_at = 0.0
         self.heard_at = 0.0
--- a/packages/jacinthmount/jacinthmount/buckets.py
+++ b/packages/jacinthmount/jacinthmount/buckets.py
@@ -1,6 +1,7 @@
 """Token buckets whose parts can be lent for a time."""
 
 from jacinthmount.records import Record
+from jacinthmount.token_bucket import TokenBucket
 
 __all__ = ('Bucket', 'Loan', 'TAKE_VALID_S')
 
@@ -25,29 +26,28 @@
     valid_s: float
 
 
-class _Part:
-    __slots__ = ('capacity', 'level', 'rate_per_s', 'stamp', 'until')
+class _Part(TokenBucket):
+    """A part of a bucket; a loan ends at a time."""
+
+    __slots__ = ('until',)
 
     def __init__(
         self,
         *,
         rate_per_s: float,
-        capacity: float,
+        burst: float,
         level: float,
-        stamp: float,
+        now: float,
         until: float | None,
     ) -> None:
-        self.rate_per_s = rate_per_s
-        self.capacity = capacity
-        self.level = level
-        self.stamp = stamp
+        super().__init__(
+            rate_per_s=rate_per_s,
+            burst=burst,
+            level=level,
+            now=now,
+        )
         self.until = until
 
-    def refill(self, now: float) -> None:
-        gained = max(0.0, now - self.stamp) * self.rate_per_s
-        self.level = min(self.capacity, self.level + gained)
-        self.stamp = max(self.stamp, now)
-
 
 class Bucket:
     """The share of one account that one host holds.
@@ -73,9 +73,9 @@
         self._capacity = capacity
         self._own = _Part(
             rate_per_s=safe_rate_per_s,
-            capacity=capacity,
-            level=min(level, capacity),
-            stamp=now,
+            burst=capacity,
+            level=level,
+            now=now,
             until=None,
         )
         self._borrowed: list[_Part] = []
@@ -111,14 +111,14 @@
         :returns: None where the part would not hold one token.
         """
         self._settle(now)
-        capacity = self._own.capacity * fraction
+        capacity = self._own.burst * fraction
         if capacity < MIN_LOAN_TOKENS or loan_id in self._lent:
             return None
         part = _Part(
             rate_per_s=self._own.rate_per_s * fraction,
-            capacity=capacity,
+            burst=capacity,
             level=self._own.level * fraction,
-            stamp=now,
+            now=now,
             until=now + LOAN_S + LOAN_MARGIN_S,
         )
         self._own.level -= part.level
@@ -127,7 +127,7 @@
         return Loan(
             loan_id=loan_id,
             rate_per_s=part.rate_per_s,
-            capacity=part.capacity,
+            capacity=part.burst,
             level=part.level,
             valid_s=LOAN_S,
         )
@@ -143,9 +143,9 @@
         self._borrowed.append(
             _Part(
                 rate_per_s=loan.rate_per_s,
-                capacity=loan.capacity,
-                level=min(loan.level, loan.capacity),
-                stamp=now,
+                burst=loan.capacity,
+                level=loan.level,
+                now=now,
                 until=until,
             )
         )
@@ -168,8 +168,8 @@
     def total_capacity(self, now: float) -> float:
         """Sums own and borrowed capacity in tokens."""
         self._settle(now)
-        borrowed = sum(part.capacity for part in self._borrowed)
-        return self._own.capacity + borrowed
+        borrowed = sum(part.burst for part in self._borrowed)
+        return self._own.burst + borrowed
 
     def own_level(self, now: float) -> float:
         """Counts the tokens of the own part, without borrowed ones."""
@@ -178,7 +178,7 @@
 
     def own_capacity(self) -> float:
         """Tells the capacity of the own part in tokens."""
-        return self._own.capacity
+        return self._own.burst
 
     def lent_for_s(self, now: float) -> float:
         """Tells how long until every part lent is back, in seconds."""
@@ -206,10 +206,10 @@
     def _fit_own(self) -> None:
         # The level of a loan that ended stays gone: it may have been used.
         lent_rate = sum(part.rate_per_s for part in self._lent.values())
-        lent_capacity = sum(part.capacity for part in self._lent.values())
+        lent_capacity = sum(part.burst for part in self._lent.values())
         self._own.rate_per_s = max(0.0, self._rate_per_s - lent_rate)
-        self._own.capacity = max(0.0, self._capacity - lent_capacity)
-        self._own.level = min(self._own.level, self._own.capacity)
+        self._own.burst = max(0.0, self._capacity - lent_capacity)
+        self._own.level = min(self._own.level, self._own.burst)
 
 
 def _safe_limits(rate_per_s: float, burst: float) -> tuple[float, float]:
--- a/packages/jacinthmount/jacinthmount/dispatch.py
+++ b/packages/jacinthmount/jacinthmount/dispatch.py
@@ -2,10 +2,23 @@
 
 import enum
 
+from jacinthmount.errors import (
+    DeadlineExceeded,
+    EndpointFailed,
+    JacinthmountError,
+    OutcomeUnknown,
+)
 from jacinthmount.records import Record, replaced
 from jacinthmount.retries import RetryBudget
 
-__all__ = ('Attempt', 'Next', 'Stage', 'decide', 'decide_within')
+__all__ = (
+    'Attempt',
+    'Next',
+    'Stage',
+    'decide',
+    'decide_within',
+    'make_failure',
+)
 
 
 class Stage(enum.IntEnum):
@@ -76,3 +89,27 @@
     if outcome not in {Next.RETRY, Next.RESUME} or budget.spend(now):
         return outcome
     return decide(replaced(attempt, may_retry=False))
+
+
+def make_failure(
+    outcome: Next,
+    *,
+    time_left: bool,
+    not_run: JacinthmountError,
+    retry_after_s: float | None = None,
+) -> JacinthmountError:
+    """Makes the error that tells a caller how its request ended.
+
+    :param not_run: tells that the request has not run.
+    :param retry_after_s: when endpoints that failed are worth another try.
+    """
+    if outcome is Next.NOT_RUN:
+        return not_run
+    if outcome is Next.UNKNOWN:
+        return OutcomeUnknown(detail='the connection was lost')
+    if not time_left:
+        return DeadlineExceeded(detail='no whole answer before the deadline')
+    return EndpointFailed(
+        detail='endpoints failed',
+        retry_after_s=retry_after_s,
+    )
--- a/packages/jacinthmount/jacinthmount/fleet_config.py
+++ b/packages/jacinthmount/jacinthmount/fleet_config.py
@@ -120,6 +120,7 @@
         '_accounts',
         '_by_host_name',
         '_by_key_hash',
+        '_by_name',
         'limits',
         'services',
         'version',
@@ -147,6 +148,7 @@
             self._by_host_name.setdefault(one.host_name, []).append(one)
         for found in self._by_host_name.values():
             found.sort(key=_specificity, reverse=True)
+        self._by_name = {route.name: route for route in routes}
 
     def find_route(self, host_name: str, path: str) -> RouteRule | None:
         """Finds the route with the longest prefix that begins a path."""
@@ -158,11 +160,7 @@
 
     def find_route_named(self, name: str) -> RouteRule | None:
         """Finds a route by its name."""
-        for found in self._by_host_name.values():
-            for route in found:
-                if route.name == name:
-                    return route
-        return None
+        return self._by_name.get(name)
 
     def find_account(self, name: str) -> AccountRule | None:
         """Finds an account by its name."""
--- a/packages/jacinthmount/jacinthmount/leadership.py
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -8,7 +8,7 @@
 from jacinthmount.members import rank_hosts
 from jacinthmount.records import Record
 
-__all__ = ('Leadership', 'RunnerState')
+__all__ = ('RUNNER_LIVE_S', 'Leadership', 'RunnerState')
 
 RUNNER_LIVE_S = 1.2
 START_WAIT_S = 0.5
--- a/spec/loans.py
+++ b/spec/loans.py
@@ -37,7 +37,7 @@
 
     def _fit_own(self) -> None:
         self._own.rate_per_s = self._rate_per_s
-        self._own.capacity = self._capacity
+        self._own.burst = self._capacity
 
 
 class Rules:
--- a/tests/test_run_scheduler.py
+++ b/tests/test_run_scheduler.py
@@ -48,7 +48,6 @@
                 host='h1',
                 state=None,
                 active=None,
-                waiting=0,
                 uses=[],
                 shares=None,
             ),
