Let a runner vouch for a log only once no other can still write to it

Change: a batch that another runner may have worked on is not vouched for until this runner has written a segment of it: a conditional create, so nothing of the other can follow it. Batches accepted while no other runner was heard of for 2 s are. While another is heard of, or this one is cut off, nothing is vouched for; fronts read the store.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -39,12 +39,15 @@
 class BatchJob:
     """One batch with its items that have no result yet.
 
-    ``in_doubt`` tells that a segment may stand in the store that the log does
-    not hold, since the answer to its write is still missing.
+    ``in_doubt`` tells that the answer to a write is missing, ``is_shared`` that
+    another runner may write to the log as well. A segment written here ends the
+    latter, since whatever that runner still has on its way stands before it or
+    is refused.
     """
 
     __slots__ = (
         'in_doubt',
+        'is_shared',
         'key',
         'log',
         'manifest',
@@ -63,8 +66,14 @@
         self.pending: list[ItemResult] = []
         self.ready = False
         self.in_doubt = False
+        self.is_shared = False
         self.writing = False
 
+    @property
+    def knows_log(self) -> bool:
+        """Tells whether the log surely holds every segment."""
+        return not self.in_doubt and not self.is_shared
+
     def waiting_tokens(self) -> int:
         """Counts the tokens of the items that no endpoint has finished."""
         if self.manifest.ended:
@@ -208,6 +217,7 @@
         else:
             copies.put(Stored(name=name, version=version, body=body))
             job.log.append(index, segment)
+            job.is_shared = False
         job.in_doubt = job.log.next_index == index
         job.pending = [
             one for one in job.pending if not job.log.holds(one.item_id)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -36,6 +36,7 @@
 
 GROUP_RESULTS_S = 0.6
 CHECK_S = 0.1
+ALONE_S = 2.0
 LOAD_RETRY_S = 0.3
 MS = 1000
 # Less than it takes another runner to take over and write.
@@ -48,6 +49,7 @@
 
     __slots__ = (
         '_admissions',
+        '_alone_since',
         '_announce',
         '_copies',
         '_jobs',
@@ -80,6 +82,8 @@
         self._state = state
         self._rooms = rooms
         self._jobs: dict[str, BatchJob] = {}
+        # Since when no other runner is known to be active.
+        self._alone_since = state.now()
         self._admissions = BatchAdmissions()
         self._scheduler = RunScheduler(
             state=state,
@@ -166,16 +170,24 @@
 
         Nothing is said unless the store answered this host lately: a runner
         that is cut off does not know what its successor has written. Nor is
-        anything said of a batch while the answer to a write is missing.
+        anything said of a batch whose log may lack a segment.
         """
         if self._reach.store_age_s() > STORE_ANSWER_VALID_S:
             return {}
         return {
             job.key: job.log.next_index
             for job in self._jobs.values()
-            if job.ready and not job.in_doubt and not job.log.complete
+            if job.ready and not job.log.complete and job.knows_log
         }
 
+    def note_rivals(self) -> None:
+        """Doubts every log while another runner may write results as well."""
+        now = self._state.now()
+        if self._reach.is_replaced() or self._state.leadership.has_rival(now):
+            self._alone_since = now
+            for job in self._jobs.values():
+                job.is_shared = True
+
     async def _on_manifests(
         self,
         watch: ObjectWatch,
@@ -199,6 +211,9 @@
             await self._drop(key)
         elif key not in self._jobs:
             job = BatchJob(key=key, manifest=manifest)
+            alone_s = self._state.now() - self._alone_since
+            # Others may have worked on it and still write.
+            job.is_shared = alone_s < ALONE_S
             self._jobs[key] = job
             self._admissions.settle(key)
             await curio.spawn(self._load, job, daemon=True)
@@ -337,6 +352,7 @@
             was_active = active
             self._rooms.forget_silent()
             if active:
+                self.note_rivals()
                 await self._scheduler.pause(paused=self._reach.is_replaced())
                 await self._scheduler.stop_stalled()
                 await self._give_up()
@@ -344,6 +360,7 @@
 
     async def _on_role(self, *, active: bool) -> None:
         if active:
+            self._alone_since = self._state.now()
             await self._announce()
             await self._progress.read()
             for one in self._watch.objects():
@@ -356,18 +373,16 @@
         now_ms = time.time() * MS
         for job in list(self._jobs.values()):
             late = now_ms > job.manifest.keep_until_ms + CLOCK_MARGIN_MS
-            if late or self._route_gone(job):
-                await self._give_up_job(job)
-
-    async def _give_up_job(self, job: BatchJob) -> None:
-        for run in list(job.runs.values()):
-            log_event(
-                'item_given_up',
-                item=run.item_id,
-                batch=run.batch_id,
-            )
-            await self._scheduler.remove(run)
-            await self._finish(job, run, completed=False)
+            if not late and not self._route_gone(job):
+                continue
+            for run in list(job.runs.values()):
+                log_event(
+                    'item_given_up',
+                    item=run.item_id,
+                    batch=run.batch_id,
+                )
+                await self._scheduler.remove(run)
+                await self._finish(job, run, completed=False)
 
     def _route_gone(self, job: BatchJob) -> bool:
         if not self._state.configured:
--- a/packages/jacinthmount/jacinthmount/leadership.py
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -85,6 +85,11 @@
             store_reached=self.store_reached and self._listened,
         )
 
+    def has_rival(self, now: float) -> bool:
+        """Tells whether another runner is heard of as the active one."""
+        heard = any(one.active for one in self._live(now))
+        return heard or bool(self._rivals(now))
+
     def decide(self, now: float) -> bool:
         """Decides whether this runner is active from now on.
 
@@ -97,11 +102,7 @@
         eligible = reaching or candidates
         holders = [one.host for one in eligible if one.active]
         hosts = holders or [one.host for one in eligible]
-        rivals = sorted({
-            host
-            for host, at in self._named.values()
-            if now - at < NAMED_VALID_S
-        })
+        rivals = self._rivals(now)
         if rivals and not holders:
             # Another one is active, though it can't be heard from here.
             hosts = rivals
@@ -111,6 +112,14 @@
         self.active = first and self._listened
         return self.active
 
+    def _rivals(self, now: float) -> list[str]:
+        named = {
+            host
+            for host, at in self._named.values()
+            if now - at < NAMED_VALID_S
+        }
+        return sorted(named)
+
     def _live(self, now: float) -> list[RunnerState]:
         return [
             state
