--- a/packages/jacinthmount-node/jacinthmount_node/callers/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -28,6 +28,7 @@
 from jacinthmount_node.callers.gate import OnlineCall
 from jacinthmount_node.callers.online import OnlineRunner
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.metrics import NO_ACCOUNT
 from jacinthmount_node.net.http_server import (
     HttpRequest,
     Responder,
@@ -40,7 +41,6 @@
 DEFAULT_MAX_TOKENS = 256
 CHARS_PER_TOKEN = 4
 MODEL_PATHS = frozenset(('/v1/chat/completions', '/v1/completions'))
-NO_ACCOUNT = '-'
 PATH_SAFE = "/%:@!$&'()*+,;=~"
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/metrics.py
+++ b/packages/jacinthmount-node/jacinthmount_node/metrics.py
@@ -8,7 +8,10 @@
     generate_latest,
 )
 
-__all__ = ('Metrics',)
+__all__ = ('NO_ACCOUNT', 'Metrics')
+
+# Stands for the account of whoever has no key or a wrong one.
+NO_ACCOUNT = '-'
 
 LATENCY_BUCKETS_S = (
     0.001,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -14,9 +14,10 @@
 from jacinthmount.records import Record
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.metrics import NO_ACCOUNT
 from jacinthmount_node.net.http_server import HttpRequest, Responder, error_body
 from jacinthmount_node.relay.batch_desk import BatchDesk
-from jacinthmount_node.relay.online import OnlineRelay
+from jacinthmount_node.relay.online import LANE, OnlineRelay
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.protocols import (
     CallerProtocol,
@@ -32,6 +33,7 @@
 
 MAX_ITEMS = 200
 DEFAULT_WAIT_S = 30.0
+KEYED_CALLS = (EndBatch, ReadItemBody, ReadResults, RelayedRequest)
 
 
 class RelayFront:
@@ -63,18 +65,12 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answers one request."""
+        call = None
         try:
             call = self.protocol.parse_call(request)
             await _answer(call, self, request, responder)
         except JacinthmountError as exc:
-            log_event(
-                'refused',
-                path=request.path,
-                code=exc.code,
-                status=exc.http_status,
-                detail=exc.detail,
-                request=self.protocol.read_id(request),
-            )
+            self._note_refusal(call, request, exc)
             if responder.started:
                 responder.abort()
                 return
@@ -96,6 +92,27 @@
             raise KeyUnknown(detail='unknown key')
         return account
 
+    def _note_refusal(
+        self,
+        call: Record | None,
+        request: HttpRequest,
+        exc: JacinthmountError,
+    ) -> None:
+        account = None
+        if isinstance(call, KEYED_CALLS) and self.state.configured:
+            account = self.state.config.account_of_key(call.key)
+        name = account.name if account else NO_ACCOUNT
+        self.state.metrics.refusals.labels(name, str(exc.code)).inc()
+        log_event(
+            'refused',
+            path=request.path,
+            code=exc.code,
+            status=exc.http_status,
+            detail=exc.detail,
+            request=self.protocol.read_id(request),
+            account=name,
+        )
+
 
 @singledispatch
 async def _answer(
@@ -148,6 +165,7 @@
     responder: Responder,
 ) -> None:
     took_s = front.state.now() - online.arrived_at
+    front.state.metrics.request_s.labels(online.account, LANE).observe(took_s)
     log_event(
         'served',
         request=online.request.request_id,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -30,7 +30,7 @@
 from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.state import RelayState
 
-__all__ = ('OnlineRelay',)
+__all__ = ('LANE', 'OnlineRelay')
 
 MAX_TRIES = 16
 REFUSED_PAUSE_S = 0.03
--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -133,6 +133,20 @@
     assert not site.ran()
 
 
+def test_outcomes_are_counted_by_account(site):
+    """The metrics tell served requests and refusals apart, with the code."""
+    stream(site)
+    stream(site, key='wrong')
+    stream(site, path='/nowhere/1')
+    _, page = call_http(site.metrics['front-1'], 'GET', '/metrics')
+    rows = page.decode().splitlines()
+    served = 'jacinthmount_request_seconds_count{account="gin-yards"'
+    assert any(row.startswith(served) for row in rows)
+    assert 'jacinthmount_refusals_total{account="-",code="1102"} 1.0' in rows
+    missing = 'jacinthmount_refusals_total{account="gin-yards",code="1201"} 1.0'
+    assert missing in rows
+
+
 def test_configuration_and_withdrawn_key_are_in_force_in_seconds(site):
     """Both fronts follow a new version; an open front does not go back."""
     site.write_config(tenants=[])
