--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -15,6 +15,7 @@
     Exchange,
 )
 from jacinthmount_node.net.sockets import bounded
+from jacinthmount_node.relay.endpoint_answers import idle_limit, parse_own
 from jacinthmount_node.relay.protocols import (
     EndpointAnswer,
     EndpointProtocol,
@@ -22,12 +23,10 @@
 )
 from jacinthmount_node.relay.state import RelayState
 
-__all__ = ('ItemRunner', 'RunEnd', 'idle_limit')
+__all__ = ('ItemRunner', 'RunEnd')
 
 CONNECT_TIMEOUT_S = 0.4
 HEAD_TIMEOUT_S = 3.0
-IDLE_PART = 0.5
-IDLE_UNKNOWN_S = 1.0
 
 
 class RunEnd(enum.Enum):
@@ -109,13 +108,7 @@
             run.body,
         )
         await bounded(HEAD_TIMEOUT_S, _read_head, exchange)
-        answer = self._protocol.parse_answer(
-            run.item_id,
-            exchange.status,
-            exchange.headers,
-        )
-        if not answer.own:
-            raise EndpointFailed(detail='answer to another request')
+        answer = parse_own(self._protocol, run.item_id, exchange)
         if exchange.status >= HTTPStatus.MULTIPLE_CHOICES:
             await exchange.read_body()
             outcome = self._classify(run, use, exchange.status, answer)
@@ -167,12 +160,5 @@
             raise EndpointFailed(detail='stream ended inside an event')
 
 
-def idle_limit(answer: EndpointAnswer) -> float:
-    """Tells how long a connection may stay idle and be used again."""
-    if answer.idle_s is None:
-        return IDLE_UNKNOWN_S
-    return answer.idle_s * IDLE_PART
-
-
 async def _read_head(exchange: Exchange) -> None:
     await exchange.read_head(framed=False)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -19,7 +19,7 @@
     Exchange,
 )
 from jacinthmount_node.net.http_server import Responder
-from jacinthmount_node.relay.item_runs import idle_limit
+from jacinthmount_node.relay.endpoint_answers import idle_limit, parse_own
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.online_queue import OnlineQueue
 from jacinthmount_node.relay.protocols import (
@@ -300,13 +300,11 @@
         )
         await exchange.read_head(framed=False)
         self._note_heard(call, use)
-        answer = self._protocol.parse_answer(
+        answer = parse_own(
+            self._protocol,
             call.request.request_id,
-            exchange.status,
-            exchange.headers,
+            exchange,
         )
-        if not answer.own:
-            raise EndpointFailed(detail='answer to another request')
         if answer.load is not None:
             use.on_load(answer.load.waiting, self._state.now())
         if answer.not_run:
