--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -180,13 +180,11 @@
             if job.ready and not job.log.complete and job.knows_log
         }
 
-    def note_rivals(self) -> None:
-        """Doubts every log while another runner may write results as well."""
-        now = self._state.now()
-        if self._reach.is_replaced() or self._state.leadership.has_rival(now):
-            self._alone_since = now
-            for job in self._jobs.values():
-                job.is_shared = True
+    def doubt_logs(self) -> None:
+        """Notes that another runner may write results as well."""
+        self._alone_since = self._state.now()
+        for job in self._jobs.values():
+            job.is_shared = True
 
     async def _on_manifests(
         self,
@@ -352,17 +350,19 @@
             was_active = active
             self._rooms.forget_silent()
             if active:
-                self.note_rivals()
-                await self._scheduler.pause(paused=self._reach.is_replaced())
+                replaced = self._reach.is_replaced()
+                if replaced or leadership.has_rival(self._state.now()):
+                    self.doubt_logs()
+                await self._scheduler.pause(paused=replaced)
                 await self._scheduler.stop_stalled()
                 await self._give_up()
                 await self._scheduler.on_load_change()
 
     async def _on_role(self, *, active: bool) -> None:
         if active:
-            self._alone_since = self._state.now()
             await self._announce()
             await self._progress.read()
+            self.doubt_logs()
             for one in self._watch.objects():
                 await self._take_manifest(one)
             return
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -150,3 +150,14 @@
                 if other is not runner:
                     other.on_state(runner.state(), now)
     assert sum(runner.active for runner in runners) == 1
+
+
+def test_another_active_runner_is_a_rival_while_it_is_heard_of(runner):
+    """From itself or from hosts; one that is not active is none."""
+    runner.on_state(make_state('r2'), LATER)
+    assert not runner.has_rival(LATER)
+    runner.on_state(make_state('r2', active=True), LATER)
+    assert runner.has_rival(LATER)
+    assert not runner.has_rival(LATER + RUNNER_LIVE_S + 0.1)
+    runner.on_named('h1', make_state('r3', active=True), LATER)
+    assert runner.has_rival(LATER)
