Take what an endpoint says in its answers of leaving before its registration

Cause: only the registration told that an endpoint leaves; while it was late, or the store was away, requests went on to the endpoint until its end.

The adapter decodes the header once; the product keeps the fact by id, address and start of the endpoint, passes it on with reports and their answers, and no later registration of the same start undoes it. An answer that says another endpoint has the address tells nothing. Headers that stand twice in an answer are joined instead of the last one winning.

Ten tests failed first (8 of the adapter, 2 of whole processes, one with the store away); with the change they pass.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -90,10 +90,7 @@
             raise EndpointFailed(detail='closed without an answer')
         self.stage = Stage.ANSWERING
         self.status = event.status_code
-        self.headers = {
-            name.decode('ascii'): content.decode('latin-1')
-            for name, content in event.headers
-        }
+        self.headers = _join_headers(event.headers)
         if framed and not _is_framed(self.status, self.headers):
             raise EndpointFailed(detail='answer without framing')
 
@@ -258,6 +255,15 @@
     await exchange.read_head()
 
 
+def _join_headers(rows) -> dict[str, str]:
+    headers: dict[str, str] = {}
+    for packed_name, packed in rows:
+        name, text = packed_name.decode('ascii'), packed.decode('latin-1')
+        known = headers.get(name)
+        headers[name] = text if known is None else f'{known}, {text}'
+    return headers
+
+
 def _is_framed(status: int, headers: dict[str, str]) -> bool:
     if status in {204, 304}:
         return True
--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -126,9 +126,11 @@
     if body.state is not None:
         leadership.on_state(body.state, now)
     leadership.on_named(body.host, body.active, now)
+    desk.state.take_leaving(body.leaving)
     reply = HostReportReply(
         state=leadership.state(),
         revisions=desk.sync.revisions() if desk.runner else {},
+        leaving=desk.state.endpoints.announced_leaving(),
         views=None,
         parts=[],
         segments={},
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -109,6 +109,8 @@
         )
         await bounded(HEAD_TIMEOUT_S, _read_head, exchange)
         answer = parse_own(self._protocol, run.item_id, exchange)
+        if answer.leaving:
+            self._state.note_leaving(use.entry)
         if exchange.status >= HTTPStatus.MULTIPLE_CHOICES:
             await exchange.read_body()
             outcome = self._classify(run, use, exchange.status, answer)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -1,5 +1,6 @@
 """Messages between the hosts of the relay."""
 
+from jacinthmount.endpoint_table import LeavingEndpoint
 from jacinthmount.leadership import RunnerState
 from jacinthmount.ports import Stored
 from jacinthmount.rate_shares import AccountPart, ShareReport
@@ -62,15 +63,17 @@
     """What a host has in flight; sent to runners as it changes.
 
     ``state`` is what a runner says of itself, ``active`` the runner that the
-    host takes for the active one. ``shares`` is None except at intervals.
+    host takes for the active one. ``leaving`` names endpoints that announced
+    their end. ``shares`` is None except at intervals.
     """
 
-    __slots__ = ('host', 'state', 'active', 'uses', 'shares')
+    __slots__ = ('host', 'state', 'active', 'uses', 'leaving', 'shares')
 
     host: str
     state: RunnerState | None
     active: RunnerState | None
     uses: list[EndpointUseReport]
+    leaving: list[LeavingEndpoint]
     shares: ShareReport | None
 
 
@@ -91,7 +94,8 @@
 class HostReportReply(Record):
     """What a runner knows; only the active one fills the last three.
 
-    ``views`` is None where it is not active.
+    ``leaving`` names endpoints that announced their end. ``views`` is None
+    where the runner is not active.
 
     ``revisions`` tells by prefix how new the objects are that it holds,
     ``parts`` which parts of rates the host may use. ``segments`` counts the
@@ -99,10 +103,18 @@
     answers to reports with shares.
     """
 
-    __slots__ = ('state', 'revisions', 'views', 'parts', 'segments')
+    __slots__ = (
+        'state',
+        'revisions',
+        'leaving',
+        'views',
+        'parts',
+        'segments',
+    )
 
     state: RunnerState
     revisions: dict[str, int]
+    leaving: list[LeavingEndpoint]
     views: EndpointViews | None
     parts: list[AccountPart]
     segments: dict[str, int]
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -305,6 +305,8 @@
             call.request.request_id,
             exchange,
         )
+        if answer.leaving:
+            self._state.note_leaving(use.entry)
         if answer.load is not None:
             use.on_load(answer.load.waiting, self._state.now())
         if answer.not_run:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/protocols.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/protocols.py
@@ -152,8 +152,9 @@
 
     ``own`` tells that it answers this very request, ``not_run`` that the
     endpoint promises not to have run it, ``signed`` that it carries the
-    endpoint's signature. ``headers`` may go to the caller. ``idle_s`` is how
-    long the connection may stay idle, or None.
+    endpoint's signature, ``leaving`` that the endpoint announces its end.
+    ``headers`` may go to the caller. ``idle_s`` is how long the connection may
+    stay idle, or None.
     """
 
     __slots__ = (
@@ -161,6 +162,7 @@
         'not_run',
         'other_endpoint',
         'signed',
+        'leaving',
         'headers',
         'load',
         'idle_s',
@@ -170,6 +172,7 @@
     not_run: bool
     other_endpoint: bool
     signed: bool
+    leaving: bool
     headers: list[tuple[str, str]]
     load: EngineLoad | None
     idle_s: float | None
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -148,6 +148,7 @@
             state=own,
             active=claim[0] if claim else None,
             shares=shares,
+            leaving=state.endpoints.announced_leaving(),
             uses=[
                 EndpointUseReport(
                     endpoint_id=use.entry.endpoint_id,
@@ -246,6 +247,7 @@
     ) -> None:
         # Any runner may be the first to see a change.
         await self._sync.catch_up(address, reply.revisions)
+        self._state.take_leaving(reply.leaving)
         now = self._state.now()
         if not reply.state.active:
             return
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -4,7 +4,11 @@
 import random
 import uuid
 
-from jacinthmount.endpoint_table import EndpointTable
+from jacinthmount.endpoint_table import (
+    EndpointEntry,
+    EndpointTable,
+    LeavingEndpoint,
+)
 from jacinthmount.errors import NotConfigured
 from jacinthmount.fleet_config import FleetConfig
 from jacinthmount.item_batches import SegmentCounts
@@ -14,6 +18,7 @@
 from jacinthmount.ports import Clock, ObjectStore
 from jacinthmount.reachability import CentreHearing
 
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import Metrics
 from jacinthmount_node.relay.messages import RelayHost
 from jacinthmount_node.relay.settings import RelaySettings
@@ -133,6 +138,26 @@
         for service, placement in self.placements.items():
             placement.set_entries(self.endpoints.usable(service))
 
+    def note_leaving(self, entry: EndpointEntry) -> None:
+        """Notes that an endpoint announced in an answer that it leaves."""
+        self.take_leaving(
+            [
+                LeavingEndpoint(
+                    endpoint_id=entry.endpoint_id,
+                    address=entry.address,
+                    started_at_ms=entry.started_at_ms,
+                ),
+            ],
+        )
+
+    def take_leaving(self, leaving: list[LeavingEndpoint]) -> None:
+        """Takes which endpoints announced that they leave."""
+        news = [one for one in leaving if self.endpoints.note_leaving(one)]
+        for one in news:
+            log_event('endpoint_leaves', endpoint=one.endpoint_id)
+        if news:
+            self.refresh_placements()
+
     def find_use(self, endpoint_id: str) -> EndpointUse | None:
         """Finds what is known of the load of an endpoint."""
         entry = self.endpoints.find(endpoint_id)
--- a/packages/jacinthmount/jacinthmount/endpoint_table.py
+++ b/packages/jacinthmount/jacinthmount/endpoint_table.py
@@ -1,10 +1,11 @@
 """Endpoints as their registrations tell them, also over a store outage."""
 
-from jacinthmount.records import Record
+from jacinthmount.records import Record, replaced
 
-__all__ = ('EndpointEntry', 'EndpointTable')
+__all__ = ('EndpointEntry', 'EndpointTable', 'LeavingEndpoint')
 
 RETURN_GRACE_S = 2.2
+KEPT_LEAVING = 4096
 
 
 class EndpointEntry(Record):
@@ -33,20 +34,35 @@
     started_at_ms: int
 
 
+class LeavingEndpoint(Record):
+    """One start of an endpoint that announced in an answer that it leaves."""
+
+    __slots__ = ('endpoint_id', 'address', 'started_at_ms')
+
+    endpoint_id: str
+    address: str
+    started_at_ms: int
+
+
 class EndpointTable:
     """Registered endpoints by id.
 
     Registrations lapse while the store is away though their endpoints live.
     They stay in use until the store has been back for ``RETURN_GRACE_S``.
+
+    What an endpoint announced of leaving goes before its registration, which
+    may be older, until it starts anew.
     """
 
-    __slots__ = ('_back_at', '_entries', '_lapsed', '_revisions')
+    __slots__ = ('_back_at', '_entries', '_lapsed', '_leaving', '_revisions')
 
     def __init__(self) -> None:
         """Starts empty."""
         self._entries: dict[str, EndpointEntry] = {}
         self._revisions: dict[str, int] = {}
         self._lapsed: set[str] = set()
+        # A dict keeps the order, so that the oldest are dropped first.
+        self._leaving: dict[LeavingEndpoint, None] = {}
         self._back_at = 0.0
 
     def on_outage(self) -> None:
@@ -62,6 +78,8 @@
         if revision < self._revisions.get(entry.endpoint_id, 0):
             return
         self._revisions[entry.endpoint_id] = revision
+        if _start_of(entry) in self._leaving:
+            entry = replaced(entry, leaving=True)
         self._entries[entry.endpoint_id] = entry
         self._lapsed.discard(entry.endpoint_id)
 
@@ -76,6 +94,27 @@
         self._entries.pop(endpoint_id, None)
         self._lapsed.discard(endpoint_id)
 
+    def note_leaving(self, leaving: LeavingEndpoint) -> bool:
+        """Notes that one start of an endpoint leaves.
+
+        :returns: whether that is news.
+        """
+        if leaving in self._leaving:
+            return False
+        self._leaving[leaving] = None
+        if len(self._leaving) > KEPT_LEAVING:
+            self._leaving.pop(next(iter(self._leaving)))
+        entry = self._entries.get(leaving.endpoint_id)
+        if entry is not None and _start_of(entry) == leaving:
+            self._entries[entry.endpoint_id] = replaced(entry, leaving=True)
+        return True
+
+    def announced_leaving(self) -> list[LeavingEndpoint]:
+        """Lists the registered endpoints that announced that they leave."""
+        return [
+            one for one in self._leaving if one.endpoint_id in self._entries
+        ]
+
     def settle(self, now: float) -> bool:
         """Drops registrations that did not come back in time.
 
@@ -103,3 +142,11 @@
     def find(self, endpoint_id: str) -> EndpointEntry | None:
         """Finds an endpoint by id."""
         return self._entries.get(endpoint_id)
+
+
+def _start_of(entry: EndpointEntry) -> LeavingEndpoint:
+    return LeavingEndpoint(
+        endpoint_id=entry.endpoint_id,
+        address=entry.address,
+        started_at_ms=entry.started_at_ms,
+    )
--- a/tests/test_host_reports.py
+++ b/tests/test_host_reports.py
@@ -33,6 +33,7 @@
         return HostReportReply(
             state=RunnerState(host='s1', active=True, store_reached=True),
             revisions={},
+            leaving=[],
             views=None,
             parts=[],
             segments={'k': 2},
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -476,6 +476,29 @@
     assert dict(answer.headers) == {'attempt-id': '9c41', 'server-seal': 's'}
 
 
+@pytest.mark.parametrize(
+    ('status', 'headers', 'leaving'),
+    [
+        (200, {}, False),
+        (200, {'server-leaving': '1'}, True),
+        (200, {'server-leaving': '0'}, False),
+        (200, {'server-leaving': 'yes'}, False),
+        (200, {'server-leaving': '1, 1'}, True),
+        (200, {'server-leaving': '0, 1'}, True),
+        (503, {'server-leaving': '1', 'not-executed': '1'}, True),
+        # Another engine has the address now.
+        (421, {'server-leaving': '1'}, False),
+    ],
+)
+def test_answer_tells_that_the_endpoint_leaves(status, headers, leaving):
+    """Only the word of the pages counts, and it is not passed on."""
+    answer = PlatformEngines().parse_answer(
+        '9c41', status, {'attempt-id': '9c41', **headers}
+    )
+    assert answer.leaving is leaving
+    assert 'server-leaving' not in dict(answer.headers)
+
+
 def with_store(func):
     """Runs a coroutine function with a store and its stand-in."""
 
--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -197,6 +197,35 @@
     assert not json.loads(answer)['ran']
 
 
+@pytest.mark.parametrize('store_away', [False, True])
+def test_engine_that_announces_its_end_gets_nothing_new(site, store_away):
+    """Its word goes round though its registration stays as it is."""
+    if store_away:
+        site.switch(site.store, refuse=True)
+    engine = site.engines['engine-1']
+    site.switch(engine, leaving=True)
+    before = 0
+    while not count_runs(engine):
+        assert stream(site, request_id=f'a{before}')[0] == 200
+        before += 1
+    time.sleep(1.0)
+    ran = count_runs(engine)
+    for number in range(6):
+        for front in site.fronts:
+            request_id = f'{front}-{number}'
+            assert stream(site, front, request_id)[0] == 200
+    if not store_away:
+        assert submit(site, make_items(4)) == 202
+        eventually(lambda: is_complete(site))
+    assert count_runs(engine) == ran
+
+
+def count_runs(engine):
+    """Counts the requests that an engine ran."""
+    _, answer = call_http(engine, 'GET', '/ran')
+    return len(json.loads(answer)['ran'])
+
+
 def test_batch_is_run_once_each_and_read_by_position(site):
     """Each item has one result; positions are the same at both fronts."""
     assert submit(site, make_items(6)) == 202
--- a/tests/test_run_scheduler.py
+++ b/tests/test_run_scheduler.py
@@ -45,6 +45,7 @@
         rooms = RunnerRooms(state=state)
         rooms.take_report(
             HostReport(
+                leaving=[],
                 host='h1',
                 state=None,
                 active=None,
