Bound the reports that a runner takes, whatever the number of hosts

- Pace of reports follows from the number of hosts; other runners than the active one are told seldom, but all at once when the active one is silent.
- Online load is kept as sums: work for a report grows with what it names.
- Where an equal part of a rate would hold no token no host has one, so that the whole rate is in the pool and parts need not be told.
- Tokens are asked ahead by demand; before, always one more than needed, which at many hosts was mostly lost.
- Segments of a batch are asked for by its readers in place of a list of all open batches in each answer; a reader that no runner answers looks into the store every 0.5 s in place of 0.15 s.
- In a large fleet another runner feeds hosts while none is active.
- Starts of items and runs that give way are logged.

Tests: test_host_reports (reports of 8, 195 and 417 hosts, search once the active runner is silent).

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
@@ -39,6 +39,8 @@
 from jacinthmount_node.relay.messages import (
     BatchAdmission,
     BatchAdmissionReply,
+    SegmentAsk,
+    SegmentCount,
 )
 from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
@@ -51,7 +53,8 @@
 CACHED_BYTES = 16_000_000
 PAGE_BYTES = 900_000
 WAIT_MARGIN_S = 0.05
-WAIT_CHECK_S = 0.15
+WAIT_CHECK_S = 0.5
+SEGMENT_ASK_TIMEOUT_S = 0.15
 RETRY_AFTER_S = 1.0
 SUBMIT_TIMEOUT_S = 1.5
 # Another attempt enters elsewhere and need not wait.
@@ -132,11 +135,11 @@
         until = self._state.now() + wait_s - WAIT_MARGIN_S
         await self._refresh(key, log, after)
         while after >= len(log.results) and not log.complete:
-            if self._state.now() >= until:
+            left_s = until - self._state.now()
+            if left_s <= 0:
                 break
-            await curio.sleep(WAIT_CHECK_S)
-            if not self._is_current(key, log) or self._state.now() >= until:
-                await self._refresh(key, log, after)
+            await curio.sleep(min(WAIT_CHECK_S, left_s))
+            await self._refresh(key, log, after)
         self._trim()
         return log.total, log.page(after, PAGE_BYTES)
 
@@ -249,15 +252,27 @@
                 retry_after_s=ELSEWHERE_S,
             )
 
-    def _is_current(self, key: str, log: BatchLog) -> bool:
-        return self._state.segments.is_current(
-            key,
-            log.next_index,
-            self._state.now(),
-        )
+    async def _is_current(self, key: str, log: BatchLog) -> bool:
+        segments = self._state.segments
+        if not segments.is_answered(key, self._state.now()):
+            await self._ask_segments(key)
+        return segments.is_current(key, log.next_index, self._state.now())
+
+    async def _ask_segments(self, key: str) -> None:
+        # Results may be written while the answer is on its way.
+        asked_at = self._state.now()
+        try:
+            reply = await self._runner_link.ask_directly(
+                SegmentAsk(key=key),
+                SEGMENT_ASK_TIMEOUT_S,
+            )
+        except PeerUnavailable:
+            return
+        if isinstance(reply, SegmentCount):
+            self._state.segments.put(key, reply.count, asked_at)
 
     async def _refresh(self, key: str, log: BatchLog, after: int) -> None:
-        if log.complete or self._is_current(key, log):
+        if log.complete or await self._is_current(key, log):
             return
         try:
             self._expect_reach()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -348,7 +348,7 @@
                 log_event('runner', active=active)
                 await self._on_role(active=active)
             was_active = active
-            self._rooms.forget_silent()
+            self._rooms.refresh()
             if active:
                 replaced = self._reach.is_replaced()
                 if replaced or leadership.has_rival(self._state.now()):
@@ -360,6 +360,7 @@
 
     async def _on_role(self, *, active: bool) -> None:
         if active:
+            self._rooms.settle()
             await self._announce()
             await self._progress.read()
             self.doubt_logs()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -4,7 +4,7 @@
 import signal
 
 import curio
-from jacinthmount.rate_shares import HeldShares
+from jacinthmount.held_shares import HeldShares
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.messages import Hello
@@ -130,7 +130,7 @@
             state=state,
             links=links,
             peer_help=peer_help,
-            reporter=self._reporter,
+            active=self._reporter.active,
         )
         self._parts: dict[str, Part] = {
             'sync': self._sync.run,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -21,6 +21,8 @@
     HostReport,
     HostReportReply,
     RunnerClaim,
+    SegmentAsk,
+    SegmentCount,
     SnapshotAsk,
     StoreFound,
     StoreRead,
@@ -133,20 +135,25 @@
         leaving=desk.state.endpoints.announced_leaving(),
         views=None,
         parts=[],
-        segments={},
     )
     if desk.rooms is None or desk.runner is None:
         return reply
     desk.rooms.take_report(body)
-    if leadership.active:
+    if leadership.active and body.state is None:
         await desk.runner.on_load_change()
         reply.views = desk.rooms.views(body.host)
-        if body.shares is not None and body.state is None:
+        if body.shares is not None:
             reply.parts = desk.allocate(body.host, body.shares)
-            reply.segments = desk.runner.open_segments()
     return reply
 
 
+@_answer.register
+async def _(body: SegmentAsk, desk: RelayDesk) -> Record | None:
+    if desk.runner is None or not desk.state.leadership.active:
+        return SegmentCount(count=None)
+    return SegmentCount(count=desk.runner.open_segments().get(body.key))
+
+
 @_answer.register
 async def _(body: RunnerClaim, desk: RelayDesk) -> Record | None:
     await desk.reporter.take_claim(body.state)
@@ -167,7 +174,7 @@
 
 @_answer.register
 async def _(body: Forward, desk: RelayDesk) -> Record | None:
-    return await desk.runner_link.pass_on(body.body, PASS_ON_TIMEOUT_S)
+    return await desk.runner_link.ask_directly(body.body, PASS_ON_TIMEOUT_S)
 
 
 @_answer.register
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -19,6 +19,8 @@
     'HostReportReply',
     'RelayHost',
     'RunnerClaim',
+    'SegmentAsk',
+    'SegmentCount',
     'Snapshot',
     'SnapshotAsk',
     'CopyRead',
@@ -92,32 +94,38 @@
 
 
 class HostReportReply(Record):
-    """What a runner knows; only the active one fills the last three.
+    """What a runner knows; only the active one fills the last two.
 
     ``leaving`` names endpoints that announced their end. ``views`` is None
     where the runner is not active.
 
     ``revisions`` tells by prefix how new the objects are that it holds,
-    ``parts`` which parts of rates the host may use. ``segments`` counts the
-    result segments of open batches by key. The last two are empty except in
-    answers to reports with shares.
+    ``parts`` which parts of rates the host may use.
     """
 
-    __slots__ = (
-        'state',
-        'revisions',
-        'leaving',
-        'views',
-        'parts',
-        'segments',
-    )
+    __slots__ = ('state', 'revisions', 'leaving', 'views', 'parts')
 
     state: RunnerState
     revisions: dict[str, int]
     leaving: list[LeavingEndpoint]
     views: EndpointViews | None
     parts: list[AccountPart]
-    segments: dict[str, int]
+
+
+class SegmentAsk(Record):
+    """Asks the active runner for the result segments of a batch."""
+
+    __slots__ = ('key',)
+
+    key: str
+
+
+class SegmentCount(Record):
+    """Counts the segments of a batch; None where that can't be told surely."""
+
+    __slots__ = ('count',)
+
+    count: int | None
 
 
 class RunnerClaim(Record):
--- a/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
@@ -2,7 +2,7 @@
 
 from jacinthmount.errors import PeerUnavailable, RateExceeded
 from jacinthmount.fleet_config import AccountRule
-from jacinthmount.rate_shares import HeldShares
+from jacinthmount.held_shares import HeldShares
 from jacinthmount.return_order import ReturnOrder
 
 from jacinthmount_node.logs import log_event
@@ -13,7 +13,6 @@
 __all__ = ('AccountQuota',)
 
 ASK_TIMEOUT_S = 0.15
-TOKENS_AHEAD = 2
 MIN_WAIT_S = 0.1
 # About as long as the next report needs to find another runner.
 UNANSWERED_S = 0.3
@@ -55,7 +54,7 @@
             return
         now = self._state.now()
         fronts = len(self._state.fronts())
-        self._shares.note_demand(account.name, fronts, now)
+        self._shares.note_demand(account.name, account.burst, fronts, now)
         if self._take_here(account, fronts):
             return
         # Where the pool was empty just now, or where nobody answered, asking
@@ -108,14 +107,15 @@
 
     async def _ask(self, account: AccountRule) -> None:
         asked_at = self._state.now()
-        wait_s = await self._ask_runner(account)
+        wanted = self._shares.tokens_wanted(account.name, asked_at)
+        wait_s = await self._ask_runner(account.name, wanted)
         self._wait_until[account.name] = asked_at + wait_s
 
-    async def _ask_runner(self, account: AccountRule) -> float:
+    async def _ask_runner(self, account: str, wanted: int) -> float:
         asked_at = self._state.now()
         try:
             reply = await self._runner_link.ask(
-                TokenAsk(account=account.name, wanted=TOKENS_AHEAD),
+                TokenAsk(account=account, wanted=wanted),
                 ASK_TIMEOUT_S,
             )
         except PeerUnavailable:
@@ -123,5 +123,5 @@
         if not isinstance(reply, TokenGrant) or not reply.known:
             self._unanswered_until = self._state.now() + UNANSWERED_S
             return MIN_WAIT_S
-        self._shares.on_grant(account.name, reply.granted, asked_at)
+        self._shares.on_grant(account, reply.granted, asked_at)
         return 0.0 if reply.granted else reply.wait_s
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -2,11 +2,12 @@
 
 import curio
 from jacinthmount.errors import PeerUnavailable
-from jacinthmount.leadership import RUNNER_LIVE_S, RunnerState
-from jacinthmount.members import rank_hosts
-from jacinthmount.rate_shares import HeldShares, ShareReport
+from jacinthmount.held_shares import HeldShares
+from jacinthmount.leadership import RunnerState
+from jacinthmount.rate_shares import ShareReport
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.active_runner import ActiveRunner
 from jacinthmount_node.relay.heard_links import HeardLinks
 from jacinthmount_node.relay.messages import (
     EndpointUseReport,
@@ -23,24 +24,28 @@
 
 __all__ = ('HostReporter',)
 
-INTERVAL_S = 0.3
-FLUSH_S = 0.01
+# While no runner is known, and among runners.
+SEARCH_INTERVAL_S = 0.3
+MIN_PAUSE_S = 0.01
 BY_PEER_S = 0.1
-FLUSH_PER_HOST_S = 0.0007
 TIMEOUT_S = 0.3
 
 
 class HostReporter:
-    """Reports to every runner at intervals, to the active one on changes."""
+    """Reports to the active runner as things change, to all at intervals."""
 
     __slots__ = (
-        '_claims',
         '_help',
         '_links',
+        '_lost',
+        '_reported_at',
         '_shares',
+        '_shares_at',
+        '_standby_at',
         '_state',
         '_sync',
         '_wake',
+        'active',
         'on_view',
     )
 
@@ -53,14 +58,20 @@
         sync: RelaySync,
         shares: HeldShares,
     ) -> None:
-        """Starts with no runner known."""
+        """Starts with nothing reported."""
         self._state = state
+        self.active = ActiveRunner(state=state)
         self._sync = sync
         self._shares = shares
         self._links = links
         self._help = peer_help
         self._wake = curio.Event()
-        self._claims: dict[str, tuple[RunnerState, float]] = {}
+        self._lost = curio.Event()
+        now = state.now()
+        # Hosts that start together do not report at the same moments.
+        self._reported_at = now - state.rng.uniform(0, SEARCH_INTERVAL_S)
+        self._shares_at = self._reported_at
+        self._standby_at = now
         self.on_view = _ignore_view
 
     async def run(self) -> None:
@@ -73,22 +84,6 @@
         """Notes that what is in flight has changed."""
         await self._wake.set()
 
-    def find_active(self) -> RelayHost | None:
-        """Finds the active runner, which may be this host."""
-        now = self._state.now()
-        claims = [
-            state
-            for state, at in self._claims.values()
-            if now - at < RUNNER_LIVE_S and state.host in self._state.hosts
-        ]
-        if self._state.leadership.active:
-            claims.append(self._state.leadership.state())
-        reaching = [one for one in claims if one.store_reached]
-        hosts = [one.host for one in reaching or claims]
-        if not hosts:
-            return None
-        return self._state.hosts.get(rank_hosts('batch', hosts)[0])
-
     async def announce(self) -> None:
         """Tells all hosts that this one is the active runner."""
         claim = RunnerClaim(state=self._state.leadership.state())
@@ -98,7 +93,7 @@
 
     async def take_claim(self, state: RunnerState) -> None:
         """Takes what a runner that became active says, and reports to it."""
-        self._note_claim(state)
+        self.active.note(state)
         await self.note_change()
 
     async def _tell(self, host: RelayHost, claim: RunnerClaim) -> None:
@@ -110,30 +105,64 @@
 
     async def _run_interval(self) -> None:
         while True:
-            shares = self._shares.make_report(
-                self._state.incarnation,
-                self._state.now(),
-            )
-            for runner in self._state.runners():
-                await curio.spawn(self._report, runner, shares, daemon=True)
-            if self.find_active() is None:
-                await curio.spawn(self._report_by_peer, shares, daemon=True)
-            await curio.sleep(INTERVAL_S)
+            now = self._state.now()
+            interval_s = self._state.pace.interval_s
+            if now >= self._standby_at or self._reports_to_all():
+                self._standby_at = now + self._state.pace.standby_interval_s
+                await self._report_to_all()
+            elif now >= self._reported_at + interval_s:
+                await self._report_to_active()
+            async with curio.ignore_after(self._pause_s()):
+                await self._lost.wait()
+            self._lost.clear()
+
+    def _reports_to_all(self) -> bool:
+        return self._state.settings.runs_batches or not self.active.is_sound()
+
+    def _pause_s(self) -> float:
+        if self._reports_to_all():
+            return SEARCH_INTERVAL_S
+        due_at = min(
+            self._reported_at + self._state.pace.interval_s,
+            self._standby_at,
+        )
+        return max(MIN_PAUSE_S, due_at - self._state.now())
+
+    async def _report_to_all(self) -> None:
+        active = self.active.find()
+        shares = self._next_shares()
+        for runner in self._state.runners():
+            own = shares if active in {None, runner} else None
+            await curio.spawn(self._report, runner, own, daemon=True)
+        self._reported_at = self._state.now()
+        if active is None:
+            await curio.spawn(self._report_by_peer, shares, daemon=True)
+
+    async def _report_to_active(self) -> None:
+        active = self.active.find()
+        if active is None:
+            await curio.spawn(self._report_by_peer, None, daemon=True)
+            # Each such question costs two hosts a message.
+            await curio.sleep(BY_PEER_S)
+        elif active.host != self._state.host:
+            self._reported_at = self._state.now()
+            shares = self._next_shares()
+            await curio.spawn(self._report, active, shares, daemon=True)
+
+    def _next_shares(self) -> ShareReport | None:
+        now = self._state.now()
+        if now < self._shares_at + self._state.pace.interval_s - MIN_PAUSE_S:
+            return None
+        self._shares_at = now
+        return self._shares.make_report(self._state.incarnation, now)
 
     async def _run_changes(self) -> None:
         while True:
             await self._wake.wait()
             self._wake.clear()
-            active = self.find_active()
-            if active is None:
-                await curio.spawn(self._report_by_peer, None, daemon=True)
-                # Each such question costs two hosts a message.
-                await curio.sleep(BY_PEER_S)
-            elif active.host != self._state.host:
-                await curio.spawn(self._report, active, None, daemon=True)
+            await self._report_to_active()
             # What all hosts together report to one runner stays bounded.
-            hosts = len(self._state.hosts)
-            await curio.sleep(max(FLUSH_S, hosts * FLUSH_PER_HOST_S))
+            await curio.sleep(self._state.pace.change_pause_s)
 
     def _make_report(
         self,
@@ -141,12 +170,10 @@
     ) -> HostReport:
         state = self._state
         own = state.leadership.state() if state.settings.runs_batches else None
-        active = self.find_active()
-        claim = self._claims.get(active.host) if active else None
         return HostReport(
             host=state.host,
             state=own,
-            active=claim[0] if claim else None,
+            active=self.active.find_claim(),
             shares=shares,
             leaving=state.endpoints.announced_leaving(),
             uses=[
@@ -173,19 +200,20 @@
                 TIMEOUT_S,
             )
         except PeerUnavailable:
-            self._note_lost(runner.host)
             self._state.centres.on_missed(runner.data_centre, asked_at)
+            if self.active.note_lost(runner.host):
+                # What else is out of reach is found out at once.
+                await self._lost.set()
             return
         if isinstance(reply, HostReportReply):
-            self._note_claim(reply.state)
-            await self._take_reply(runner.peer_address, reply, shares, asked_at)
+            self.active.note(reply.state)
+            await self._take_reply(runner.peer_address, reply, shares)
 
     async def _report_by_peer(
         self,
         shares: ShareReport | None,
     ) -> None:
         # Cut off from the runners, this host still loads their endpoints.
-        asked_at = self._state.now()
         peer = self._help.choose()
         if peer is None or self._state.settings.runs_batches:
             return
@@ -198,7 +226,7 @@
         except PeerUnavailable:
             return
         if isinstance(reply, HostReportReply):
-            await self._take_reply(peer.peer_address, reply, shares, asked_at)
+            await self._take_reply(peer.peer_address, reply, shares)
 
     def _take_views(self, views: EndpointViews, now: float) -> None:
         counts = zip(
@@ -212,52 +240,24 @@
             if use is not None:
                 use.on_view(online, batch, now)
 
-    def _take_allocation(
-        self,
-        number: int,
-        reply: HostReportReply,
-        asked_at: float,
-    ) -> None:
-        if reply.parts:
-            self._shares.on_parts(number, reply.parts, self._state.now())
-        # Results may have been written since the answer was made.
-        self._state.segments.replace(reply.segments, asked_at)
-
-    def _note_lost(self, host: str) -> None:
-        self._state.leadership.on_lost(host)
-        if self._claims.pop(host, None) is not None:
-            log_event('runner_lost', runner=host)
-
-    def _note_claim(self, state: RunnerState) -> None:
-        now = self._state.now()
-        self._state.leadership.on_state(state, now)
-        if not state.active:
-            self._claims.pop(state.host, None)
-            return
-        if state.host not in self._claims:
-            log_event('runner_found', runner=state.host)
-        self._claims[state.host] = (state, now)
-
     async def _take_reply(
         self,
         address: str,
         reply: HostReportReply,
         shares: ShareReport | None,
-        asked_at: float,
     ) -> None:
         # Any runner may be the first to see a change.
         await self._sync.catch_up(address, reply.revisions)
         self._state.take_leaving(reply.leaving)
         now = self._state.now()
+        if reply.state.store_reached:
+            self._state.note_fed(address, by_active=reply.state.active)
         if not reply.state.active:
             return
-        if reply.state.store_reached:
-            self._state.fed_at = now
-            self._state.fed_by = address
         if reply.views is not None:
             self._take_views(reply.views, now)
-        if shares is not None:
-            self._take_allocation(shares.number, reply, asked_at)
+        if shares is not None and reply.parts:
+            self._shares.on_parts(shares.number, reply.parts, now)
         await self.on_view()
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -191,6 +191,16 @@
         run.starts += 1
         run.heard_at = now
         self._rooms.begin(run)
+        log_event(
+            'item_started',
+            item=run.item_id,
+            batch=run.batch_id,
+            endpoint=run.endpoint_id,
+            start=run.starts,
+            events=len(run.texts),
+            waiting=len(self._waiting),
+            slack_s=round(run.due_at - now, 2),
+        )
         self._tasks[run.item_id] = await curio.spawn(
             self._run_item,
             run,
@@ -218,6 +228,14 @@
             if task is None:
                 continue
             self._state.metrics.batch_preempted.labels(run.service).inc()
+            log_event(
+                'item_gave_way',
+                item=run.item_id,
+                batch=run.batch_id,
+                endpoint=endpoint_id,
+                events=len(run.texts),
+                online=self._rooms.online(endpoint_id),
+            )
             # The count must not wait for the end of the task.
             self._rooms.end(run)
             await task.cancel(blocking=False)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
@@ -4,10 +4,10 @@
 from jacinthmount.records import Record
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.active_runner import ActiveRunner
 from jacinthmount_node.relay.heard_links import HeardLinks
 from jacinthmount_node.relay.messages import Forward
 from jacinthmount_node.relay.peer_help import PeerHelp
-from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('RunnerLink',)
@@ -22,7 +22,7 @@
     are not.
     """
 
-    __slots__ = ('_help', '_links', '_reporter', '_state')
+    __slots__ = ('_active', '_help', '_links', '_state')
 
     def __init__(
         self,
@@ -30,20 +30,20 @@
         state: RelayState,
         links: HeardLinks,
         peer_help: PeerHelp,
-        reporter: HostReporter,
+        active: ActiveRunner,
     ) -> None:
         """Takes what knows the active runner."""
         self._state = state
         self._links = links
         self._help = peer_help
-        self._reporter = reporter
+        self._active = active
 
     async def ask(self, body: Record, timeout_s: float) -> Record:
         """Asks the active runner.
 
         :raises PeerUnavailable: no way to it, or no answer in time.
         """
-        runner = self._reporter.find_active()
+        runner = self._active.find()
         if runner is not None:
             try:
                 return await self._links.request_at(
@@ -59,14 +59,14 @@
             raise PeerUnavailable(detail='no runner and no other host')
         return await self._help.ask(peer, Forward(body=body), timeout_s * 2)
 
-    async def pass_on(self, body: Record, timeout_s: float) -> Record:
-        """Asks the active runner for another host, never through a third.
+    async def ask_directly(self, body: Record, timeout_s: float) -> Record:
+        """Asks the active runner, never through another host.
 
         :raises PeerUnavailable: this host does not reach it either.
         """
-        runner = self._reporter.find_active()
+        runner = self._active.find()
         if runner is None or runner.host == self._state.host:
-            raise PeerUnavailable(detail='no runner to pass on to')
+            raise PeerUnavailable(detail='no runner to ask')
         return await self._links.request_at(
             runner.peer_address,
             body,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
@@ -1,16 +1,18 @@
 """Load of every endpoint, as all hosts report it to the active runner."""
 
+import math
+
 from jacinthmount.batch_order import ItemRun
-from jacinthmount.permits import EngineRoom
+from jacinthmount.online_load import OnlineLoad
 
 from jacinthmount_node.relay.messages import EndpointViews, HostReport
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('RunnerRooms',)
 
-HOST_LIVE_S = 1.5
-BATCH_SHARE = 1.0
 SETTLE_S = 0.6
+# With online at work, a slot stays free for its next request.
+RESERVED_SLOTS = 1
 
 
 class RunnerRooms:
@@ -19,54 +21,51 @@
     What a host reports counts until it reports anew or stays silent.
     """
 
-    __slots__ = ('_heard', '_rooms', '_running', '_state')
+    __slots__ = ('_load', '_open_at', '_running', '_seen_at', '_state')
 
     def __init__(self, *, state: RelayState) -> None:
         """Starts with nothing reported."""
         self._state = state
-        self._rooms: dict[str, EngineRoom] = {}
-        self._heard: dict[str, float] = {}
+        self._load = OnlineLoad()
+        self._seen_at: dict[str, float] = {}
+        self._open_at = -math.inf
         self._running: dict[str, dict[str, ItemRun]] = {}
 
     def take_report(self, report: HostReport) -> None:
         """Takes what a host has in flight; endpoints left out have none."""
-        now = self._state.now()
-        self._heard[report.host] = now
-        named = {use.endpoint_id: use.online for use in report.uses}
-        for entry in self._state.endpoints.entries():
-            self._room(entry.endpoint_id, entry.slots).on_report(
-                report.host,
-                named.get(entry.endpoint_id, 0),
-                now,
-                waiting=False,
-            )
+        uses = {use.endpoint_id: use.online for use in report.uses}
+        self._load.take(report.host, uses, self._state.now())
+
+    def settle(self) -> None:
+        """Waits for the reports of all hosts before batch may run.
+
+        For a runner that becomes active, unless most hosts told it already.
+        """
+        if self._load.hosts() * 2 < len(self._state.hosts):
+            self._open_at = self._state.now() + SETTLE_S
 
     def views(self, host: str) -> EndpointViews:
         """Tells a host what others have in flight."""
-        now = self._state.now()
-        ids = list(self._rooms)
+        ids = [one.endpoint_id for one in self._state.endpoints.entries()]
         return EndpointViews(
             endpoint_ids=ids,
-            online=[self._rooms[one].elsewhere(host, now) for one in ids],
+            online=[self._load.elsewhere(host, one) for one in ids],
             batch=[len(self._running.get(one, ())) for one in ids],
         )
 
     def heard_hosts(self) -> int:
         """Counts the hosts that reported lately."""
-        return len(self._heard)
+        return self._load.hosts()
 
-    def forget_silent(self) -> None:
-        """Drops the counts of hosts and endpoints that are gone."""
+    def refresh(self) -> None:
+        """Drops what is gone of hosts and endpoints, and notes new ones."""
         now = self._state.now()
-        for host, at in list(self._heard.items()):
-            if now - at >= HOST_LIVE_S:
-                self._heard.pop(host)
-        live = set(self._heard)
+        self._load.forget_silent(now - self._state.pace.host_valid_s)
         known = {one.endpoint_id for one in self._state.endpoints.entries()}
-        for endpoint_id in set(self._rooms) - known:
-            self._rooms.pop(endpoint_id)
-        for room in self._rooms.values():
-            room.keep_only(live)
+        for endpoint_id in set(self._seen_at) - known:
+            self._seen_at.pop(endpoint_id)
+        for endpoint_id in known:
+            self._seen_at.setdefault(endpoint_id, now)
 
     def begin(self, run: ItemRun) -> None:
         """Notes that an item runs."""
@@ -76,14 +75,22 @@
         """Notes that an item no longer runs."""
         self._running.get(run.endpoint_id, {}).pop(run.item_id, None)
 
+    def online(self, endpoint_id: str) -> int:
+        """Counts the online requests in flight at an endpoint."""
+        return self._load.total(endpoint_id)
+
     def running(self, endpoint_id: str) -> list[ItemRun]:
         """Lists the items that run on an endpoint."""
         return list(self._running.get(endpoint_id, {}).values())
 
     def room(self, endpoint_id: str) -> int:
         """Counts the items that may run on an endpoint beside online."""
-        room = self._rooms.get(endpoint_id)
-        return room.room(self._state.now()) if room else 0
+        entry = self._state.endpoints.find(endpoint_id)
+        if entry is None or not self._is_open(endpoint_id):
+            return 0
+        online = self._load.total(endpoint_id)
+        reserved = RESERVED_SLOTS if online else 0
+        return max(0, entry.slots - online - reserved)
 
     def free(self, endpoint_id: str) -> int:
         """Counts the items that may be added on an endpoint."""
@@ -91,15 +98,7 @@
             self._running.get(endpoint_id, ()),
         )
 
-    def _room(self, endpoint_id: str, slots: int) -> EngineRoom:
-        room = self._rooms.get(endpoint_id)
-        if room is None:
-            room = EngineRoom(
-                slots=slots,
-                batch_share=BATCH_SHARE,
-                now=self._state.now(),
-                settle_s=SETTLE_S,
-            )
-            self._rooms[endpoint_id] = room
-        room.resize(slots, BATCH_SHARE)
-        return room
+    def _is_open(self, endpoint_id: str) -> bool:
+        now = self._state.now()
+        seen_at = self._seen_at.setdefault(endpoint_id, now)
+        return now >= max(self._open_at, seen_at + SETTLE_S)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -17,6 +17,7 @@
 from jacinthmount.placement import EndpointUse, Placement
 from jacinthmount.ports import Clock, ObjectStore
 from jacinthmount.reachability import CentreHearing
+from jacinthmount.report_pace import ReportPace
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import Metrics
@@ -26,25 +27,28 @@
 __all__ = ('RelayState',)
 
 UUID_BITS = 128
-FED_VALID_S = 1.0
 
 
 class RelayState:
     """Configuration, endpoints and hosts as this process knows them."""
 
     __slots__ = (
+        '_active_fed_at',
         '_config',
+        '_fed_at',
+        '_fed_by',
+        '_fronts',
+        '_hosts',
+        '_hosts_by_address',
         'centres',
         'clock',
         'config_revision',
         'endpoints',
-        'fed_at',
-        'fed_by',
-        'hosts',
         'incarnation',
         'leadership',
         'leaving',
         'metrics',
+        'pace',
         'peer_choice',
         'placements',
         'rng',
@@ -73,12 +77,16 @@
         self.config_revision = 0
         self.endpoints = EndpointTable()
         self.placements: dict[str, Placement] = {}
-        self.hosts: dict[str, RelayHost] = {}
+        self._hosts: dict[str, RelayHost] = {}
+        self._hosts_by_address: dict[str, RelayHost] = {}
+        self._fronts: list[str] = []
+        self.pace = ReportPace(hosts=0)
         self.leadership = Leadership(host=settings.host, now=clock.now())
         self.centres = CentreHearing(own=settings.data_centre)
         # When a runner that reaches the store last answered this host.
-        self.fed_at = -math.inf
-        self.fed_by = ''
+        self._fed_at = -math.inf
+        self._active_fed_at = -math.inf
+        self._fed_by = ''
         self.segments = SegmentCounts()
         self.peer_choice = PeerChoice(rng=rng)
         # Until then the store is given little time, since the runner was
@@ -95,6 +103,18 @@
         """Names this host."""
         return self.settings.host
 
+    @property
+    def hosts(self) -> dict[str, RelayHost]:
+        """Gives the registered hosts by name."""
+        return self._hosts
+
+    def take_hosts(self, hosts: list[RelayHost]) -> None:
+        """Takes the registered hosts."""
+        self._hosts = {one.host: one for one in hosts}
+        self._hosts_by_address = {one.peer_address: one for one in hosts}
+        self._fronts = [one.host for one in hosts if not one.runs_batches]
+        self.pace = ReportPace(hosts=len(hosts))
+
     @property
     def configured(self) -> bool:
         """Tells whether a configuration is in force."""
@@ -165,36 +185,50 @@
             return None
         return self.placement(entry.service).find(endpoint_id)
 
+    def note_fed(self, address: str, *, by_active: bool) -> None:
+        """Notes that a runner that reaches the store answered this host."""
+        now = self.now()
+        if by_active:
+            self._active_fed_at = now
+        elif not self._may_be_fed_by_standby(now):
+            return
+        self._fed_at = now
+        self._fed_by = address
+
     def find_feeder(self) -> str:
-        """Finds the peer address over which the active runner feeds this host.
+        """Finds the peer address over which a runner feeds this host.
 
         Empty where none did lately.
         """
-        if self.now() - self.fed_at >= FED_VALID_S:
+        if self.now() - self._fed_at >= self.pace.fed_valid_s:
             return ''
-        return self.fed_by
+        return self._fed_by
 
     def host_at(self, address: str) -> RelayHost | None:
         """Finds the host with a peer address."""
-        for host in self.hosts.values():
-            if host.peer_address == address:
-                return host
-        return None
+        return self._hosts_by_address.get(address)
 
     def fronts(self) -> list[str]:
         """Names the hosts that serve callers."""
-        return [one.host for one in self.hosts.values() if not one.runs_batches]
+        return self._fronts
 
     def pick_peer(self) -> RelayHost | None:
         """Picks another host that serves callers, to ask on its behalf."""
-        others = [one for one in self.fronts() if one != self.host]
+        others = [one for one in self._fronts if one != self.host]
         chosen = self.peer_choice.choose(others, self.now())
-        return self.hosts[chosen] if chosen else None
+        return self._hosts[chosen] if chosen else None
 
     def runners(self) -> list[RelayHost]:
         """Lists the other hosts that can run batch items."""
         return [
             one
-            for one in self.hosts.values()
+            for one in self._hosts.values()
             if one.runs_batches and one.host != self.host
         ]
+
+    def _may_be_fed_by_standby(self, now: float) -> bool:
+        # Not for long, as it may not notice that the store turns it away.
+        silent_s = now - self._active_fed_at
+        feeds_s = self.pace.standby_feeds_s
+        latest_s = self.pace.fed_valid_s + feeds_s
+        return bool(feeds_s) and self.pace.unfed_after_s <= silent_s < latest_s
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -218,16 +218,16 @@
         watch: ObjectWatch,
         changed: list[Stored],
     ) -> None:
-        hosts = {}
+        hosts = []
         for one in watch.objects():
             try:
                 record = parse_json(RelayHost, one.body or '')
             except MalformedRecord:
                 log_event('bad_object', name=one.name)
                 continue
-            hosts[record.host] = record
-        self._state.hosts = hosts
-        addresses = {host.peer_address for host in hosts.values()}
+            hosts.append(record)
+        self._state.take_hosts(hosts)
+        addresses = {host.peer_address for host in hosts}
         await self._links.keep_only(addresses)
         log_event('hosts', known=len(hosts))
 
--- a/packages/jacinthmount/jacinthmount/item_batches.py
+++ b/packages/jacinthmount/jacinthmount/item_batches.py
@@ -35,6 +35,7 @@
 EMBEDDED_BYTES = 100_000
 KEY_DIGITS = 32
 COUNTS_VALID_S = 0.5
+KEPT_COUNTS = 256
 
 
 class BatchItem(Record):
@@ -237,25 +238,36 @@
     """Result segments of open batches, as the runner that writes them says.
 
     What was said counts for a short time from the question on, so that a reader
-    who finds nothing new need not ask the store.
+    who finds nothing new need not ask again.
     """
 
-    __slots__ = ('_at', '_counts')
+    __slots__ = ('_said',)
 
     def __init__(self) -> None:
         """Starts with nothing said."""
-        self._counts: dict[str, int] = {}
-        self._at = 0.0
+        self._said: dict[str, tuple[int | None, float]] = {}
 
-    def replace(self, counts: dict[str, int], asked_at: float) -> None:
-        """Takes the counts of all open batches, unless newer ones are known."""
-        if asked_at < self._at:
+    def put(self, key: str, count: int | None, asked_at: float) -> None:
+        """Takes the answer for a batch, unless a newer one is known.
+
+        :param count: None where the runner can't tell.
+        """
+        said = self._said.get(key)
+        if said is not None and asked_at < said[1]:
             return
-        self._counts = counts
-        self._at = asked_at
+        if len(self._said) >= KEPT_COUNTS:
+            self._said = {
+                name: said
+                for name, said in self._said.items()
+                if asked_at - said[1] < COUNTS_VALID_S
+            }
+        self._said[key] = (count, asked_at)
+
+    def is_answered(self, key: str, now: float) -> bool:
+        """Tells whether the answer to a question still counts."""
+        said = self._said.get(key)
+        return said is not None and now - said[1] < COUNTS_VALID_S
 
     def is_current(self, key: str, known: int, now: float) -> bool:
         """Tells whether a batch surely has no more segments than known."""
-        if now - self._at >= COUNTS_VALID_S:
-            return False
-        return self._counts.get(key) == known
+        return self.is_answered(key, now) and self._said[key][0] == known
--- a/tests/test_batch_desk.py
+++ b/tests/test_batch_desk.py
@@ -36,6 +36,9 @@
     async def ask(self, body, timeout_s):
         raise PeerUnavailable(detail='no runner')
 
+    async def ask_directly(self, body, timeout_s):
+        raise PeerUnavailable(detail='no runner')
+
 
 class Reach:
     """Whether this host is cut off."""
--- a/tests/test_fallback_store.py
+++ b/tests/test_fallback_store.py
@@ -104,15 +104,15 @@
         clock=ManualClock(),
         rng=random.Random(1),
     )
-    state.hosts = {
-        'h2': RelayHost(
+    state.take_hosts([
+        RelayHost(
             host='h2',
             incarnation='x',
             data_centre='east',
             peer_address='h2:1',
             runs_batches=False,
         ),
-    }
+    ])
     return state
 
 
@@ -176,8 +176,7 @@
 
 def test_copy_spares_the_store(store, direct, peer):
     """What never changes comes from the runner that feeds this host."""
-    store._state.fed_at = store._state.now()
-    store._state.fed_by = 'runner:1'
+    store._state.note_fed('runner:1', by_active=True)
     peer.copies['a/1'] = Stored(name='a/1', version=1, body='x')
     assert curio.run(store.read_immutable, 'a/1').body == 'x'
     assert not direct.calls
@@ -185,8 +184,7 @@
 
 def test_absence_is_asked_of_the_store(store, direct, peer):
     """A runner without a copy does not mean that there is no object."""
-    store._state.fed_at = store._state.now()
-    store._state.fed_by = 'runner:1'
+    store._state.note_fed('runner:1', by_active=True)
     direct.refuses = False
     curio.run(direct.write, 'a/1', 'x', ABSENT)
     assert curio.run(store.read_immutable, 'a/1').body == 'x'
--- a/tests/test_heard_links.py
+++ b/tests/test_heard_links.py
@@ -54,8 +54,8 @@
         clock=ManualClock(),
         rng=random.Random(1),
     )
-    found.hosts = {
-        name: RelayHost(
+    found.take_hosts([
+        RelayHost(
             host=name,
             incarnation='x',
             data_centre=data_centre,
@@ -63,7 +63,7 @@
             runs_batches=False,
         )
         for name, data_centre in (('h2', 'east'), ('h3', 'west'))
-    }
+    ])
     return found
 
 
--- a/tests/test_host_reports.py
+++ b/tests/test_host_reports.py
@@ -1,106 +1,230 @@
-"""Reports of a host and what it takes from the answers."""
+"""Reports of a host, how many there are, and what it takes from the answers."""
 
 import random
 
 import curio
 import pytest
+from jacinthmount.errors import PeerUnavailable
+from jacinthmount.held_shares import HeldShares
 from jacinthmount.leadership import RunnerState
 from jacinthmount.memory import ManualClock
-from jacinthmount.rate_shares import HeldShares
 from jacinthmount.stores import MemoryStore
+from jacinthmount_node.net.sockets import SystemClock
+from jacinthmount_node.relay.batch_desk import BatchDesk
 from jacinthmount_node.relay.heard_links import HeardLinks
-from jacinthmount_node.relay.messages import HostReportReply, RelayHost
+from jacinthmount_node.relay.messages import (
+    HostReportReply,
+    RelayHost,
+    SegmentCount,
+)
 from jacinthmount_node.relay.peer_help import PeerHelp
 from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.state import RelayState
 
 from tests.relay_builders import make_relay_settings
 
-RUNNER = RelayHost(
-    host='s1',
-    incarnation='x',
-    data_centre='east',
-    peer_address='s1:1',
-    runs_batches=True,
-)
+RUNNERS = ('s1', 's2', 's3')
+
+
+def make_runner(host):
+    """Builds a runner in a data centre of its own."""
+    return RelayHost(
+        host=host,
+        incarnation='x',
+        data_centre=f'centre-of-{host}',
+        peer_address=f'{host}:1',
+        runs_batches=True,
+    )
+
+
+def make_front(host):
+    """Builds a host that serves callers."""
+    return RelayHost(
+        host=host,
+        incarnation='x',
+        data_centre='east',
+        peer_address=f'{host}:1',
+        runs_batches=False,
+    )
+
 
+class _Runners:
+    """Links to runners of which the first one is active."""
 
-class _Runner:
-    """Links to an active runner that knows two segments of a batch."""
+    def __init__(self):
+        """Starts with all of them in reach."""
+        self.asked = []
+        self.silent = set()
 
     async def request_at(self, address, body, timeout_s):
         """See the links."""
+        host = address.partition(':')[0]
+        self.asked.append((host, body))
+        if host in self.silent:
+            raise PeerUnavailable(detail=host)
         return HostReportReply(
-            state=RunnerState(host='s1', active=True, store_reached=True),
+            state=RunnerState(
+                host=host, active=host == 's1', store_reached=True
+            ),
             revisions={},
             leaving=[],
             views=None,
             parts=[],
-            segments={'k': 2},
         )
 
+    def count(self, host):
+        """Counts the reports that a runner got."""
+        return [one for one, _ in self.asked].count(host)
 
-class _Sync:
-    """Fetching what the runner knows takes a while."""
 
-    def __init__(self, clock):
-        self.clock = clock
-        self.takes_s = 0.0
+class _Sync:
+    """Nothing is newer anywhere else."""
 
     async def catch_up(self, address, revisions):
         """See the sync."""
-        self.clock.advance(self.takes_s)
 
 
 class Front:
-    """A front that reports to a runner."""
+    """A front of a fleet that reports to three runners."""
 
-    def __init__(self):
+    def __init__(self, fronts):
         """Starts with nothing reported."""
-        clock = ManualClock()
         self.state = RelayState(
             settings=make_relay_settings(),
             store=MemoryStore(),
-            clock=clock,
+            clock=SystemClock(),
             rng=random.Random(1),
         )
-        self.state.hosts = {'s1': RUNNER}
-        self.sync = _Sync(clock)
-        links = HeardLinks(links=_Runner(), state=self.state)
-        self.shares = HeldShares(now=clock.now())
+        self.state.take_hosts([
+            *map(make_runner, RUNNERS),
+            *(make_front(f'h{number}') for number in range(fronts)),
+        ])
+        self.runners = _Runners()
+        links = HeardLinks(links=self.runners, state=self.state)
         self.reporter = HostReporter(
             state=self.state,
             links=links,
             peer_help=PeerHelp(state=self.state, links=links),
-            sync=self.sync,
-            shares=self.shares,
+            sync=_Sync(),
+            shares=HeldShares(now=self.state.now()),
         )
 
-    def report(self):
-        """Reports once, with shares."""
-        shares = self.shares.make_report('i', self.state.now())
-        curio.run(self.reporter._report, RUNNER, shares)
+    def run(self, seconds, silent_after=None):
+        """Reports for a while, after which the active runner may be silent."""
+
+        async def play():
+            task = await curio.spawn(self.reporter.run, daemon=True)
+            if silent_after is not None:
+                await curio.sleep(silent_after)
+                self.runners.asked.clear()
+                self.runners.silent.add('s1')
+            await curio.sleep(seconds)
+            await task.cancel()
 
-    def is_current(self, known):
-        """Tells whether a log of some segments may be given as it is."""
-        return self.state.segments.is_current('k', known, self.state.now())
+        curio.run(play)
+
+
+@pytest.mark.parametrize(
+    ('fronts', 'active', 'standby'),
+    [(8, (6, 9), (6, 9)), (195, (3, 5), (1, 1)), (417, (1, 3), (1, 1))],
+)
+def test_reports_of_a_host_get_fewer_as_hosts_get_more(fronts, active, standby):
+    """A runner gets a bounded number of reports from all hosts together."""
+    front = Front(fronts)
+    front.run(2.0)
+    assert active[0] <= front.runners.count('s1') <= active[1]
+    assert standby[0] <= front.runners.count('s2') <= standby[1]
+
+
+def test_all_runners_are_asked_once_the_active_one_is_silent():
+    """A host of a large fleet finds out at once what else is out of reach."""
+    front = Front(195)
+    front.run(0.9, silent_after=1.0)
+    assert front.runners.count('s1')
+    assert front.runners.count('s2')
+    assert front.runners.count('s3')
+
+
+def make_state(fronts, clock):
+    """Builds the state of a front in a fleet."""
+    state = RelayState(
+        settings=make_relay_settings(),
+        store=MemoryStore(),
+        clock=clock,
+        rng=random.Random(1),
+    )
+    state.take_hosts([make_front(f'h{number}') for number in range(fronts)])
+    return state
+
+
+def test_standby_feeds_a_large_fleet_while_no_runner_is_active():
+    """Hundreds of hosts must not all turn to the store at once."""
+    clock = ManualClock()
+    state = make_state(195, clock)
+    state.note_fed('s1:1', by_active=True)
+    state.note_fed('s2:1', by_active=False)
+    assert state.find_feeder() == 's1:1'
+    clock.advance(1.2)
+    state.note_fed('s2:1', by_active=False)
+    assert state.find_feeder() == 's2:1'
+    clock.advance(4)
+    # It may not have noticed that the store turns it away.
+    state.note_fed('s2:1', by_active=False)
+    assert not state.find_feeder()
+
+
+def test_standby_feeds_nobody_in_a_small_fleet():
+    """A few hosts rather ask the store themselves."""
+    clock = ManualClock()
+    state = make_state(8, clock)
+    state.note_fed('s1:1', by_active=True)
+    clock.advance(0.9)
+    state.note_fed('s2:1', by_active=False)
+    clock.advance(0.2)
+    assert not state.find_feeder()
+
+
+class _Counting:
+    """A way to the active runner, which says how many segments there are."""
+
+    def __init__(self, clock):
+        """Starts with two segments and no delay."""
+        self.clock = clock
+        self.takes_s = 0.0
+        self.asked = 0
+
+    async def ask_directly(self, body, timeout_s):
+        """See the runner link."""
+        self.asked += 1
+        self.clock.advance(self.takes_s)
+        return SegmentCount(count=2)
 
 
 @pytest.fixture
-def front():
-    """A front that has not reported yet."""
-    return Front()
+def desk():
+    """The desk of a front, which asks about segments."""
+    clock = ManualClock()
+    return BatchDesk(
+        state=make_state(8, clock),
+        runner_link=_Counting(clock),
+        reach=None,
+    )
+
+
+def is_current(desk, known):
+    """Tells whether a log of some segments may be given as it is."""
+    return desk._state.segments.is_current('k', known, desk._state.now())
 
 
-def test_answer_vouches_for_the_logs_that_it_names(front):
+def test_answer_vouches_for_the_log_that_was_asked_about(desk):
     """A log with as many segments is complete as far as anybody knows."""
-    front.report()
-    assert front.is_current(2)
-    assert not front.is_current(1)
+    curio.run(desk._ask_segments, 'k')
+    assert is_current(desk, 2)
+    assert not is_current(desk, 1)
 
 
-def test_answer_counts_from_the_question(front):
-    """Time spent on fetching a configuration does not make it younger."""
-    front.sync.takes_s = 0.6
-    front.report()
-    assert not front.is_current(2)
+def test_answer_counts_from_the_question(desk):
+    """Time spent on its way does not make an answer younger."""
+    desk._runner_link.takes_s = 0.6
+    curio.run(desk._ask_segments, 'k')
+    assert not is_current(desk, 2)
--- a/tests/test_rate_replay.py
+++ b/tests/test_rate_replay.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 import pytest
-from jacinthmount.rate_shares import HeldShares, ShareAllocation
+from jacinthmount.held_shares import HeldShares
+from jacinthmount.rate_shares import ShareAllocation
 
 RECORD = json.loads(
     (Path(__file__).parent / 'data' / 'runner_replaced.json').read_text(),
@@ -76,12 +77,13 @@
         name = str(account)
         limits = (RATES_PER_S[account], burst_of(account))
         shares = self.shares[host]
-        shares.note_demand(name, len(HOSTS), now)
+        shares.note_demand(name, limits[1], len(HOSTS), now)
         if shares.take(name, *limits, len(HOSTS), now):
             return True
         if LOST_S <= now < REPLACED_S:
             return shares.take_on_credit(name, len(HOSTS), now)
-        granted = self.allocation.grant(name, *limits, 2, now)
+        wanted = shares.tokens_wanted(name, now)
+        granted = self.allocation.grant(name, *limits, wanted, now)
         shares.on_grant(name, granted, now)
         return shares.take(name, *limits, len(HOSTS), now)
 
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -3,12 +3,12 @@
 import random
 
 import pytest
+from jacinthmount.held_shares import HeldShares
 from jacinthmount.rate_shares import (
     HELD_PART,
     TOTAL_PART,
     AccountDemand,
     AccountPart,
-    HeldShares,
     ShareAllocation,
     ShareReport,
 )
@@ -36,11 +36,12 @@
     def ask(self, host, now, *, pool=True):
         """Takes a token, from the pool if there is none at the host."""
         shares = self.shares[host]
-        shares.note_demand('gin', len(FRONTS), now)
+        shares.note_demand('gin', self.rate_per_s, len(FRONTS), now)
         taken = self._take(shares, now)
         if not taken and pool:
+            wanted = shares.tokens_wanted('gin', now)
             granted = self.allocation.grant(
-                'gin', self.rate_per_s, self.rate_per_s, 2, now
+                'gin', self.rate_per_s, self.rate_per_s, wanted, now
             )
             shares.on_grant('gin', granted, now)
             taken = self._take(shares, now)
@@ -188,7 +189,7 @@
     for host in FRONTS:
         allocation.on_report(host, report)
     parts = allocation.parts_of('h1', report, {'gin': 2.0})
-    assert not parts[0].part
+    assert not sum(one.part for one in parts)
 
 
 def test_part_lapses_when_nobody_allocates_for_long():
--- a/tests/test_relay_sync.py
+++ b/tests/test_relay_sync.py
@@ -113,8 +113,8 @@
         assert await wait_until(lambda: sync.in_outage)
         store.cut_off = False
         state.centres.on_heard('west', state.now())
-        state.fed_at = state.now() + 60
-        state.fed_by = 's1:1'
+        state.note_fed('s1:1', by_active=True)
+        state._fed_at += 60
         ended = await wait_until(lambda: not sync.in_outage)
         await task.cancel()
         return ended
--- a/tests/test_run_scheduler.py
+++ b/tests/test_run_scheduler.py
@@ -53,6 +53,7 @@
                 shares=None,
             ),
         )
+        rooms.refresh()
         # Until then, requests that nobody has reported may run.
         clock.advance(SETTLE_S + 1)
         self.scheduler = RunScheduler(
