Let runners grant tokens on credit where hosts are too many to owe one

Cause, by arithmetic: half of what is tolerated beyond a rate (20) gives each of more than 20 fronts no whole token, so every request is refused while the runner that allocates is lost or out of reach, in each larger fleet.

Any other runner, that of the data centre first, grants its part of the credit of a window. Small fleets stay as they were: either hosts owe or runners grant.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/desk.py
@@ -2,7 +2,9 @@
 
 from functools import singledispatch
 
+from jacinthmount.credit import CreditGrants, credit_of_host
 from jacinthmount.errors import MalformedRecord, PeerUnavailable
+from jacinthmount.fleet_config import AccountRule
 from jacinthmount.ports import ObjectStore
 from jacinthmount.rate_shares import (
     AccountPart,
@@ -17,6 +19,7 @@
 from jacinthmount_node.relay.messages import (
     BatchAdmission,
     CopyRead,
+    CreditAsk,
     Forward,
     HostReport,
     HostReportReply,
@@ -46,6 +49,7 @@
 
     __slots__ = (
         'allocation',
+        'credit',
         'reporter',
         'rooms',
         'runner',
@@ -78,6 +82,10 @@
         self.rooms = rooms
         self.runner = runner
         self.allocation = ShareAllocation(slack=state.settings.rate_slack)
+        self.credit = CreditGrants(
+            slack=state.settings.rate_slack,
+            window_s=state.settings.rate_window_s,
+        )
 
     async def handle(self, body: Record, hello: Hello) -> Record | None:
         """Answers one message."""
@@ -115,6 +123,19 @@
             self.state.config.bursts(),
         )
 
+    def find_account(self, name: str) -> AccountRule | None:
+        """Finds an account, or None before a configuration is known."""
+        if not self.state.configured:
+            return None
+        return self.state.config.find_account(name)
+
+    def grants_credit(self) -> bool:
+        """Tells whether runners grant credit, as hosts can't by themselves."""
+        fronts = len(self.state.fronts())
+        if self.rooms is None or not fronts:
+            return False
+        return not credit_of_host(self.state.settings.rate_slack, fronts)
+
 
 @singledispatch
 async def _answer(body: Record, desk: RelayDesk) -> Record | None:
@@ -184,10 +205,8 @@
 
 @_answer.register
 async def _(body: TokenAsk, desk: RelayDesk) -> Record | None:
-    account = None
-    if desk.may_allocate() and desk.state.configured:
-        account = desk.state.config.find_account(body.account)
-    if account is None:
+    account = desk.find_account(body.account)
+    if account is None or not desk.may_allocate():
         return TokenGrant(known=False, granted=0, wait_s=0)
     now = desk.state.now()
     granted = desk.allocation.grant(
@@ -204,6 +223,21 @@
     )
 
 
+@_answer.register
+async def _(body: CreditAsk, desk: RelayDesk) -> Record | None:
+    account = desk.find_account(body.account)
+    granted = False
+    if account is not None and desk.grants_credit():
+        granted = desk.credit.grant(
+            account.name,
+            account.rate_per_s,
+            account.burst,
+            len(desk.state.runners()) + 1,
+            desk.state.now(),
+        )
+    return TokenGrant(known=granted, granted=int(granted), wait_s=0)
+
+
 @_answer.register
 async def _(body: BatchAdmission, desk: RelayDesk) -> Record | None:
     runner = desk.runner
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -24,6 +24,7 @@
     'Snapshot',
     'SnapshotAsk',
     'CopyRead',
+    'CreditAsk',
     'StoreFailed',
     'StoreFound',
     'StoreRead',
@@ -159,6 +160,14 @@
     wait_s: float
 
 
+class CreditAsk(Record):
+    """Asks any runner for a token that the one that allocates can't give."""
+
+    __slots__ = ('account',)
+
+    account: str
+
+
 class BatchAdmission(Record):
     """Asks for room among the waiting tokens of an account on a route."""
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
@@ -6,13 +6,14 @@
 from jacinthmount.return_order import ReturnOrder
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.relay.messages import TokenAsk, TokenGrant
+from jacinthmount_node.relay.messages import CreditAsk, TokenAsk, TokenGrant
 from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('AccountQuota',)
 
 ASK_TIMEOUT_S = 0.15
+CREDIT_TIMEOUT_S = 0.1
 MIN_WAIT_S = 0.1
 # About as long as the next report needs to find another runner.
 UNANSWERED_S = 0.3
@@ -64,7 +65,7 @@
             await self._ask(account)
             if self._take_here(account, fronts):
                 return
-        if self._take_on_credit(account, fronts):
+        if await self._take_on_credit(account, fronts):
             return
         raise self._make_refusal(account, fronts)
 
@@ -96,14 +97,26 @@
             self._state.now(),
         )
 
-    def _take_on_credit(self, account: AccountRule, fronts: int) -> bool:
+    async def _take_on_credit(self, account: AccountRule, fronts: int) -> bool:
         now = self._state.now()
         if now >= self._unanswered_until:
             return False
-        if not self._shares.take_on_credit(account.name, fronts, now):
+        taken = self._shares.take_on_credit(account.name, fronts, now)
+        if not taken:
+            taken = await self._ask_for_credit(account.name)
+        if taken:
+            log_event('rate_credit', account=account.name, fronts=fronts)
+        return taken
+
+    async def _ask_for_credit(self, account: str) -> bool:
+        try:
+            reply = await self._runner_link.ask_any(
+                CreditAsk(account=account),
+                CREDIT_TIMEOUT_S,
+            )
+        except PeerUnavailable:
             return False
-        log_event('rate_credit', account=account.name, fronts=fronts)
-        return True
+        return isinstance(reply, TokenGrant) and bool(reply.granted)
 
     async def _ask(self, account: AccountRule) -> None:
         asked_at = self._state.now()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
@@ -59,6 +59,23 @@
             raise PeerUnavailable(detail='no runner and no other host')
         return await self._help.ask(peer, Forward(body=body), timeout_s * 2)
 
+    async def ask_any(self, body: Record, timeout_s: float) -> Record:
+        """Asks a runner of this data centre, or else one of another.
+
+        :raises PeerUnavailable: there is none, or no answer in time.
+        """
+        own = self._state.settings.data_centre
+        runners = self._state.runners()
+        near = [one for one in runners if one.data_centre == own]
+        if not runners:
+            raise PeerUnavailable(detail='no runner is known')
+        runner = self._state.rng.choice(near or runners)
+        return await self._links.request_at(
+            runner.peer_address,
+            body,
+            timeout_s,
+        )
+
     async def ask_directly(self, body: Record, timeout_s: float) -> Record:
         """Asks the active runner, never through another host.
 
--- a/packages/jacinthmount/jacinthmount/held_shares.py
+++ b/packages/jacinthmount/jacinthmount/held_shares.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 
+from jacinthmount.credit import credit_of_host
 from jacinthmount.rate_shares import (
     DEMAND_WINDOW_S,
     AccountDemand,
@@ -27,8 +28,6 @@
 # What a restarted host may use at once, of which its predecessor may have
 # used as much; far less than a burst.
 START_LEVEL_S = 0.4
-# Of what is tolerated beyond a rate; the rest is left for hosts that restart.
-CREDIT_PART = 0.5
 
 
 class _Held:
@@ -142,12 +141,10 @@
         :param hosts: hosts that share the rates; without them it is not known
             how much each may owe.
         """
-        if not hosts:
-            return False
         held = self._held.setdefault(account, _Held(part=0.0, now=now))
         while held.credits and now - held.credits[0] > self._window_s:
             held.credits.popleft()
-        if len(held.credits) >= int(self._slack * CREDIT_PART / hosts):
+        if len(held.credits) >= credit_of_host(self._slack, hosts):
             return False
         held.credits.append(now)
         held.owed += 1
