--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/answer_relay.py
@@ -0,0 +1,168 @@
+"""One attempt at an endpoint: its whole own answer, or an error."""
+
+from http import HTTPStatus
+
+from jacinthmount.errors import EndpointFailed
+from jacinthmount.event_stream import EventChecker
+from jacinthmount.placement import EndpointUse
+
+from jacinthmount_node.net.http_client import Exchange
+from jacinthmount_node.net.http_server import Responder
+from jacinthmount_node.relay.endpoint_answers import idle_limit, parse_own
+from jacinthmount_node.relay.online_call import OnlineCall
+from jacinthmount_node.relay.protocols import (
+    EndpointAnswer,
+    EndpointProtocol,
+    EndpointRequest,
+)
+from jacinthmount_node.relay.state import RelayState
+
+__all__ = ('LANE', 'AnswerRelay', 'AttemptRefused')
+
+LANE = 'online'
+PROMISES = frozenset((
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+))
+
+
+class AttemptRefused(Exception):
+    """An endpoint said that it did not run the request.
+
+    ``misplaced`` tells that another endpoint has the address now.
+    """
+
+    def __init__(self, *, misplaced: bool) -> None:
+        super().__init__()
+        self.misplaced = misplaced
+
+
+class AnswerRelay:
+    """Relays answers of endpoints to callers as they come."""
+
+    __slots__ = ('_protocol', '_state')
+
+    def __init__(
+        self,
+        *,
+        state: RelayState,
+        protocol: EndpointProtocol,
+    ) -> None:
+        """Takes the format of the endpoints."""
+        self._state = state
+        self._protocol = protocol
+
+    async def relay(
+        self,
+        call: OnlineCall,
+        use: EndpointUse,
+        exchange: Exchange,
+        responder: Responder,
+    ) -> float:
+        """Sends a request and passes the answer on to the caller.
+
+        :returns: seconds for which the connection may stay idle.
+        :raises AttemptRefused: the endpoint did not run the request.
+        :raises EndpointFailed: the answer is not whole, or not the own one.
+        """
+        call.attempts += 1
+        request = EndpointRequest(
+            request_id=call.request.request_id,
+            endpoint_id=use.entry.endpoint_id,
+            account=call.account,
+            host_name=call.request.host_name,
+            headers=call.request.headers,
+            left_s=call.deadline - self._state.now(),
+            after_event=call.last_event,
+        )
+        call.heard_at = self._state.now()
+        use.on_sent(call.heard_at)
+        await exchange.send(
+            call.request.method,
+            call.request.target,
+            self._protocol.make_headers(request),
+            call.body,
+        )
+        await exchange.read_head(framed=False)
+        self._note_heard(call, use)
+        answer = parse_own(
+            self._protocol,
+            call.request.request_id,
+            exchange,
+        )
+        if answer.leaving:
+            self._state.note_leaving(use.entry)
+        if answer.load is not None:
+            use.on_load(answer.load.waiting, self._state.now())
+        if answer.not_run:
+            call.attempts -= 1
+            raise AttemptRefused(misplaced=answer.other_endpoint)
+        if exchange.status < HTTPStatus.MULTIPLE_CHOICES:
+            if not answer.signed:
+                raise EndpointFailed(detail='answer without a signature')
+            if call.route.streams:
+                await self._relay_stream(call, use, exchange, answer, responder)
+                return idle_limit(answer)
+        await self._relay_whole(call, exchange, answer, responder)
+        return idle_limit(answer)
+
+    async def _relay_whole(
+        self,
+        call: OnlineCall,
+        exchange: Exchange,
+        answer: EndpointAnswer,
+        responder: Responder,
+    ) -> None:
+        body = await exchange.read_body()
+        status = exchange.status
+        if responder.started:
+            raise EndpointFailed(detail=f'status {status} on resuming')
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR and call.may_repeat(
+            self._state.now()
+        ):
+            raise EndpointFailed(detail=f'status {status}')
+        if status in PROMISES:
+            # The endpoint does not promise that the request has not run.
+            raise EndpointFailed(detail=f'status {status} without promise')
+        self._first_event(call)
+        await responder.send(status, body, answer.headers)
+
+    async def _relay_stream(
+        self,
+        call: OnlineCall,
+        use: EndpointUse,
+        exchange: Exchange,
+        answer: EndpointAnswer,
+        responder: Responder,
+    ) -> None:
+        checker = EventChecker(last=call.last_event)
+        async for received in exchange.iter_body():
+            self._note_heard(call, use)
+            events = checker.feed(received)
+            if not events:
+                continue
+            packed = b''.join(event.packed for event in events)
+            if responder.started:
+                await responder.write(packed)
+            else:
+                await responder.start(HTTPStatus.OK, answer.headers, packed)
+                self._first_event(call)
+            call.last_event = checker.last
+        if not checker.is_between_events:
+            raise EndpointFailed(detail='stream ended inside an event')
+        if not responder.started:
+            await responder.start(HTTPStatus.OK, answer.headers)
+        await responder.finish()
+
+    def _note_heard(self, call: OnlineCall, use: EndpointUse) -> None:
+        call.heard_at = self._state.now()
+        use.on_heard(call.heard_at)
+        self._state.centres.on_heard(use.entry.data_centre, call.heard_at)
+
+    def _first_event(self, call: OnlineCall) -> None:
+        metric = self._state.metrics.first_token_s
+        call.answered_at = self._state.now()
+        took_s = call.answered_at - call.arrived_at
+        metric.labels(call.account, LANE).observe(took_s)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -16,8 +16,9 @@
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import NO_ACCOUNT
 from jacinthmount_node.net.http_server import HttpRequest, Responder, error_body
+from jacinthmount_node.relay.answer_relay import LANE
 from jacinthmount_node.relay.batch_desk import BatchDesk
-from jacinthmount_node.relay.online import LANE, OnlineRelay
+from jacinthmount_node.relay.online import OnlineRelay
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.protocols import (
     CallerProtocol,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -1,7 +1,5 @@
 """Requests relayed to one endpoint at a time, with their whole answer."""
 
-from http import HTTPStatus
-
 import curio
 from jacinthmount.dispatch import Attempt, Next, Stage, decide, make_failure
 from jacinthmount.errors import (
@@ -9,7 +7,6 @@
     EndpointsFull,
     KeyUnknown,
 )
-from jacinthmount.event_stream import EventChecker
 from jacinthmount.placement import EndpointUse
 
 from jacinthmount_node.logs import log_event
@@ -19,18 +16,14 @@
     Exchange,
 )
 from jacinthmount_node.net.http_server import Responder
-from jacinthmount_node.relay.endpoint_answers import idle_limit, parse_own
+from jacinthmount_node.relay.answer_relay import AnswerRelay, AttemptRefused
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.online_queue import OnlineQueue
-from jacinthmount_node.relay.protocols import (
-    EndpointAnswer,
-    EndpointProtocol,
-    EndpointRequest,
-)
+from jacinthmount_node.relay.protocols import EndpointProtocol
 from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.state import RelayState
 
-__all__ = ('LANE', 'OnlineRelay')
+__all__ = ('OnlineRelay',)
 
 MAX_TRIES = 16
 REFUSED_PAUSE_S = 0.03
@@ -39,32 +32,14 @@
 WAIT_PART = 0.7
 MIN_ATTEMPT_S = 0.02
 PUMP_INTERVAL_S = 0.05
-LANE = 'online'
-PROMISES = frozenset((
-    HTTPStatus.REQUEST_TIMEOUT,
-    HTTPStatus.MISDIRECTED_REQUEST,
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-))
-
-
-class _Refused(Exception):
-    """An endpoint said that it did not run the request.
-
-    :param misplaced: another endpoint has the address now.
-    """
-
-    def __init__(self, *, misplaced: bool) -> None:
-        super().__init__()
-        self.misplaced = misplaced
 
 
 class OnlineRelay:
     """Runs online requests of all services on this host."""
 
     __slots__ = (
+        '_answers',
         '_pool',
-        '_protocol',
         '_queues',
         '_reporter',
         '_running',
@@ -82,7 +57,7 @@
         """Starts without queues."""
         self._state = state
         self._pool = pool
-        self._protocol = protocol
+        self._answers = AnswerRelay(state=state, protocol=protocol)
         self._reporter = reporter
         self._queues: dict[str, OnlineQueue] = {}
         self._running: dict[OnlineCall, tuple[EndpointUse, Exchange]] = {}
@@ -133,7 +108,7 @@
         # Elsewhere the request may still be answered in time.
         for call, (use, exchange) in list(self._running.items()):
             silent_since = use.silent_since
-            if silent_since is None or not self._again(call):
+            if silent_since is None or not call.may_repeat(self._state.now()):
                 continue
             since = max(silent_since, call.heard_at)
             if now - since > GIVE_UP_SILENT_S:
@@ -214,9 +189,11 @@
                     timeout_s=CONNECT_TIMEOUT_S,
                 )
                 self._running[call] = (use, exchange)
-                idle_s = await self._relay(call, use, exchange, responder)
+                idle_s = await self._answers.relay(
+                    call, use, exchange, responder
+                )
             kept = True
-        except _Refused as refused:
+        except AttemptRefused as refused:
             self._note_refusal(call, use, refused)
             return Stage.CONNECTING
         except ATTEMPT_ERRORS as exc:
@@ -239,7 +216,7 @@
         self,
         call: OnlineCall,
         use: EndpointUse,
-        refused: _Refused,
+        refused: AttemptRefused,
     ) -> None:
         now = self._state.now()
         call.refusals += 1
@@ -275,118 +252,6 @@
             after_s=round(self._state.now() - call.arrived_at, 3),
         )
 
-    async def _relay(
-        self,
-        call: OnlineCall,
-        use: EndpointUse,
-        exchange: Exchange,
-        responder: Responder,
-    ) -> float:
-        call.attempts += 1
-        request = EndpointRequest(
-            request_id=call.request.request_id,
-            endpoint_id=use.entry.endpoint_id,
-            account=call.account,
-            host_name=call.request.host_name,
-            headers=call.request.headers,
-            left_s=call.deadline - self._state.now(),
-            after_event=call.last_event,
-        )
-        call.heard_at = self._state.now()
-        use.on_sent(call.heard_at)
-        await exchange.send(
-            call.request.method,
-            call.request.target,
-            self._protocol.make_headers(request),
-            call.body,
-        )
-        await exchange.read_head(framed=False)
-        self._note_heard(call, use)
-        answer = parse_own(
-            self._protocol,
-            call.request.request_id,
-            exchange,
-        )
-        if answer.leaving:
-            self._state.note_leaving(use.entry)
-        if answer.load is not None:
-            use.on_load(answer.load.waiting, self._state.now())
-        if answer.not_run:
-            call.attempts -= 1
-            raise _Refused(misplaced=answer.other_endpoint)
-        if exchange.status < HTTPStatus.MULTIPLE_CHOICES:
-            if not answer.signed:
-                raise EndpointFailed(detail='answer without a signature')
-            if call.route.streams:
-                await self._relay_stream(call, use, exchange, answer, responder)
-                return idle_limit(answer)
-        await self._relay_whole(call, exchange, answer, responder)
-        return idle_limit(answer)
-
-    async def _relay_whole(
-        self,
-        call: OnlineCall,
-        exchange: Exchange,
-        answer: EndpointAnswer,
-        responder: Responder,
-    ) -> None:
-        body = await exchange.read_body()
-        status = exchange.status
-        if responder.started:
-            raise EndpointFailed(detail=f'status {status} on resuming')
-        if status >= HTTPStatus.INTERNAL_SERVER_ERROR and self._again(call):
-            raise EndpointFailed(detail=f'status {status}')
-        if status in PROMISES:
-            # The endpoint does not promise that the request has not run.
-            raise EndpointFailed(detail=f'status {status} without promise')
-        self._first_event(call)
-        await responder.send(status, body, answer.headers)
-
-    async def _relay_stream(
-        self,
-        call: OnlineCall,
-        use: EndpointUse,
-        exchange: Exchange,
-        answer: EndpointAnswer,
-        responder: Responder,
-    ) -> None:
-        checker = EventChecker(last=call.last_event)
-        async for received in exchange.iter_body():
-            self._note_heard(call, use)
-            events = checker.feed(received)
-            if not events:
-                continue
-            packed = b''.join(event.packed for event in events)
-            if responder.started:
-                await responder.write(packed)
-            else:
-                await responder.start(HTTPStatus.OK, answer.headers, packed)
-                self._first_event(call)
-            call.last_event = checker.last
-        if not checker.is_between_events:
-            raise EndpointFailed(detail='stream ended inside an event')
-        if not responder.started:
-            await responder.start(HTTPStatus.OK, answer.headers)
-        await responder.finish()
-
-    def _note_heard(self, call: OnlineCall, use: EndpointUse) -> None:
-        call.heard_at = self._state.now()
-        use.on_heard(call.heard_at)
-        self._state.centres.on_heard(use.entry.data_centre, call.heard_at)
-
-    def _first_event(self, call: OnlineCall) -> None:
-        metric = self._state.metrics.first_token_s
-        call.answered_at = self._state.now()
-        took_s = call.answered_at - call.arrived_at
-        metric.labels(call.account, LANE).observe(took_s)
-
-    def _again(self, call: OnlineCall) -> bool:
-        return (
-            call.route.idempotent
-            and call.attempts < call.route.max_attempts
-            and call.deadline > self._state.now()
-        )
-
     def _settle(
         self,
         call: OnlineCall,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -62,3 +62,11 @@
         self.attempts = 0
         self.refusals = 0
         self.tried: set[str] = set()
+
+    def may_repeat(self, now: float) -> bool:
+        """Tells whether another endpoint may run the request as well."""
+        return (
+            self.route.idempotent
+            and self.attempts < self.route.max_attempts
+            and self.deadline > now
+        )
