--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
@@ -53,14 +53,23 @@
 
         :returns: its id, or nothing where all endpoints are full.
         """
-        entries = self._state.endpoints.usable(service)
-        if len(entries) > COMPARED_ENDPOINTS:
-            entries = self._state.rng.sample(entries, COMPARED_ENDPOINTS)
-        roomy = [one for one in entries if self._takes_online(one)]
+        now = self._state.now()
+        placement = self._state.placement(service)
+        uses = placement.uses()
+        # Of equals the first one is taken, which must not be always the same.
+        compared = self._state.rng.sample(
+            uses,
+            min(len(uses), COMPARED_ENDPOINTS),
+        )
+        roomy = [
+            use.entry.endpoint_id
+            for use in compared
+            if self._takes_online(use.entry) and placement.is_sound(use, now)
+        ]
         if not roomy:
             return ''
-        chosen = min(roomy, key=self._rank).endpoint_id
-        self._load.begin(host, chosen, self._state.now())
+        chosen = min(roomy, key=self._in_flight)
+        self._load.begin(host, chosen, now)
         return chosen
 
     def settle(self) -> None:
@@ -152,18 +161,12 @@
         return self._batch_rooms.setdefault(service, BatchRoom())
 
     def _takes_online(self, entry: EndpointEntry) -> bool:
-        use = self._state.find_use(entry.endpoint_id)
-        if use is None:
-            return False
-        placement = self._state.placement(entry.service)
-        # Beyond the slots it waits at the endpoint, but not for long.
-        full = self._load.total(entry.endpoint_id) > entry.slots
-        return not full and placement.is_sound(use, self._state.now())
-
-    def _rank(self, entry: EndpointEntry) -> tuple[int, float]:
-        online = self._load.total(entry.endpoint_id)
-        batch = len(self._running.get(entry.endpoint_id, ()))
-        return online + batch, self._state.rng.random()
+        # One beyond the slots waits at the endpoint, but not for long.
+        return self._load.total(entry.endpoint_id) <= entry.slots
+
+    def _in_flight(self, endpoint_id: str) -> int:
+        running = len(self._running.get(endpoint_id, ()))
+        return self._load.total(endpoint_id) + running
 
     def _is_open(self, endpoint_id: str) -> bool:
         now = self._state.now()
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -15,7 +15,7 @@
 EJECT_MAX_S = 4.0
 FULL_S = 0.03
 CROWDED_S = 0.1
-VIEW_VALID_S = 1.5
+VIEW_VALID_S = 2.0
 EXTRA_WAITING = 1
 # Streams bring an event every few tens of milliseconds.
 SILENT_S = 0.35
