--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
@@ -6,7 +6,7 @@
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.relay.active_runner import ActiveRunner
 from jacinthmount_node.relay.heard_links import HeardLinks
-from jacinthmount_node.relay.messages import Forward
+from jacinthmount_node.relay.messages import Forward, RelayHost
 from jacinthmount_node.relay.peer_help import PeerHelp
 from jacinthmount_node.relay.state import RelayState
 
@@ -64,17 +64,16 @@
 
         :raises PeerUnavailable: there is none, or no answer in time.
         """
-        own = self._state.settings.data_centre
-        runners = self._state.runners()
-        near = [one for one in runners if one.data_centre == own]
-        if not runners:
-            raise PeerUnavailable(detail='no runner is known')
-        runner = self._state.rng.choice(near or runners)
-        return await self._links.request_at(
-            runner.peer_address,
-            body,
-            timeout_s,
-        )
+        runner = self._pick_any()
+        try:
+            return await self._links.request_at(
+                runner.peer_address,
+                body,
+                timeout_s,
+            )
+        except PeerUnavailable:
+            self._state.peer_choice.on_failed(runner.host, self._state.now())
+            raise
 
     async def ask_directly(self, body: Record, timeout_s: float) -> Record:
         """Asks the active runner, never through another host.
@@ -89,3 +88,15 @@
             body,
             timeout_s,
         )
+
+    def _pick_any(self) -> RelayHost:
+        own = self._state.settings.data_centre
+        runners = {one.host: one for one in self._state.runners()}
+        sound = self._state.peer_choice.without_failed(
+            list(runners),
+            self._state.now(),
+        )
+        if not sound:
+            raise PeerUnavailable(detail='no runner answers')
+        near = [one for one in sound if runners[one].data_centre == own]
+        return runners[self._state.rng.choice(near or sound)]
--- a/packages/jacinthmount/jacinthmount/peer_choice.py
+++ b/packages/jacinthmount/jacinthmount/peer_choice.py
@@ -35,11 +35,15 @@
     def choose(self, hosts: list[str], now: float) -> str | None:
         """Chooses one that helped lately, else one that did not fail lately."""
         helped = self._recent(self._helped_at, hosts, now)
-        failed = set(self._recent(self._failed_at, hosts, now))
-        untried = [host for host in hosts if host not in failed]
+        untried = self.without_failed(hosts, now)
         candidates = helped or untried or hosts
         return self._rng.choice(candidates) if candidates else None
 
+    def without_failed(self, hosts: list[str], now: float) -> list[str]:
+        """Leaves out hosts that failed lately."""
+        failed = set(self._recent(self._failed_at, hosts, now))
+        return [host for host in hosts if host not in failed]
+
     def _recent(
         self,
         noted: dict[str, float],
--- a/packages/jacinthmount/jacinthmount/permits.py
+++ b/packages/jacinthmount/jacinthmount/permits.py
@@ -28,19 +28,18 @@
         slots: int,
         batch_share: float,
         now: float,
-        settle_s: float = SETTLE_S,
     ) -> None:
         """Starts with nothing reported.
 
         :param slots: requests that the engine runs at a time.
         :param batch_share: part of them that batch may fill, 0 to 1.
-        :param settle_s: seconds in which all hosts report for the first time.
         """
         self._slots = slots
         self._batch_slots = int(slots * batch_share)
         self._online: dict[str, tuple[int, float]] = {}
         self._contenders: dict[str, float] = {}
-        self._open_at = now + settle_s
+        # Until then all hosts report for the first time.
+        self._open_at = now + SETTLE_S
 
     def resize(self, slots: int, batch_share: float) -> None:
         """Takes changed limits."""
--- a/tests/test_host_reports.py
+++ b/tests/test_host_reports.py
@@ -1,5 +1,6 @@
 """Reports of a host, how many there are, and what it takes from the answers."""
 
+import contextlib
 import random
 
 import curio
@@ -13,12 +14,14 @@
 from jacinthmount_node.relay.batch_desk import BatchDesk
 from jacinthmount_node.relay.heard_links import HeardLinks
 from jacinthmount_node.relay.messages import (
+    CreditAsk,
     HostReportReply,
     RelayHost,
     SegmentCount,
 )
 from jacinthmount_node.relay.peer_help import PeerHelp
 from jacinthmount_node.relay.reports import HostReporter
+from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
 
 from tests.relay_builders import make_relay_settings
@@ -145,6 +148,31 @@
     assert front.runners.count('s3')
 
 
+@pytest.mark.parametrize('lost', ['s1', 's2'])
+def test_any_runner_that_answers_may_grant_credit(lost):
+    """One that did not answer a moment ago is not asked again.
+
+    Found by reading: hosts in the data centre of a lost runner asked it.
+    """
+    front = Front(195)
+    front.runners.silent.add(lost)
+    link = RunnerLink(
+        state=front.state,
+        links=front.runners,
+        peer_help=None,
+        active=front.reporter.active,
+    )
+
+    async def ask_often():
+        for _ in range(20):
+            with contextlib.suppress(PeerUnavailable):
+                await link.ask_any(CreditAsk(account='gin'), 0.1)
+
+    curio.run(ask_often)
+    assert front.runners.count(lost) <= 1
+    assert len(front.runners.asked) == 20
+
+
 def make_state(fronts, clock):
     """Builds the state of a front in a fleet."""
     state = RelayState(
