Let no peer that sends without end stop a process

A reader gives way after 64 KiB or 32 steps (net.turns), used by client, server and peer links (net.wire_reader is their one loop). Interim answers, framing, events, bytes between numbered events, results and all answers together are bounded (EndlessAnswer, code 1406, by kind in the metrics and in attempt_lost). Beyond the shared bound the largest answer is broken off.

A link that got an endless text did not come back (BufferFull).

--- a/packages/jacinthmount-node/jacinthmount_node/metrics.py
+++ b/packages/jacinthmount-node/jacinthmount_node/metrics.py
@@ -54,6 +54,7 @@
         '_registry',
         'batch_items',
         'batch_preempted',
+        'endless_answers',
         'first_token_s',
         'orders',
         'peer_bytes',
@@ -115,6 +116,12 @@
             ['service'],
             registry=registry,
         )
+        self.endless_answers = Counter(
+            'jacinthmount_endless_answers',
+            'Answers of endpoints broken off, by what there was too much of.',
+            ['kind'],
+            registry=registry,
+        )
         self.orders = Counter(
             'jacinthmount_orders',
             'Orders to engines, by outcome.',
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -7,17 +7,19 @@
 
 import curio
 import h11
+from jacinthmount.answer_memory import AnswerMemory
 from jacinthmount.dispatch import Stage
-from jacinthmount.errors import EndpointFailed
+from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 
 from jacinthmount_node.net.sockets import abort_socket, bounded, connect
+from jacinthmount_node.net.wire_reader import FramingTooLong, WireReader
 
 __all__ = ('ATTEMPT_ERRORS', 'ClientPool', 'Exchange', 'TRANSPORT_ERRORS')
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_HEADER_BYTES = 32_768
 MAX_ANSWER_BYTES = 33_554_432
-READ_BYTES = 65_536
+MAX_INTERIM_ANSWERS = 16
 MAX_IDLE_PER_ADDRESS = 32
 UNLIMITED_S = math.inf
 
@@ -29,6 +31,9 @@
     """One request and its answer on one connection."""
 
     __slots__ = (
+        '_broken_off',
+        '_memory',
+        '_reader',
         '_sock',
         '_wire',
         'address',
@@ -45,12 +50,17 @@
         address: str,
         sock: Any,
         wire: h11.Connection,
+        memory: AnswerMemory,
         reused: bool = False,
     ) -> None:
         """Takes a connected socket.
 
+        :param memory: what all answers under way may take together.
         :param reused: whether another exchange went before on it.
         """
+        self._memory = memory
+        self._reader = WireReader(sock=sock, wire=wire)
+        self._broken_off = False
         self.address = address
         self.reused = reused
         self.unusable_at = UNLIMITED_S
@@ -84,7 +94,15 @@
         :raises EndpointFailed: the answer has no framing that shows its end.
         """
         event = await self._next_event()
+        interim = 0
         while isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > MAX_INTERIM_ANSWERS:
+                raise EndlessAnswer(
+                    kind=GarbageKind.INTERIM,
+                    taken=interim,
+                    allowed=MAX_INTERIM_ANSWERS,
+                )
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise EndpointFailed(detail='closed without an answer')
@@ -108,15 +126,39 @@
     async def read_body(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
         """Reads the whole body.
 
-        :raises EndpointFailed: it exceeds the limit in bytes.
+        :raises EndlessAnswer: it exceeds the limit in bytes.
         """
         body = bytearray()
-        async for piece in self.iter_body():
-            body.extend(piece)
-            if len(body) > limit:
-                raise EndpointFailed(detail='answer too large')
+        try:
+            async for piece in self.iter_body():
+                body.extend(piece)
+                self._check_size(len(body), limit)
+        finally:
+            self._memory.release(self)
         return bytes(body)
 
+    def hold(self, size: int) -> None:
+        """Notes how many bytes of the answer are held here.
+
+        Where all answers take too much, the largest of them is broken off.
+
+        :raises EndlessAnswer: this one is the largest.
+        """
+        largest = self._memory.hold(self, size)
+        if largest is self:
+            self._raise_broken_off()
+        if isinstance(largest, Exchange):
+            largest.break_off()
+
+    def break_off(self) -> None:
+        """Ends an answer that takes too much beside others."""
+        self._broken_off = True
+        self.abort()
+
+    def let_go(self) -> None:
+        """Notes that nothing of the answer is held here any more."""
+        self._memory.release(self)
+
     def reusable(self) -> bool:
         """Tells whether another exchange may follow on the connection."""
         if self._wire.trailing_data[0]:
@@ -144,6 +186,7 @@
             address=self.address,
             sock=self._sock,
             wire=self._wire,
+            memory=self._memory,
             reused=True,
         )
 
@@ -156,21 +199,48 @@
         await self._sock.close()
 
     async def _next_event(self) -> Any:
-        while True:
-            event = self._wire.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self._wire.receive_data(await self._sock.recv(READ_BYTES))
+        try:
+            return await self._reader.next_event()
+        except FramingTooLong as exc:
+            raise EndlessAnswer(
+                kind=GarbageKind.FRAMING,
+                taken=exc.taken,
+                allowed=exc.allowed,
+            ) from exc
+        except TRANSPORT_ERRORS:
+            if self._broken_off:
+                self._raise_broken_off()
+            raise
+
+    def _check_size(self, size: int, limit: int) -> None:
+        if size > limit:
+            raise EndlessAnswer(
+                kind=GarbageKind.BODY,
+                taken=size,
+                allowed=limit,
+            )
+        self.hold(size)
+
+    def _raise_broken_off(self) -> None:
+        raise EndlessAnswer(
+            kind=GarbageKind.MEMORY,
+            taken=self._memory.total,
+            allowed=self._memory.limit_bytes,
+        )
 
 
 class ClientPool:
     """Idle connections by address; only whole exchanges come back to it."""
 
-    __slots__ = ('_idle',)
+    __slots__ = ('_idle', '_memory')
 
-    def __init__(self) -> None:
-        """Starts without connections."""
+    def __init__(self, *, memory: AnswerMemory | None = None) -> None:
+        """Starts without connections.
+
+        :param memory: what all answers under way may take together.
+        """
         self._idle: dict[str, list[Exchange]] = {}
+        self._memory = memory or AnswerMemory()
 
     async def open(
         self,
@@ -199,7 +269,12 @@
             h11.CLIENT,
             max_incomplete_event_size=MAX_HEADER_BYTES,
         )
-        return Exchange(address=address, sock=sock, wire=wire)
+        return Exchange(
+            address=address,
+            sock=sock,
+            wire=wire,
+            memory=self._memory,
+        )
 
     async def release(
         self,
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -20,6 +20,8 @@
 
 from jacinthmount_node.logs import log_failure
 from jacinthmount_node.net.sockets import abort_socket, bounded
+from jacinthmount_node.net.turns import READ_BYTES
+from jacinthmount_node.net.wire_reader import WireReader
 
 __all__ = (
     'HttpRequest',
@@ -36,7 +38,6 @@
 IDLE_TIMEOUT_S = 75.0
 BODY_TIMEOUT_S = 30.0
 WRITE_TIMEOUT_S = 30.0
-READ_BYTES = 65_536
 POLL_S = 0.05
 LAST_REQUESTS_S = 0.5
 # A caller that will close the connection goes from its body to MUST_CLOSE.
@@ -361,6 +362,7 @@
 class _Connection:
     __slots__ = (
         '_handler',
+        '_reader',
         '_server',
         '_sock',
         '_wire',
@@ -378,6 +380,7 @@
             h11.SERVER,
             max_incomplete_event_size=self.limits.header_bytes,
         )
+        self._reader = WireReader(sock=sock, wire=self._wire)
         self.broken = False
         self.busy = False
 
@@ -423,7 +426,7 @@
         try:
             return await bounded(
                 BODY_TIMEOUT_S,
-                self._next_event,
+                self._reader.next_event,
             )
         except TimeoutError:
             raise RequestTimeout(detail='body too slow') from None
@@ -440,7 +443,7 @@
         try:
             event = await bounded(
                 self.limits.header_s,
-                self._next_event,
+                self._reader.next_event,
             )
             return self._check_head(event)
         except TimeoutError:
@@ -454,7 +457,7 @@
     async def _await_first_byte(self) -> bool:
         async with curio.ignore_after(self.limits.idle_s):
             received = await self._sock.recv(READ_BYTES)
-            self._wire.receive_data(received)
+            self._reader.take(received)
             return bool(received)
         return False
 
@@ -537,7 +540,7 @@
         except OSError:
             received = b''
         if received:
-            self._wire.receive_data(received)
+            self._reader.take(received)
             return
         self.broken = True
         await task.cancel(blocking=False)
@@ -553,13 +556,6 @@
         if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await Responder(conn=self).send_error(exc)
 
-    async def _next_event(self) -> Any:
-        while True:
-            event = self._wire.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self._wire.receive_data(await self._sock.recv(READ_BYTES))
-
 
 def _head_error(
     exc: h11.RemoteProtocolError,
--- a/packages/jacinthmount-node/jacinthmount_node/net/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/peers.py
@@ -10,22 +10,27 @@
 from curio import ssl as curio_ssl
 from jacinthmount.errors import MalformedRecord, PeerUnavailable
 from jacinthmount.members import HostRecord
-from jacinthmount.records import Record, make_unpacker, serialize_msgpack
+from jacinthmount.records import (
+    UNPACK_ERRORS,
+    Record,
+    make_unpacker,
+    serialize_msgpack,
+)
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.messages import Envelope, Hello
 from jacinthmount_node.metrics import Metrics
 from jacinthmount_node.net.sockets import abort_socket, bounded, connect
+from jacinthmount_node.net.turns import READ_BYTES, Turn
 
 __all__ = ('PeerLink', 'PeerLinks', 'PeerServer', 'make_contexts')
 
-READ_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
 RECONNECT_PAUSE_S = 0.5
 MAX_PENDING = 2000
 
 PeerHandler = Callable[[Record, Hello], Awaitable[Record | None]]
-PEER_ERRORS = (OSError, curio.TaskTimeout, MalformedRecord, ValueError)
+PEER_ERRORS = (OSError, curio.TaskTimeout, MalformedRecord, *UNPACK_ERRORS)
 
 
 def make_contexts(ca: str, cert: str, key: str) -> tuple[object, object]:
@@ -47,11 +52,12 @@
 
 
 class _Stream:
-    __slots__ = ('_metrics', '_sock', '_unpacker')
+    __slots__ = ('_metrics', '_sock', '_turn', '_unpacker')
 
     def __init__(self, *, sock, metrics: Metrics) -> None:
         self._sock = sock
         self._metrics = metrics
+        self._turn = Turn()
         self._unpacker = make_unpacker()
 
     async def send(self, envelope: Envelope) -> None:
@@ -64,11 +70,13 @@
             received = await self._sock.recv(READ_BYTES)
             if not received:
                 return
+            await self._turn.note(len(received))
             self._metrics.peer_bytes.labels('in').inc(len(received))
             self._unpacker.feed(received)
             for envelope in self._unpacker:
                 if not isinstance(envelope, Envelope):
                     raise MalformedRecord(detail='not an envelope')
+                await self._turn.note(0)
                 yield envelope
 
     async def close(self) -> None:
@@ -131,7 +139,8 @@
     async def _serve_stream(self, raw, group: curio.TaskGroup) -> None:
         sock = await self._secure(raw)
         stream = _Stream(sock=sock, metrics=self._metrics)
-        outgoing = curio.Queue()
+        outgoing = curio.Queue(maxsize=MAX_PENDING)
+        unanswered = curio.Semaphore(MAX_PENDING)
         await group.spawn(_write_all, stream, outgoing, daemon=True)
         hello = None
         try:
@@ -139,11 +148,14 @@
                 if hello is None:
                     hello = self._greet(envelope, sock)
                     continue
+                # A host that reads no answers is not asked for more.
+                await unanswered.acquire()
                 await group.spawn(
                     self._answer,
                     envelope,
                     hello,
                     outgoing,
+                    unanswered,
                     daemon=True,
                 )
         finally:
@@ -160,16 +172,18 @@
         envelope: Envelope,
         hello: Hello,
         outgoing: curio.Queue,
+        unanswered: curio.Semaphore,
     ) -> None:
         try:
             reply = await self._handler(envelope.body, hello)
+            if reply is not None:
+                await outgoing.put(
+                    Envelope(number=envelope.number, reply=True, body=reply),
+                )
         except Exception as exc:
             log_event('peer_message', error=f'{type(exc).__name__}: {exc}')
-            return
-        if reply is not None:
-            await outgoing.put(
-                Envelope(number=envelope.number, reply=True, body=reply),
-            )
+        finally:
+            await unanswered.release()
 
 
 class _Waiter:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/answer_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/answer_relay.py
@@ -8,7 +8,11 @@
 
 from jacinthmount_node.net.http_client import Exchange
 from jacinthmount_node.net.http_server import Responder
-from jacinthmount_node.relay.endpoint_answers import idle_limit, parse_own
+from jacinthmount_node.relay.endpoint_answers import (
+    idle_limit,
+    iter_events,
+    parse_own,
+)
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.protocols import (
     EndpointAnswer,
@@ -138,9 +142,8 @@
         responder: Responder,
     ) -> None:
         checker = EventChecker(last=call.last_event)
-        async for received in exchange.iter_body():
+        async for events in iter_events(exchange, checker):
             self._note_heard(call, use)
-            events = checker.feed(received)
             if not events:
                 continue
             packed = b''.join(event.packed for event in events)
@@ -150,8 +153,6 @@
                 await responder.start(HTTPStatus.OK, answer.headers, packed)
                 self._first_event(call)
             call.last_event = checker.last
-        if not checker.is_between_events:
-            raise EndpointFailed(detail='stream ended inside an event')
         if not responder.started:
             await responder.start(HTTPStatus.OK, answer.headers)
         await responder.finish()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -8,7 +8,7 @@
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.messages import Hello
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.endpoint_pools import EndpointPools
 from jacinthmount_node.net.http_server import (
     HttpServer,
     ServerLimits,
@@ -54,6 +54,7 @@
         '_limits',
         '_pages',
         '_parts',
+        '_pools',
         '_ports',
         '_reach',
         '_reporter',
@@ -79,6 +80,7 @@
         self._state = state
         self._ports = ports
         self._limits = ServerLimits()
+        self._pools = EndpointPools()
         self._front_server: HttpServer | None = None
         self._runner: RelayBatchRunner | None = None
         links = HeardLinks(
@@ -179,7 +181,7 @@
             rooms=rooms,
             item_runner=ItemRunner(
                 state=self._state,
-                pool=ClientPool(),
+                pool=self._pools.items,
                 protocol=self._ports.endpoints,
             ),
             copies=self._store.copies,
@@ -196,10 +198,9 @@
 
     def _make_front(self) -> None:
         state = self._state
-        pool = ClientPool()
         relay = OnlineRelay(
             state=state,
-            pool=pool,
+            pool=self._pools.online,
             protocol=self._ports.endpoints,
             reporter=self._reporter,
         )
@@ -226,7 +227,10 @@
         )
         self._parts['front'] = self._front_server.run
         self._parts['online'] = relay.run
-        self._parts['probes'] = EndpointProbes(state=state, pool=pool).run
+        self._parts['probes'] = EndpointProbes(
+            state=state,
+            pool=self._pools.online,
+        ).run
         if state.settings.ready_listen:
             self._add_http(
                 'ready',
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_answers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_answers.py
@@ -1,12 +1,16 @@
-"""Heads of answers of endpoints: whose they are, and the connection's use."""
+"""Answers of endpoints: whose they are, their events, the connection's use."""
 
-from jacinthmount.errors import EndpointFailed
+from jacinthmount.errors import EndlessAnswer, EndpointFailed
+from jacinthmount.event_stream import EventChecker, ServerEvent
 
+from jacinthmount_node.metrics import Metrics
 from jacinthmount_node.net.http_client import Exchange
 from jacinthmount_node.relay.protocols import EndpointAnswer, EndpointProtocol
 
-__all__ = ('idle_limit', 'parse_own')
+__all__ = ('count_endless', 'idle_limit', 'iter_events', 'parse_own')
 
+# Less than this of an event that is not whole yet is not worth counting.
+SMALL_PIECE_BYTES = 16_384
 IDLE_PART = 0.5
 IDLE_UNKNOWN_S = 1.0
 
@@ -35,3 +39,24 @@
     if answer.idle_s is None:
         return IDLE_UNKNOWN_S
     return answer.idle_s * IDLE_PART
+
+
+async def iter_events(exchange: Exchange, checker: EventChecker):
+    """Yields the events that each received piece completes, maybe none.
+
+    :returns: an iterator over lists of events.
+    :raises EndpointFailed: the stream is not whole, or out of order.
+    """
+    async for received in exchange.iter_body():
+        events: list[ServerEvent] = checker.feed(received)
+        if checker.pending_bytes > SMALL_PIECE_BYTES:
+            exchange.hold(checker.pending_bytes)
+        yield events
+    if not checker.is_between_events:
+        raise EndpointFailed(detail='stream ended inside an event')
+
+
+def count_endless(metrics: Metrics, exc: BaseException) -> None:
+    """Counts a failed attempt if the endpoint sent without end."""
+    if isinstance(exc, EndlessAnswer):
+        metrics.endless_answers.labels(exc.kind.value).inc()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from jacinthmount.batch_order import ItemRun
-from jacinthmount.errors import EndpointFailed
+from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 from jacinthmount.event_stream import EventChecker
 from jacinthmount.placement import EndpointUse
 
@@ -15,7 +15,12 @@
     Exchange,
 )
 from jacinthmount_node.net.sockets import bounded
-from jacinthmount_node.relay.endpoint_answers import idle_limit, parse_own
+from jacinthmount_node.relay.endpoint_answers import (
+    count_endless,
+    idle_limit,
+    iter_events,
+    parse_own,
+)
 from jacinthmount_node.relay.protocols import (
     EndpointAnswer,
     EndpointProtocol,
@@ -27,6 +32,8 @@
 
 CONNECT_TIMEOUT_S = 0.4
 HEAD_TIMEOUT_S = 3.0
+# What the object API takes in one value, less the names around it.
+MAX_RESULT_CHARS = 1_000_000
 
 
 class RunEnd(enum.Enum):
@@ -68,6 +75,7 @@
             outcome, idle_s = await self._exchange(run, use, exchange)
         except ATTEMPT_ERRORS as exc:
             use.on_failure(self._state.now())
+            count_endless(self._state.metrics, exc)
             log_event(
                 'item_lost',
                 item=run.item_id,
@@ -150,16 +158,27 @@
         self, run: ItemRun, exchange: Exchange, data_centre: str
     ) -> None:
         checker = EventChecker(last=run.last_event)
-        async for received in exchange.iter_body():
+        chars = sum(len(text) for text in run.texts)
+        async for events in iter_events(exchange, checker):
             run.heard_at = self._state.now()
             self._state.centres.on_heard(data_centre, run.heard_at)
-            for event in checker.feed(received):
+            for event in events:
                 if event.number is None:
                     continue
-                run.texts.append(event.read_data())
+                text = event.read_data()
+                chars += len(text)
+                _check_size(chars)
+                run.texts.append(text)
                 run.last_event = event.number
-        if not checker.is_between_events:
-            raise EndpointFailed(detail='stream ended inside an event')
+
+
+def _check_size(chars: int) -> None:
+    if chars > MAX_RESULT_CHARS:
+        raise EndlessAnswer(
+            kind=GarbageKind.RESULT,
+            taken=chars,
+            allowed=MAX_RESULT_CHARS,
+        )
 
 
 async def _read_head(exchange: Exchange) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -17,6 +17,7 @@
 )
 from jacinthmount_node.net.http_server import Responder
 from jacinthmount_node.relay.answer_relay import AnswerRelay, AttemptRefused
+from jacinthmount_node.relay.endpoint_answers import count_endless
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.online_queue import OnlineQueue
 from jacinthmount_node.relay.protocols import EndpointProtocol
@@ -200,6 +201,7 @@
             if responder.broken:
                 raise
             use.on_failure(self._state.now())
+            count_endless(self._state.metrics, exc)
             use.unreachable = exchange is None
             stage = exchange.stage if exchange else Stage.CONNECTING
             self._log_loss(call, use, stage, exc, exchange)
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -1,5 +1,7 @@
 """Numbered errors of the system; docs/ERRORS.md holds the table."""
 
+import enum
+
 __all__ = (
     'AmbiguousFraming',
     'AnswerNotKept',
@@ -8,9 +10,11 @@
     'CallInProgress',
     'DeadlineExceeded',
     'DeadlineUnreachable',
+    'EndlessAnswer',
     'EndpointFailed',
     'EndpointLost',
     'EndpointsFull',
+    'GarbageKind',
     'HeadersTooLarge',
     'HistoryGone',
     'IdempotencyMismatch',
@@ -185,6 +189,38 @@
     code = 1405
 
 
+class GarbageKind(enum.Enum):
+    """What an endpoint sent too much of."""
+
+    INTERIM = 'interim'
+    FRAMING = 'framing'
+    EVENT = 'event'
+    UNNUMBERED = 'unnumbered'
+    BODY = 'body'
+    RESULT = 'result'
+    MEMORY = 'memory'
+
+
+class EndlessAnswer(EndpointFailed):
+    """The endpoint sent more than any whole answer has.
+
+    :param kind: what there was too much of.
+    :param taken: how much was taken before it was refused, mostly in bytes.
+    :param allowed: how much is allowed, in the same unit.
+    """
+
+    code = 1406
+
+    def __init__(self, *, kind: GarbageKind, taken: int, allowed: int) -> None:
+        """Makes the message of the facts."""
+        super().__init__(
+            detail=f'endless {kind.value}: {taken} of {allowed} allowed',
+        )
+        self.kind = kind
+        self.taken = taken
+        self.allowed = allowed
+
+
 class OutcomeUnknown(JacinthmountError):
     """The request may have run; it will not be repeated."""
 
--- a/packages/jacinthmount/jacinthmount/records.py
+++ b/packages/jacinthmount/jacinthmount/records.py
@@ -17,6 +17,7 @@
 from jacinthmount.errors import MalformedRecord, shorten
 
 __all__ = (
+    'UNPACK_ERRORS',
     'Record',
     'make_unpacker',
     'parse_json',
@@ -26,6 +27,8 @@
     'serialize_msgpack',
 )
 
+# What an unpacker raises on bytes that are no record, or too many of them.
+UNPACK_ERRORS = (ValueError, msgpack.UnpackException)
 RECORD_EXT_CODE = 1
 MAX_RECORD_BYTES = 4 * 1024 * 1024
 
