Keep batch items running through an outage of the store

Ruled out: the pause of a data centre that is cut off (it comes later), the time in which results wait.

The active runner now stays until another one is active, and another one that hears that it has lost the store asks the store first (Leadership.note_store). Load answered: outages of the store under a full load of batch items.

The tests were written with the change; they use its new question and cannot run on the code before.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -31,6 +31,7 @@
 from jacinthmount_node.relay.run_scheduler import RunScheduler
 from jacinthmount_node.relay.runner_rooms import RunnerRooms
 from jacinthmount_node.relay.state import RelayState
+from jacinthmount_node.relay.store_check import StoreCheck
 
 __all__ = ('RelayBatchRunner',)
 
@@ -58,6 +59,7 @@
         '_rooms',
         '_scheduler',
         '_state',
+        '_store_check',
         '_watch',
     )
 
@@ -79,6 +81,7 @@
         self._copies = copies
         self._announce = announce
         self._reach = reach
+        self._store_check = StoreCheck(state=state, reach=reach)
         self._state = state
         self._rooms = rooms
         self._jobs: dict[str, BatchJob] = {}
@@ -338,11 +341,8 @@
         was_active = False
         while True:
             await curio.sleep(CHECK_S)
-            leadership.store_reached = not (
-                self._watch.in_outage
-                or self._reach.is_store_away()
-                or self.stopped
-            )
+            reached = not (self._watch.in_outage or self.stopped)
+            await self._store_check.note(reached=reached)
             active = leadership.decide(self._state.now())
             if active is not was_active:
                 log_event('runner', active=active)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/host_reach.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/host_reach.py
@@ -29,6 +29,10 @@
         """Tells how long ago the store was last known to answer."""
         return self._sync.store_age_s
 
+    async def ask_store(self) -> None:
+        """Asks the store now, rather than wait for it to be missed."""
+        await self._sync.ask_store()
+
     def is_isolated(self) -> bool:
         """Tells whether neither the store nor other data centres answer."""
         return self._sync.in_outage and self._state.centres.is_isolated(
--- /dev/null
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/store_check.py
@@ -0,0 +1,40 @@
+"""What a runner knows of the store, for the choice of the active one."""
+
+import curio
+
+from jacinthmount_node.relay.host_reach import HostReach
+from jacinthmount_node.relay.state import RelayState
+
+__all__ = ('StoreCheck',)
+
+
+class StoreCheck:
+    """Tells the leadership, and asks the store where it has to be known."""
+
+    __slots__ = ('_asking', '_reach', '_state')
+
+    def __init__(self, *, state: RelayState, reach: HostReach) -> None:
+        """Starts with nothing asked."""
+        self._state = state
+        self._reach = reach
+        self._asking = False
+
+    async def note(self, *, reached: bool) -> None:
+        """Notes whether the store answers this runner.
+
+        :param reached: whether nothing else shows that it is away.
+        """
+        must_ask = self._state.leadership.note_store(
+            reached=reached and not self._reach.is_store_away(),
+            age_s=self._reach.store_age_s(),
+            now=self._state.now(),
+        )
+        if must_ask and not self._asking:
+            self._asking = True
+            await curio.spawn(self._ask, daemon=True)
+
+    async def _ask(self) -> None:
+        try:
+            await self._reach.ask_store()
+        finally:
+            self._asking = False
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -124,6 +124,10 @@
         )
         return self._state.now() - reached_at
 
+    async def ask_store(self) -> None:
+        """Asks the store whether it answers."""
+        await self._probe.ask()
+
     @property
     def is_loaded(self) -> bool:
         """Tells whether configuration and endpoints are known."""
--- a/packages/jacinthmount/jacinthmount/leadership.py
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -3,6 +3,10 @@
 One runner at a time knows the load of every endpoint, so that batch room is
 decided in one place. Two runners for a moment cost repeated work; results stay
 right because each segment of a log is a conditional create.
+
+Answers outages of the store under a full load of batch items: the active
+runner, which asks the store all the time, is the first to notice, and goes on
+with the items that it holds until another one has an answer of the store.
 """
 
 import math
@@ -40,7 +44,9 @@
     __slots__ = (
         '_heard',
         '_host',
+        '_in_doubt',
         '_listened',
+        '_lost_at',
         '_named',
         '_reached_before',
         '_returned_at',
@@ -56,6 +62,9 @@
         self._heard: dict[str, tuple[RunnerState, float]] = {}
         # The active runner by the host that named it, and when it did.
         self._named: dict[str, tuple[str, float]] = {}
+        # Since when an active runner says that it has lost the store.
+        self._lost_at: dict[str, float] = {}
+        self._in_doubt = False
         self._listened = False
         self._reached_before = True
         self._returned_at = -math.inf
@@ -65,6 +74,10 @@
     def on_state(self, state: RunnerState, now: float) -> None:
         """Takes what another runner says of itself."""
         self._heard[state.host] = (state, now)
+        if state.active and not state.store_reached:
+            self._lost_at.setdefault(state.host, now)
+        else:
+            self._lost_at.pop(state.host, None)
 
     def on_named(
         self,
@@ -85,13 +98,35 @@
     def on_lost(self, host: str) -> None:
         """Notes that another runner can't be reached."""
         self._heard.pop(host, None)
+        self._lost_at.pop(host, None)
+
+    def note_store(self, *, reached: bool, age_s: float, now: float) -> bool:
+        """Takes what this runner knows of the store.
+
+        Whoever only waits for news notices an outage late, and must not take
+        items from the active runner for having noticed less.
+
+        :param reached: whether nothing shows that the store is away.
+        :param age_s: seconds since it answered last.
+        :returns: whether the store has to be asked now.
+        """
+        lost_at = [
+            self._lost_at[one.host]
+            for one in self._live(now)
+            if one.host in self._lost_at
+        ]
+        self.store_reached = reached
+        self._in_doubt = bool(lost_at) and now - age_s < min(lost_at)
+        return reached and self._in_doubt
 
     def state(self) -> RunnerState:
         """Describes this runner to others."""
         return RunnerState(
             host=self._host,
             active=self.active,
-            store_reached=self.store_reached and self._listened,
+            store_reached=(
+                self.store_reached and self._listened and not self._in_doubt
+            ),
         )
 
     def has_rival(self, now: float) -> bool:
@@ -103,7 +138,7 @@
         """Decides whether this runner is active from now on.
 
         A runner that reaches the store goes before one that does not, the one
-        that is active stays, and rank decides the rest.
+        that is active stays until another is, and rank decides the rest.
         """
         self._listened = now - self._started_at >= START_WAIT_S
         self._note_return(now)
@@ -113,6 +148,9 @@
             reaching = []
         eligible = reaching or candidates
         holders = [one.host for one in eligible if one.active]
+        if self.active and not holders:
+            # Others may only not have noticed yet that the store is away.
+            holders = [one.host for one in candidates if one.active]
         hosts = holders or [one.host for one in eligible]
         rivals = self._rivals(now)
         if rivals and not holders:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -189,3 +189,47 @@
     assert not runner.has_rival(LATER + RUNNER_LIVE_S + 0.1)
     runner.on_named('h1', make_state('r3', active=True), LATER)
     assert runner.has_rival(LATER)
+
+
+def test_runner_that_noticed_no_outage_leaves_items_where_they_run(runner):
+    """It must have an answer from after the active one lost the store.
+
+    Seen as an outage of 6 s, noticed by the active runner 1.9 s before the
+    others, in which all running items were given up and none ran.
+    """
+    runner.on_state(make_state('r2', active=True), LATER)
+    lost_at = LATER + 1
+    runner.on_state(make_state('r2', active=True, store_reached=False), lost_at)
+    for later_s in (0.0, 0.1, 0.5):
+        now = lost_at + later_s
+        assert runner.note_store(reached=True, age_s=later_s + 3, now=now)
+        assert not runner.decide(now)
+
+
+def test_active_one_that_loses_the_store_stays_until_another_is_active(runner):
+    """That others claim to reach the store shows only that they don't ask."""
+    runner.decide(LATER)
+    runner.on_state(make_state('r2'), LATER)
+    runner.note_store(reached=False, age_s=2, now=LATER + 0.1)
+    assert runner.decide(LATER + 0.1)
+    runner.on_state(make_state('r2', active=True), LATER + 0.3)
+    assert not runner.decide(LATER + 0.3)
+
+
+def test_runner_that_the_store_answers_takes_over(runner):
+    """The store turns only the active runner away."""
+    lost = make_state('r2', active=True, store_reached=False)
+    runner.on_state(lost, LATER)
+    runner.note_store(reached=True, age_s=3, now=LATER)
+    assert not runner.decide(LATER)
+    assert not runner.note_store(reached=True, age_s=0.1, now=LATER + 0.2)
+    assert runner.decide(LATER + 0.2)
+
+
+def test_runner_that_is_lost_altogether_is_replaced_unasked(runner):
+    """Nobody holds items any more, so nothing is lost by taking over."""
+    lost = make_state('r2', active=True, store_reached=False)
+    runner.on_state(lost, LATER)
+    runner.on_lost('r2')
+    assert not runner.note_store(reached=True, age_s=3, now=LATER + 0.1)
+    assert runner.decide(LATER + 0.1)
