Ask longer for a token of the first interface on a busy machine

An answer of the owner counts for 50 ms; beside busy processes each comes later, and after 0.37 s of repeats the caller was sent away for 2 s.

--- a/packages/jacinthmount-node/jacinthmount_node/callers/admission.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/admission.py
@@ -25,7 +25,8 @@
 LEND_FRACTION = 0.5
 LEND_MIN_LEVEL = 0.5
 SHARE_RETRY_AFTER_S = 2.0
-HANDOVER_PAUSES_S = (0.02, 0.05, 0.1, 0.2)
+# Together about as long as a refused caller would be told to stay away.
+HANDOVER_PAUSES_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.4, 0.5)
 
 
 class Admission:
@@ -50,11 +51,12 @@
             reply = await self._ask_owners(account)
             if reply is not None:
                 break
-            # A bucket on its way to another host arrives within moments.
+            # A bucket on its way to another host arrives within moments, and
+            # an owner on a busy machine answers in time again.
             await curio.sleep(pause_s)
         else:
             raise ShareUnconfirmed(
-                detail=f'the share of account {account} is changing hosts',
+                detail=f'nobody answers for the share of account {account}',
                 retry_after_s=SHARE_RETRY_AFTER_S,
             )
         if not reply.granted:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_rooms.py
@@ -133,9 +133,7 @@
 
     def all_running(self) -> list[ItemRun]:
         """Lists the items that run on any endpoint."""
-        return [
-            run for runs in self._running.values() for run in runs.values()
-        ]
+        return [run for runs in self._running.values() for run in runs.values()]
 
     def mean_room(self) -> int:
         """Counts the items that could run lately on all endpoints."""
--- a/tests/test_call_failures.py
+++ b/tests/test_call_failures.py
@@ -298,4 +298,5 @@
     eventually(lambda: len(load.answers) > seen + 20, 40)
     site.fleet.signal('engine-2', signal.SIGCONT)
     answers = load.stop()
-    assert {answer.status for answer in answers} == {200}
+    # A body says why.
+    assert [one.body for one in answers if one.status != 200] == []
