Limit each question to the active runner by how long answers took

The limit follows the answers seen (mean and four deviations); submissions of batches ask the same way.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_desk.py
@@ -47,7 +47,6 @@
 
 __all__ = ('BatchDesk',)
 
-ADMISSION_TIMEOUT_S = 0.15
 CACHED_LOGS = 64
 CACHED_MANIFESTS = 96
 CACHED_BYTES = 16_000_000
@@ -313,7 +312,7 @@
 
     async def _ask(self, asked: BatchAdmission) -> BatchAdmissionReply | None:
         try:
-            reply = await self._runner_link.ask(asked, ADMISSION_TIMEOUT_S)
+            reply = await self._runner_link.ask(asked)
         except PeerUnavailable as exc:
             log_event('admission_unasked', detail=exc.detail)
             return None
--- a/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
@@ -3,7 +3,6 @@
 from jacinthmount.errors import PeerUnavailable, RateExceeded
 from jacinthmount.fleet_config import AccountRule
 from jacinthmount.held_shares import HeldShares
-from jacinthmount.reply_time import ReplyTime
 from jacinthmount.return_order import ReturnOrder
 
 from jacinthmount_node.logs import log_event
@@ -13,7 +12,6 @@
 
 __all__ = ('AccountQuota',)
 
-MAX_ASK_S = 0.15
 CREDIT_TIMEOUT_S = 0.1
 MIN_WAIT_S = 0.1
 # About as long as the next report needs to find another runner.
@@ -24,7 +22,6 @@
     """Takes a token for each request, from the pool where none is here."""
 
     __slots__ = (
-        '_reply_time',
         '_returns',
         '_runner_link',
         '_shares',
@@ -46,7 +43,6 @@
         self._shares = shares
         self._wait_until: dict[str, float] = {}
         self._unanswered_until = 0.0
-        self._reply_time = ReplyTime(max_limit_s=MAX_ASK_S)
         self._returns = ReturnOrder()
 
     async def take(self, account: AccountRule, service: str) -> str:
@@ -146,14 +142,10 @@
             service=service,
             wanted=self._shares.tokens_wanted(account.name, self._state.now()),
         )
-        asked_at = self._state.now()
-        limit_s = self._reply_time.limit_s()
         try:
-            reply = await self._runner_link.ask(asked, limit_s)
+            reply = await self._runner_link.ask(asked)
         except PeerUnavailable:
-            self._reply_time.on_missed()
             return None
-        self._reply_time.on_reply(self._state.now() - asked_at)
         if isinstance(reply, TokenGrant) and reply.known:
             return reply
         return None
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
@@ -2,6 +2,7 @@
 
 from jacinthmount.errors import PeerUnavailable
 from jacinthmount.records import Record
+from jacinthmount.reply_time import ReplyTime
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.relay.active_runner import ActiveRunner
@@ -13,6 +14,9 @@
 __all__ = ('RunnerLink',)
 
 SUSPECTED_S = 1.0
+MAX_WAIT_S = 0.15
+# A question through another host goes two ways.
+BY_PEER_FACTOR = 2
 
 
 class RunnerLink:
@@ -22,7 +26,7 @@
     are not.
     """
 
-    __slots__ = ('_active', '_help', '_links', '_state')
+    __slots__ = ('_active', '_help', '_links', '_reply_time', '_state')
 
     def __init__(
         self,
@@ -37,27 +41,31 @@
         self._links = links
         self._help = peer_help
         self._active = active
+        self._reply_time = ReplyTime(max_limit_s=MAX_WAIT_S)
 
-    async def ask(self, body: Record, timeout_s: float) -> Record:
-        """Asks the active runner.
+    async def ask(self, body: Record) -> Record:
+        """Asks the active runner what it can answer at once.
 
-        :raises PeerUnavailable: no way to it, or no answer in time.
+        :raises PeerUnavailable: no way to it, or no answer for longer than its
+            answers have taken lately.
         """
         runner = self._active.find()
+        limit_s = self._reply_time.limit_s()
         if runner is not None:
             try:
-                return await self._links.request_at(
-                    runner.peer_address,
-                    body,
-                    timeout_s,
-                )
+                return await self._ask_timed(runner, body, limit_s)
             except PeerUnavailable as exc:
+                self._reply_time.on_missed()
                 log_event('runner_unasked', detail=exc.detail)
                 self._state.suspected_until = self._state.now() + SUSPECTED_S
         peer = self._help.choose()
         if peer is None:
             raise PeerUnavailable(detail='no runner and no other host')
-        return await self._help.ask(peer, Forward(body=body), timeout_s * 2)
+        return await self._help.ask(
+            peer,
+            Forward(body=body),
+            limit_s * BY_PEER_FACTOR,
+        )
 
     async def ask_any(self, body: Record, timeout_s: float) -> Record:
         """Asks a runner of this data centre, or else one of another.
@@ -89,6 +97,21 @@
             timeout_s,
         )
 
+    async def _ask_timed(
+        self,
+        runner: RelayHost,
+        body: Record,
+        limit_s: float,
+    ) -> Record:
+        asked_at = self._state.now()
+        reply = await self._links.request_at(
+            runner.peer_address,
+            body,
+            limit_s,
+        )
+        self._reply_time.on_reply(self._state.now() - asked_at)
+        return reply
+
     def _pick_any(self) -> RelayHost:
         own = self._state.settings.data_centre
         runners = {one.host: one for one in self._state.runners()}
