--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -112,6 +112,7 @@
         {'name': 'gin', 'api_keys': ['k1', 'k2'], 'rate_per_s': 34},
     ],
 }
+MANY_DIGITS = '9' * 5000
 
 
 @pytest.fixture
@@ -327,6 +328,8 @@
         ('/api/lots/b?after=x', []),
         ('/api/lots/b', [('poll-wait', 'long')]),
         ('/scan/1', [('deadline-remaining', 'soon')]),
+        ('/scan/1', [('deadline-remaining', MANY_DIGITS)]),
+        (f'/api/lots/b?after={MANY_DIGITS}', []),
     ],
 )
 def test_numbers_are_checked(callers, target, rows):
@@ -476,6 +479,22 @@
     assert dict(answer.headers) == {'attempt-id': '9c41', 'server-seal': 's'}
 
 
+def test_endless_digits_of_an_engine_are_left_out():
+    """Python refuses to convert them, which no attempt may fail for."""
+    answer = PlatformEngines().parse_answer(
+        '9c41',
+        200,
+        {
+            'attempt-id': '9c41',
+            'server-load': f'1,2,{MANY_DIGITS}',
+            'keep-alive': f'timeout={MANY_DIGITS}',
+        },
+    )
+    assert answer.own
+    assert answer.load is None
+    assert answer.idle_s is None
+
+
 @pytest.mark.parametrize(
     ('status', 'headers', 'leaving'),
     [
