Give back what was counted of an event; ask without an aim as well

Found in reading the diff: bytes counted for an event that came in pieces stayed counted after it was whole, and a route that names no aim would have been given no time for its token at all. Both tests fail on the code before (the first by what the memory still counts, the second by a wait of nothing).

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -20,6 +20,8 @@
 MAX_HEADER_BYTES = 32_768
 MAX_ANSWER_BYTES = 33_554_432
 MAX_INTERIM_ANSWERS = 16
+# Less of an event is not worth counting.
+SMALL_EVENT_BYTES = 16_384
 MAX_IDLE_PER_ADDRESS = 32
 UNLIMITED_S = math.inf
 
@@ -155,9 +157,15 @@
         self._broken_off = True
         self.abort()
 
-    def let_go(self) -> None:
-        """Notes that nothing of the answer is held here any more."""
-        self._memory.release(self)
+    def hold_event(self, size: int) -> None:
+        """Notes how many bytes of an event that is not whole are held here.
+
+        :raises EndlessAnswer: see ``hold``.
+        """
+        if size > SMALL_EVENT_BYTES:
+            self.hold(size)
+        else:
+            self._memory.release(self)
 
     def reusable(self) -> bool:
         """Tells whether another exchange may follow on the connection."""
@@ -196,6 +204,7 @@
 
     async def close(self) -> None:
         """Closes the connection."""
+        self._memory.release(self)
         await self._sock.close()
 
     async def _next_event(self) -> Any:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_answers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_answers.py
@@ -9,8 +9,6 @@
 
 __all__ = ('count_endless', 'idle_limit', 'iter_events', 'parse_own')
 
-# Less than this of an event that is not whole yet is not worth counting.
-SMALL_PIECE_BYTES = 16_384
 IDLE_PART = 0.5
 IDLE_UNKNOWN_S = 1.0
 
@@ -49,8 +47,7 @@
     """
     async for received in exchange.iter_body():
         events: list[ServerEvent] = checker.feed(received)
-        if checker.pending_bytes > SMALL_PIECE_BYTES:
-            exchange.hold(checker.pending_bytes)
+        exchange.hold_event(checker.pending_bytes)
         yield events
     if not checker.is_between_events:
         raise EndpointFailed(detail='stream ended inside an event')
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_link.py
@@ -15,6 +15,8 @@
 
 SUSPECTED_S = 1.0
 MAX_WAIT_S = 0.15
+# Where whoever asks has no aim.
+UNBOUNDED_S = 10.0
 # Of the time that a question may take, for the direct way.
 DIRECT_PART = 0.5
 # A question through another host goes two ways.
@@ -48,11 +50,13 @@
     async def ask(self, body: Record, within_s: float) -> Record:
         """Asks the active runner what it can answer at once.
 
-        :param within_s: longest time that is of use to whoever asks.
+        :param within_s: longest time that is of use to whoever asks, 0 if it
+            has no aim.
         :raises PeerUnavailable: no way to it, or no answer for longer than its
             answers have taken lately.
         """
         runner = self._active.find()
+        within_s = within_s or UNBOUNDED_S
         limit_s = min(self._reply_time.limit_s(), within_s * DIRECT_PART)
         if runner is not None:
             try:
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -453,9 +453,7 @@
         memory=memory,
     )
     await exchange.send('GET', '/', [('host', 'a')], b'')
-    for piece in pieces:
-        await far.sendall(piece)
-    await far.close()
+    sending = await curio.spawn(send_pieces, far, pieces)
     numbers = []
     try:
         await exchange.read_head(framed=False)
@@ -463,11 +461,23 @@
             numbers.extend(one.number for one in events)
     except ATTEMPT_ERRORS:
         numbers = None
+    # Nothing is counted for an answer that has ended.
+    if numbers is not None:
+        assert not memory.total
     await exchange.close()
-    assert memory.total <= MAX_EVENT_BYTES
+    await sending.join()
+    assert not memory.total
     return numbers
 
 
+async def send_pieces(far, pieces):
+    """Sends all pieces, and closes."""
+    with contextlib.suppress(OSError):
+        for piece in pieces:
+            await far.sendall(piece)
+    await far.close()
+
+
 @given(
     garbage=st.binary(max_size=60)
     | st.sampled_from([
@@ -499,6 +509,14 @@
         assert counted == sorted(set(counted))
 
 
+def test_large_events_are_not_counted_once_they_are_whole():
+    """What was counted while an event came in is given back."""
+    packed = b'id: 1\ndata: %b\n\nid: 2\n\n' % (b'x' * 200_000)
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(packed)
+    pieces = [head, *(packed[at : at + 9000] for at in range(0, 200_020, 9000))]
+    assert curio.run(read_spoilt, pieces) == SOUND_EVENTS
+
+
 def test_sound_stream_is_whole():
     """The stream that the test before spoils is whole as it is."""
     assert curio.run(read_spoilt, [SOUND]) == SOUND_EVENTS
--- a/tests/test_reply_time.py
+++ b/tests/test_reply_time.py
@@ -154,6 +154,15 @@
     assert sum(network.waited_s) <= AIM_S / 2
 
 
+def test_request_without_an_aim_is_asked_for_all_the_same(network, link):
+    """A route that names no aim gives the runner time to answer."""
+    assert curio.run(link.ask, QUESTION, 0) == QUESTION
+    network.is_lost = True
+    with pytest.raises(PeerUnavailable):
+        curio.run(link.ask, QUESTION, 0)
+    assert min(network.waited_s[1:]) > REPLY_S
+
+
 def test_questions_missed_together_count_once():
     """A burst that meets a lost runner does not make later ones wait."""
     reply_time = ReplyTime(max_limit_s=MAX_WAIT_S)
