--- a/packages/jacinthmount/jacinthmount/leadership.py
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -148,13 +148,14 @@
             reaching = []
         eligible = reaching or candidates
         holders = [one.host for one in eligible if one.active]
-        if self.active and not holders:
+        rivals = self._rivals(now)
+        if self.active and not holders and not rivals:
             # Others may only not have noticed yet that the store is away.
             holders = [one.host for one in candidates if one.active]
         hosts = holders or [one.host for one in eligible]
-        rivals = self._rivals(now)
-        if rivals and not holders:
-            # Another one is active, though it can't be heard from here.
+        if rivals and not (holders and self.store_reached):
+            # Another one is active and has the store, though it can't be heard
+            # from here.
             hosts = rivals
         elif self.active:
             hosts = [*hosts, *rivals]
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -216,6 +216,17 @@
     assert not runner.decide(LATER + 0.3)
 
 
+def test_active_one_without_store_yields_to_one_that_hosts_name(runner):
+    """They are cut off from each other, and only the other has the store."""
+    named = ('r2', 'r3', 'r4', 'r5')
+    runner.decide(LATER)
+    runner.note_store(reached=False, age_s=2, now=LATER)
+    for host in named:
+        runner.active = True
+        runner.on_named('h1', make_state(host, active=True), LATER)
+        assert not runner.decide(LATER)
+
+
 def test_runner_that_the_store_answers_takes_over(runner):
     """The store turns only the active runner away."""
     lost = make_state('r2', active=True, store_reached=False)
