Count losses from logs, and log the calls to the store

The command losses counts refusals, late answers, lost attempts and preempted items by cause, and calls to the store by kind and prefix, from the logs of all hosts.

--- a/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
@@ -141,6 +141,13 @@
     files: list[str]
 
 
+@attrs.define(kw_only=True)
+class LossesCommand:
+    """Counts refused, late and lost requests and items by cause."""
+
+    files: list[str]
+
+
 @attrs.define(kw_only=True)
 class JacinthmountCommand:
     """Options that all commands share."""
@@ -324,6 +331,16 @@
                     ),
                 ],
             ),
+            cappa.Command(
+                LossesCommand,
+                name='losses',
+                help='Count what callers lost, by cause, from logs.',
+                arguments=[
+                    positionals(
+                        'files', 'Log files; standard input if none is given.'
+                    ),
+                ],
+            ),
         ),
     ],
 )
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
@@ -27,6 +27,7 @@
 from jacinthmount_ctl import commands, porcelain
 from jacinthmount_ctl.caller import Caller
 from jacinthmount_ctl.changes import describe_change
+from jacinthmount_ctl.losses import count_losses, format_losses
 from jacinthmount_ctl.stories import build_timeline, format_timeline, iter_lines
 
 __all__ = ('main',)
@@ -303,6 +304,14 @@
     return 0
 
 
+@run.register
+def _run_losses(command: commands.LossesCommand, context: Context) -> int:
+    report = count_losses(iter_lines(command.files))
+    for line in format_losses(report):
+        context.write_line(line)
+    return 0
+
+
 @run.register
 def _run_batch(command: commands.BatchCommand, context: Context) -> int:
     if not command.front or not command.key_file:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -140,6 +140,7 @@
         self._parts: dict[str, Part] = {
             'sync': self._sync.run,
             'reports': self._reporter.run,
+            'store calls': self._store.direct.run,
         }
         rooms = None
         if settings.runs_batches:
@@ -148,7 +149,7 @@
             self._make_front()
         message_handler = MessageHandler(
             state=state,
-            store=ports.store,
+            store=self._store.direct,
             sync=self._sync,
             runner_link=self._runner_link,
             reporter=self._reporter,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
@@ -14,6 +14,7 @@
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.sockets import with_timeout
+from jacinthmount_node.relay.counted_store import CountedStore
 from jacinthmount_node.relay.messages import (
     CopyRead,
     RelayHost,
@@ -48,10 +49,10 @@
     __slots__ = (
         '_update_source_retry_at',
         '_direct_retry_at',
-        '_direct',
         '_peer_requests',
         '_state',
         'copies',
+        'direct',
         'is_unavailable',
     )
 
@@ -62,7 +63,7 @@
         state: RelayState,
         peer_requests: PeerRequests,
     ) -> None:
-        self._direct = direct
+        self.direct = CountedStore(store=direct, metrics=state.metrics)
         self._state = state
         self._peer_requests = peer_requests
         self.copies = RecentObjects(limit_bytes=COPIES_BYTES)
@@ -75,7 +76,7 @@
         """See :meth:`~jacinthmount.ports.ObjectStore.read`."""
         if not self._skips_direct():
             try:
-                return await self._call_direct(self._direct.read, name)
+                return await self._call_direct(self.direct.read, name)
             except StoreUnavailable as exc:
                 self._on_direct_failure(exc)
         for _ in range(READ_ATTEMPTS):
@@ -103,7 +104,7 @@
         if not self._skips_direct():
             try:
                 return await self._call_direct(
-                    self._direct.write,
+                    self.direct.write,
                     name,
                     body,
                     expected,
@@ -124,11 +125,11 @@
 
     async def delete(self, name: str, expected: int) -> int:
         """See :meth:`~jacinthmount.ports.ObjectStore.delete`."""
-        return await self._direct.delete(name, expected)
+        return await self.direct.delete(name, expected)
 
     async def list_names(self, prefix: str) -> Listing:
         """See :meth:`~jacinthmount.ports.ObjectStore.list_names`."""
-        return await self._direct.list_names(prefix)
+        return await self.direct.list_names(prefix)
 
     async def watch(
         self,
@@ -137,7 +138,7 @@
         wait_s: float,
     ) -> list[Stored]:
         """See :meth:`~jacinthmount.ports.ObjectStore.watch`."""
-        return await self._direct.watch(prefix, after, wait_s)
+        return await self.direct.watch(prefix, after, wait_s)
 
     async def watch_page(
         self,
@@ -146,7 +147,7 @@
         wait_s: float,
     ) -> Listing:
         """See :meth:`~jacinthmount.ports.ObjectStore.watch_page`."""
-        return await self._direct.watch_page(prefix, after, wait_s)
+        return await self.direct.watch_page(prefix, after, wait_s)
 
     async def _read_cached(self, name: str) -> Stored | None:
         stored = self.copies.find(name)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -185,6 +185,7 @@
         endpoint=online.endpoint_id,
         waited_s=round(online.waited_s, 3),
         first_s=round(online.answered_at - online.arrived_at, 3),
+        target_s=online.route.target_s,
         took_s=round(took_s, 3),
     )
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -275,6 +275,7 @@
                 endpoint=endpoint_id,
                 events=len(run.texts),
                 online=self._capacity.online(endpoint_id),
+                ran_s=round(self._state.now() - run.started_at, 3),
             )
             # Frees the slot at once, before the task has ended.
             self._capacity.end(run)
