Send the load of endpoints as bytes, and fewer reports

Cause: each reply to a report named all endpoints; a front decoded three lists of 89 fields for each. A request that the runner placed is no longer reported at its start, since the runner has counted it. Hosts of this version can't read the replies of earlier ones.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -84,15 +84,16 @@
 class EndpointViews(Record):
     """Requests in flight by endpoint, from hosts other than the recipient.
 
-    The lists are parallel, with one entry for each endpoint. Lists are used
-    because every reply holds all endpoints.
+    ``online`` and ``batch`` hold one byte for each endpoint, in the order of
+    their ids; ``digest`` is that of the ids. A host that knows other endpoints
+    has to ignore the counts.
     """
 
-    __slots__ = ('endpoint_ids', 'online', 'batch')
+    __slots__ = ('digest', 'online', 'batch')
 
-    endpoint_ids: list[str]
-    online: list[int]
-    batch: list[int]
+    digest: int
+    online: bytes
+    batch: bytes
 
 
 class HostReportReply(Record):
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -99,7 +99,7 @@
             call.endpoint_id = use.entry.endpoint_id
             call.waited_s = started_at - call.arrived_at
             try:
-                await self._reporter.note_change()
+                await self._report_start(call)
                 self._recheck_key(call)
                 stage = await self._attempt(call, use, responder)
                 if stage is not None:
@@ -113,6 +113,11 @@
             call.assigned_id = ''
             call.service = call.route.pick_service(self._state.rng)
 
+    async def _report_start(self, call: OnlineCall) -> None:
+        # The runner has counted the requests that it placed.
+        if call.endpoint_id != call.assigned_id:
+            await self._reporter.note_change()
+
     def _abort_unresponsive(self, now: float) -> None:
         # Another endpoint may still answer the request in time.
         for call, (use, exchange) in list(self._running.items()):
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -249,8 +249,11 @@
             await self._apply_reply(peer.peer_address, reply, shares)
 
     def _apply_views(self, views: EndpointViews, now: float) -> None:
+        known = self._state.endpoints.ids()
+        if known.digest != views.digest:
+            return
         counts = zip(
-            views.endpoint_ids,
+            known.ids,
             views.online,
             views.batch,
             strict=True,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_capacity.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_capacity.py
@@ -20,6 +20,8 @@
 COMPARED_ENDPOINTS = 64
 # Weight of one sample in the moving average; there are ten samples a second.
 CAPACITY_WEIGHT = 0.02
+# Largest count that is sent to hosts.
+MAX_COUNT = 255
 
 
 class RunnerCapacity:
@@ -94,11 +96,17 @@
 
         :param host: the host whose online requests are left out.
         """
-        ids = [entry.endpoint_id for entry in self._state.endpoints.entries()]
+        known = self._state.endpoints.ids()
         return EndpointViews(
-            endpoint_ids=ids,
-            online=[self._load.elsewhere(host, each_id) for each_id in ids],
-            batch=[len(self._running.get(each_id, ())) for each_id in ids],
+            digest=known.digest,
+            online=bytes(
+                min(MAX_COUNT, self._load.elsewhere(host, each_id))
+                for each_id in known.ids
+            ),
+            batch=bytes(
+                min(MAX_COUNT, len(self._running.get(each_id, ())))
+                for each_id in known.ids
+            ),
         )
 
     def reporting_hosts(self) -> int:
--- a/packages/jacinthmount/jacinthmount/endpoint_table.py
+++ b/packages/jacinthmount/jacinthmount/endpoint_table.py
@@ -1,8 +1,10 @@
 """Registered endpoints, kept in use during an outage of the store."""
 
+import xxhash
+
 from jacinthmount.records import Record, replaced
 
-__all__ = ('EndpointEntry', 'EndpointTable', 'LeavingEndpoint')
+__all__ = ('EndpointEntry', 'EndpointIds', 'EndpointTable', 'LeavingEndpoint')
 
 # Time for endpoints to renew their registration after an outage of the store.
 LAPSE_GRACE_S = 2.2
@@ -62,6 +64,7 @@
     __slots__ = (
         '_store_recovered_at',
         '_entries',
+        '_ids',
         '_lapsed',
         '_leaving',
         '_revisions',
@@ -69,6 +72,7 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, EndpointEntry] = {}
+        self._ids: EndpointIds | None = None
         self._revisions: dict[str, int] = {}
         self._lapsed: set[str] = set()
         # A dict used as an ordered set: the oldest entries are dropped first.
@@ -91,6 +95,7 @@
         if _start_of(entry) in self._leaving:
             entry = replaced(entry, leaving=True)
         self._entries[entry.endpoint_id] = entry
+        self._ids = None
         self._lapsed.discard(entry.endpoint_id)
 
     def remove(self, endpoint_id: str, revision: int, now: float) -> None:
@@ -102,6 +107,7 @@
             self._lapsed.add(endpoint_id)
             return
         self._entries.pop(endpoint_id, None)
+        self._ids = None
         self._lapsed.discard(endpoint_id)
 
     def note_leaving(self, leaving: LeavingEndpoint) -> bool:
@@ -136,6 +142,7 @@
             return False
         for endpoint_id in self._lapsed:
             self._entries.pop(endpoint_id, None)
+        self._ids = None
         self._lapsed.clear()
         return True
 
@@ -151,11 +158,30 @@
         """Lists all known endpoints."""
         return list(self._entries.values())
 
+    def ids(self) -> 'EndpointIds':
+        """Returns the ids of all known endpoints."""
+        if self._ids is None:
+            self._ids = EndpointIds(ids=sorted(self._entries))
+        return self._ids
+
     def find(self, endpoint_id: str) -> EndpointEntry | None:
         """Finds an endpoint by id."""
         return self._entries.get(endpoint_id)
 
 
+class EndpointIds:
+    """Sorted ids of endpoints, with a digest that hosts compare.
+
+    Counts of all endpoints are sent in the order of the ids, without them.
+    """
+
+    __slots__ = ('digest', 'ids')
+
+    def __init__(self, *, ids: list[str]) -> None:
+        self.ids = ids
+        self.digest = xxhash.xxh32_intdigest('\n'.join(ids).encode())
+
+
 def _start_of(entry: EndpointEntry) -> LeavingEndpoint:
     return LeavingEndpoint(
         endpoint_id=entry.endpoint_id,
--- a/tests/test_host_reports.py
+++ b/tests/test_host_reports.py
@@ -5,6 +5,7 @@
 
 import curio
 import pytest
+from jacinthmount.endpoint_table import EndpointIds
 from jacinthmount.errors import PeerUnavailable
 from jacinthmount.held_shares import HeldShares
 from jacinthmount.leadership import RunnerState
@@ -14,6 +15,7 @@
 from jacinthmount_node.relay.batch_api import BatchApi
 from jacinthmount_node.relay.messages import (
     CreditAsk,
+    EndpointViews,
     HostReportReply,
     RelayHost,
     SegmentCount,
@@ -24,7 +26,7 @@
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.tracked_links import TrackedLinks
 
-from tests.relay_builders import make_relay_settings
+from tests.relay_builders import make_entry, make_relay_settings
 
 RUNNERS = ('s1', 's2', 's3')
 
@@ -179,6 +181,24 @@
     assert len(front.runners.requests) == 20
 
 
+@pytest.mark.parametrize(('known', 'counted'), [(2, [3, 4]), (3, [0, 0, 0])])
+def test_counts_are_used_only_for_the_same_endpoints(known, counted):
+    """Counts come without ids, in the order that both hosts have."""
+    front = Front(1)
+    endpoints = front.state.endpoints
+    for number in range(known):
+        endpoints.put(make_entry(f'e{number}'), 1)
+    front.state.placement('model-a')
+    views = EndpointViews(
+        digest=EndpointIds(ids=['e0', 'e1']).digest,
+        online=bytes((3, 4)),
+        batch=bytes((0, 1)),
+    )
+    front.reporter._apply_views(views, front.state.now())
+    uses = front.state.placement('model-a').uses()
+    assert [use.online_from_others for use in uses] == counted
+
+
 def make_state(fronts, clock):
     """Builds the state of a front in a fleet."""
     state = RelayState(
