--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -25,7 +25,7 @@
     BatchAdmission,
     BatchAdmissionReply,
 )
-from jacinthmount_node.relay.object_watch import ObjectWatch
+from jacinthmount_node.relay.object_watch import ObjectWatch, WatchDelays
 from jacinthmount_node.relay.progress_log import ProgressLog
 from jacinthmount_node.relay.result_writer import ResultWriter
 from jacinthmount_node.relay.run_scheduler import RunScheduler
@@ -40,6 +40,9 @@
 # flight.
 NO_CONTENDER_S = 2.0
 LOAD_RETRY_S = 0.3
+# Time for which new batches are collected into one answer of the store.
+COALESCE_S = 0.25
+STANDBY_COALESCE_S = 1.5
 MS = 1000
 # Less than another runner needs to take over and write.
 STORE_ANSWER_VALID_S = 1.0
@@ -114,6 +117,7 @@
             prefix=BATCH_PREFIX,
             on_change=self._on_manifests,
             rng=state.rng,
+            make_delays=self._make_delays,
         )
 
     async def run(self) -> None:
@@ -198,6 +202,12 @@
         for job in self._jobs.values():
             job.is_shared = True
 
+    def _make_delays(self) -> WatchDelays:
+        active = self._state.leadership.active
+        return WatchDelays(
+            coalesce_s=COALESCE_S if active else STANDBY_COALESCE_S,
+        )
+
     async def _on_manifests(
         self,
         watch: ObjectWatch,
@@ -356,6 +366,8 @@
         if active:
             self._capacity.delay_batch()
             await self._announce()
+            # The watch of a standby may be behind.
+            await self._watch.refresh()
             await self._progress.read()
             self.mark_logs_shared()
             for stored in self._watch.objects():
--- a/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
@@ -27,6 +27,7 @@
     SegmentAsk,
     SegmentCount,
     SnapshotAsk,
+    StoreFailed,
     StoreFound,
     StoreRead,
     StoreWrite,
@@ -203,6 +204,8 @@
 async def _(
     body: StoreRead | StoreWrite, handler: MessageHandler
 ) -> Record | None:
+    if handler.sync.in_outage:
+        return StoreFailed(refused=True)
     return await answer_store_call(handler.store, body)
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -135,14 +135,19 @@
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
+        await self._relist_until_done()
         while True:
-            await self._relist_until_done()
             try:
                 await self._follow()
             except HistoryGone:
                 log_event('history_gone', prefix=self.prefix)
             except StoreUnavailable as exc:
                 self._note_outage(exc)
+            else:
+                # The owner lists the prefix, or finds an update source.
+                await self._wait_for_recovery()
+                continue
+            await self._relist_until_done()
 
     async def refresh(self) -> None:
         """Lists the prefix once, independently of a pending watch call."""
@@ -158,6 +163,12 @@
         except TimeoutError as exc:
             self._note_outage(StoreUnavailable(detail=str(exc)))
 
+    def end_outage(self) -> None:
+        """Records that the store is available, without a call to it."""
+        if self.in_outage:
+            log_event('store_reached', prefix=self.prefix)
+        self.in_outage = False
+
     async def apply_snapshot(self, snapshot: PrefixSnapshot) -> None:
         """Applies the state of another host if it is newer."""
         if snapshot.revision > self.revision:
@@ -220,7 +231,7 @@
         sent_at = await curio.clock()
         listing = await self._store.list_names(self.prefix)
         self.last_reply_at = sent_at
-        self._note_recovery()
+        self.end_outage()
         names = {stored.name for stored in listing.objects}
         if listing.revision >= self.revision:
             await self._apply_state(listing.objects, names, listing.revision)
@@ -268,11 +279,6 @@
             log_event('store_lost', prefix=self.prefix, detail=exc.detail)
         self.in_outage = True
 
-    def _note_recovery(self) -> None:
-        if self.in_outage:
-            log_event('store_reached', prefix=self.prefix)
-        self.in_outage = False
-
 
 def _never_has_update_source() -> bool:
     """Default of watches that have no update source."""
--- a/packages/jacinthmount-node/jacinthmount_node/relay/store_probe.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/store_probe.py
@@ -66,14 +66,20 @@
                 await self.probe()
 
     async def _check_recovery(self) -> None:
-        if self._first.in_outage:
-            await self._first.refresh()
-        if self._first.in_outage:
-            await self._pause()
+        runs_batches = self._state.settings.runs_batches
+        if not runs_batches and self._state.find_update_source():
+            # A runner reaches the store and sends its changes.
+            for watch in self._watches():
+                watch.end_outage()
             return
-        for watch in self._others:
+        # A pending watch call may hide the outage from some of the watches, so
+        # any of them shows whether the store answers again.
+        for watch in self._watches():
             if watch.in_outage:
                 await watch.refresh()
+            if watch.in_outage:
+                await self._pause()
+                return
 
     async def _pause(self) -> None:
         # Spreads the retries of hundreds of hosts on an unavailable store.
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -33,7 +33,11 @@
 COALESCE_HOSTS_S = 0.5
 COALESCE_S = 0.1
 OUTAGE_CHECK_S = 0.1
+# A host that has just started waits this long for an active runner, which sends
+# it updates, before it watches the store.
+START_GRACE_S = 2.0
 REGISTER_RETRY_S = 0.5
+REGISTER_RETRY_MAX_S = 2.0
 
 
 class FleetDecoder(Protocol):
@@ -54,6 +58,7 @@
 
     __slots__ = (
         '_snapshot_requested',
+        '_started_at',
         '_config_watch',
         '_decoder',
         '_endpoint_watch',
@@ -82,6 +87,7 @@
         self._decoder = decoder
         self._on_config = on_config
         self._snapshot_requested = False
+        self._started_at = state.now()
         cfg = state.settings
         config_prefix = cfg.config_object.partition('/')[0]
         self._config_watch = self._make_watch(
@@ -204,8 +210,12 @@
         if self._state.settings.runs_batches:
             # Runners have to discover each other without delay.
             return WatchDelays(coalesce_s=min(coalesce_s, COALESCE_S))
+        just_started = self._state.now() - self._started_at < START_GRACE_S
+        pace = self._state.pace
         return WatchDelays(
-            update_grace_s=self._state.pace.update_grace_s,
+            update_grace_s=(
+                START_GRACE_S if just_started else pace.update_grace_s
+            ),
             coalesce_s=coalesce_s,
         )
 
@@ -310,13 +320,23 @@
             peer_address=cfg.peer_listen,
             runs_batches=cfg.runs_batches,
         )
+        pause_s = REGISTER_RETRY_S
         while True:
             known = self._state.hosts.get(cfg.host)
             if known != record and not self._state.leaving:
-                await self._register(serialize_json(record))
-            await curio.sleep(REGISTER_RETRY_S)
+                done = await self._register(serialize_json(record))
+                pause_s = (
+                    REGISTER_RETRY_S
+                    if done
+                    else min(REGISTER_RETRY_MAX_S, pause_s * 2)
+                )
+            await curio.sleep(pause_s)
+
+    async def _register(self, body: str) -> bool:
+        """Writes the registration of this host.
 
-    async def _register(self, body: str) -> None:
+        :returns: false if the store did not answer.
+        """
         name = f'{HOST_PREFIX}{self._state.host}'
         store = self._state.store
         known = {one.name: one for one in self._host_watch.objects()}
@@ -327,6 +347,8 @@
             log_event('register_raced', name=name)
         except StoreUnavailable as exc:
             log_event('register_failed', detail=exc.detail)
+            return False
+        return True
 
     async def _run_peer_requests(self) -> None:
         while True:
--- a/packages/jacinthmount/jacinthmount/report_pace.py
+++ b/packages/jacinthmount/jacinthmount/report_pace.py
@@ -12,8 +12,12 @@
 ACTIVE_REPORTS_PER_S = 300
 STANDBY_REPORTS_PER_S = 50
 CHANGE_REPORTS_PER_S = 1400
-STORE_CALLS_PER_S = 100
+STORE_CALLS_PER_S = 25
 MIN_STORE_RETRY_S = 0.5
+MAX_STORE_RETRY_S = 6.0
+# Hosts that watch the store themselves for each second that they wait before.
+GRACE_HOSTS_PER_S = 60
+MAX_GRACE_S = 1.0
 STANDBY_HOSTS_PER_S = 100
 STANDBY_START_S = 0.5
 UPDATE_MARGIN_S = 0.7
@@ -65,12 +69,14 @@
     @property
     def update_grace_s(self) -> float:
         """Time without a source of updates before a host queries the store."""
-        return self.standby_updates_s
+        waited_s = min(MAX_GRACE_S, self._hosts / GRACE_HOSTS_PER_S)
+        return max(self.standby_updates_s, waited_s)
 
     @property
     def store_retry_s(self) -> float:
         """Longest pause before a host retries a store that was unavailable."""
-        return max(MIN_STORE_RETRY_S, 2 * self._hosts / STORE_CALLS_PER_S)
+        spread_s = 2 * self._hosts / STORE_CALLS_PER_S
+        return min(MAX_STORE_RETRY_S, max(MIN_STORE_RETRY_S, spread_s))
 
     @property
     def active_valid_s(self) -> float:
--- a/tests/test_relay_sync.py
+++ b/tests/test_relay_sync.py
@@ -11,7 +11,7 @@
 from jacinthmount_node.relay.messages import Snapshot
 from jacinthmount_node.relay.object_watch import PrefixSnapshot
 from jacinthmount_node.relay.state import RelayState
-from jacinthmount_node.relay.sync import RelaySync
+from jacinthmount_node.relay.sync import START_GRACE_S, RelaySync
 
 from tests.relay_builders import make_config, make_relay_settings
 
@@ -19,14 +19,17 @@
 class _Store(MemoryStore):
     """A store that replies until it is cut off."""
 
-    __slots__ = ('cut_off',)
+    __slots__ = ('cut_off', 'listed', 'watched')
 
     def __init__(self):
         super().__init__()
         self.cut_off = False
+        self.listed = 0
+        self.watched = 0
 
     async def list_names(self, prefix):
         """Lists the prefix, or hangs if the store is cut off."""
+        self.listed += 1
         if self.cut_off:
             await curio.sleep(60)
         return await super().list_names(prefix)
@@ -39,6 +42,7 @@
 
     async def watch(self, prefix, after, wait_s):
         """Returns no changes, like a watch whose connection was cut."""
+        self.watched += 1
         await curio.sleep(60)
         return []
 
@@ -165,3 +169,60 @@
             Stored(name=name, version=revision, body='{}') for name in names
         ],
     )
+
+
+def test_recovered_runner_spares_the_store_a_listing_by_each_host():
+    """Guards against four calls by each of sixty hosts after an outage."""
+    store = _Store()
+    state, sync = make_sync(store)
+
+    async def play():
+        task = await curio.spawn(sync.run, daemon=True)
+        await wait_until(lambda: not sync.in_outage)
+        await curio.sleep(0.1)
+        for watch in sync._watches():
+            watch.in_outage = True
+        listed = store.listed
+        state.note_update_source('s1:1', by_active=True)
+        state._source_reply_at += 60
+        ended = await wait_until(lambda: not sync.in_outage)
+        await task.cancel()
+        return ended, store.listed - listed
+
+    assert curio.run(play) == (True, 0)
+
+
+def test_runner_lists_the_store_after_an_outage_itself():
+    """Other hosts rely on what it has."""
+    store = _Store()
+    state, sync = make_sync(store, runs_batches=True)
+
+    async def play():
+        task = await curio.spawn(sync.run, daemon=True)
+        await wait_until(lambda: not sync.in_outage)
+        await curio.sleep(0.1)
+        for watch in sync._watches():
+            watch.in_outage = True
+        listed = store.listed
+        state.note_update_source('s1:1', by_active=True)
+        ended = await wait_until(lambda: not sync.in_outage)
+        await task.cancel()
+        return ended and store.listed > listed
+
+    assert curio.run(play)
+
+
+def test_started_host_waits_for_a_runner_before_it_watches():
+    """Guards against watches by all hosts of a fleet that starts together."""
+    store = _Store()
+    _, sync = make_sync(store)
+
+    async def play():
+        task = await curio.spawn(sync.run, daemon=True)
+        await curio.sleep(START_GRACE_S / 2)
+        early = store.watched
+        watched = await wait_until(lambda: store.watched == 4)
+        await task.cancel()
+        return early, watched
+
+    assert curio.run(play) == (0, True)
