--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -117,7 +117,7 @@
             prefix=BATCH_PREFIX,
             on_change=self._on_manifests,
             rng=state.rng,
-            make_delays=self._make_delays,
+            make_delays=lambda: _make_delays(state),
         )
 
     async def run(self) -> None:
@@ -202,12 +202,6 @@
         for job in self._jobs.values():
             job.is_shared = True
 
-    def _make_delays(self) -> WatchDelays:
-        active = self._state.leadership.active
-        return WatchDelays(
-            coalesce_s=COALESCE_S if active else STANDBY_COALESCE_S,
-        )
-
     async def _on_manifests(
         self,
         watch: ObjectWatch,
@@ -396,3 +390,8 @@
             return False
         found = self._state.config.find_route_named(job.manifest.route)
         return found is None
+
+
+def _make_delays(state: RelayState) -> WatchDelays:
+    active = state.leadership.active
+    return WatchDelays(coalesce_s=COALESCE_S if active else STANDBY_COALESCE_S)
