Keep finished items in the stored progress until their results are written

Cause: results wait up to a second to share a segment, and longer while the store is away.

The progress object, which was there already, holds them too. A test fails without it.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -21,10 +21,12 @@
 from jacinthmount.ports import ABSENT, ObjectStore, Stored
 from jacinthmount.recent_objects import RecentObjects
 from jacinthmount.records import parse_json, serialize_json
+from jacinthmount.run_progress import ItemProgress
 from jacinthmount.stores import new_write_id, write_with_retry
 
 __all__ = (
     'BatchJob',
+    'list_finished',
     'list_unfinished',
     'read_items',
     'read_log',
@@ -155,6 +157,23 @@
     return [run for job in jobs for run in job.runs.values()]
 
 
+def list_finished(jobs: Iterable[BatchJob]) -> list[ItemProgress]:
+    """Lists the completed items of jobs whose results wait to be written."""
+    return [
+        ItemProgress(
+            batch=job.key,
+            item_id=result.item_id,
+            last_event=None,
+            failures=0,
+            texts=[result.text],
+            finished=True,
+        )
+        for job in jobs
+        for result in job.pending
+        if result.completed
+    ]
+
+
 async def read_items(
     store: ObjectStore,
     key: str,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -16,6 +16,7 @@
 from jacinthmount_node.relay.batch_cleanup import run_cleanup
 from jacinthmount_node.relay.batch_jobs import (
     BatchJob,
+    list_finished,
     list_unfinished,
     read_open_items,
 )
@@ -111,6 +112,7 @@
             store=state.store,
             host=state.host,
             find_runs=lambda: list_unfinished(self._jobs.values()),
+            find_finished=lambda: list_finished(self._jobs.values()),
         )
         self._watch = ObjectWatch(
             store=state.store,
@@ -255,7 +257,10 @@
         runs = job.fill(items, self._state.now() + due_in_s)
         adopted = self._progress.adopt(job.key, job.runs)
         for run in runs:
-            self._scheduler.add(run)
+            if run.is_finished:
+                await self._finish(job, run, completed=True)
+            else:
+                self._scheduler.add(run)
         log_event(
             'batch_open',
             batch=job.manifest.batch_id,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/progress_log.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/progress_log.py
@@ -13,6 +13,7 @@
 from jacinthmount.records import parse_json, serialize_json
 from jacinthmount.run_progress import (
     PROGRESS_PREFIX,
+    ItemProgress,
     RunnerProgress,
     adopt_progress,
     make_progress,
@@ -35,10 +36,12 @@
     only means that work is repeated.
 
     :param find_runs: lists the unfinished items of an active runner.
+    :param find_finished: lists the items whose results are not written yet.
     """
 
     __slots__ = (
-        '_written_events',
+        '_written',
+        '_find_finished',
         '_find_runs',
         '_loaded',
         '_name',
@@ -52,20 +55,22 @@
         store: ObjectStore,
         host: str,
         find_runs: Callable[[], list[ItemRun]],
+        find_finished: Callable[[], list[ItemProgress]],
     ) -> None:
         self._store = store
         self._name = progress_name(host)
         self._find_runs = find_runs
+        self._find_finished = find_finished
         self._version = ABSENT
-        self._written_events = 0
+        # Number of events and of finished items in the last write.
+        self._written = (0, 0)
         self._loaded: list[RunnerProgress] = []
 
     async def run(self) -> None:
         """Writes the progress at intervals, if it has changed."""
         while True:
             await curio.sleep(CHECK_INTERVAL_S)
-            runs = self._find_runs()
-            if _count_events(runs) != self._written_events:
+            if self._count() != self._written:
                 await curio.sleep(await self.write())
 
     async def write(self) -> float:
@@ -73,9 +78,10 @@
 
         :returns: seconds to wait before the next write.
         """
-        runs = self._find_runs()
-        progress = make_progress(runs, new_write_id())
-        events = _count_events(runs)
+        progress = make_progress(
+            self._find_runs(), self._find_finished(), new_write_id()
+        )
+        count = self._count()
         try:
             self._version = await self._store.write(
                 self._name,
@@ -89,7 +95,7 @@
         except StoreUnavailable as exc:
             log_event('progress_unwritten', detail=exc.detail)
         else:
-            self._written_events = events
+            self._written = count
         return write_interval_s(progress)
 
     async def read(self) -> None:
@@ -117,6 +123,6 @@
         """
         return adopt_progress(runs, batch, self._loaded)
 
-
-def _count_events(runs: list[ItemRun]) -> int:
-    return sum(len(run.texts) for run in runs)
+    def _count(self) -> tuple[int, int]:
+        events = sum(len(run.texts) for run in self._find_runs())
+        return events, len(self._find_finished())
--- a/packages/jacinthmount/jacinthmount/batch_order.py
+++ b/packages/jacinthmount/jacinthmount/batch_order.py
@@ -38,6 +38,7 @@
         'headers',
         'last_seen_at',
         'host_name',
+        'is_finished',
         'item_id',
         'last_event',
         'path',
@@ -81,6 +82,8 @@
         self.texts: list[str] = []
         self.last_event: int | None = None
         self.failures = 0
+        # The events are complete, but the result is not in the log yet.
+        self.is_finished = False
         self.starts = 0
         self.started_at = 0.0
         self.last_seen_at = 0.0
--- a/packages/jacinthmount/jacinthmount/run_progress.py
+++ b/packages/jacinthmount/jacinthmount/run_progress.py
@@ -1,12 +1,13 @@
-"""Stored events of unfinished batch items, for another runner to resume.
+"""Stored events of batch items without a result, for another runner to resume.
 
 Without them all running items would restart and miss their deadlines after a
 loss of the active runner, or of power everywhere, under full load. The stored
 events may be older than the received ones; then a run repeats the difference,
-with the same results.
+with the same results. Items whose results wait to be written need no run.
 """
 
 from collections.abc import Iterable
+from itertools import chain
 
 from jacinthmount.batch_order import ItemRun
 from jacinthmount.records import Record
@@ -33,15 +34,24 @@
 
     ``batch`` is the key of its batch, ``last_event`` the number of the last
     event, and ``failures`` the number of failures that endpoints reported.
+    ``finished`` means that the events are complete.
     """
 
-    __slots__ = ('batch', 'item_id', 'last_event', 'failures', 'texts')
+    __slots__ = (
+        'batch',
+        'item_id',
+        'last_event',
+        'failures',
+        'texts',
+        'finished',
+    )
 
     batch: str
     item_id: str
     last_event: int | None
     failures: int
     texts: list[str]
+    finished: bool
 
 
 class RunnerProgress(Record):
@@ -58,28 +68,26 @@
     return f'{PROGRESS_PREFIX}{host}'
 
 
-def make_progress(runs: Iterable[ItemRun], write_id: str) -> RunnerProgress:
-    """Creates the progress of runs, those with most events first.
+def make_progress(
+    runs: Iterable[ItemRun],
+    finished: Iterable[ItemProgress],
+    write_id: str,
+) -> RunnerProgress:
+    """Creates the progress of a runner.
 
-    Runs that do not fit into ``MAX_CHARS`` are left out.
+    :param runs: unfinished items; those with most events come first.
+    :param finished: items whose results wait to be written; they come before
+        the others. What does not fit into ``MAX_CHARS`` is left out.
     """
     started = [run for run in runs if run.texts or run.failures]
     started.sort(key=lambda run: -len(run.texts))
     items = []
     chars = 0
-    for run in started:
-        chars += _count_chars(run.texts)
+    for item in chain(finished, map(_make_item, started)):
+        chars += _count_chars(item.texts)
         if chars > MAX_CHARS:
             break
-        items.append(
-            ItemProgress(
-                batch=run.batch,
-                item_id=run.item_id,
-                last_event=run.last_event,
-                failures=run.failures,
-                texts=list(run.texts),
-            ),
-        )
+        items.append(item)
     return RunnerProgress(write_id=write_id, items=items)
 
 
@@ -108,14 +116,28 @@
     return max(MIN_INTERVAL_S, chars / CHARS_PER_S)
 
 
+def _make_item(run: ItemRun) -> ItemProgress:
+    return ItemProgress(
+        batch=run.batch,
+        item_id=run.item_id,
+        last_event=run.last_event,
+        failures=run.failures,
+        texts=list(run.texts),
+        finished=False,
+    )
+
+
 def _adopt_item(run: ItemRun, item: ItemProgress) -> int:
     run.failures = max(run.failures, item.failures)
     gained = len(item.texts) - len(run.texts)
-    if run.starts or gained <= 0:
+    if run.starts or run.is_finished:
+        return 0
+    if gained <= 0 and not item.finished:
         return 0
     run.texts = list(item.texts)
     run.last_event = item.last_event
-    return gained
+    run.is_finished = item.finished
+    return max(0, gained)
 
 
 def _count_chars(texts: list[str]) -> int:
--- a/tests/test_run_progress.py
+++ b/tests/test_run_progress.py
@@ -9,6 +9,7 @@
     CHARS_PER_S,
     MAX_CHARS,
     MIN_INTERVAL_S,
+    ItemProgress,
     RunnerProgress,
     adopt_progress,
     make_progress,
@@ -49,6 +50,18 @@
     return run
 
 
+def make_finished(item_id, text):
+    """Builds an item whose result waits to be written."""
+    return ItemProgress(
+        batch='b',
+        item_id=item_id,
+        last_event=None,
+        failures=0,
+        texts=[text],
+        finished=True,
+    )
+
+
 @pytest.fixture
 def loaded_runs():
     """Two items of a batch as another runner loads them."""
@@ -63,12 +76,17 @@
 
 def make_log(store, runs, host='s1'):
     """Builds the log of a runner with the items it works on."""
-    return ProgressLog(store=store, host=host, find_runs=lambda: runs)
+    return ProgressLog(
+        store=store,
+        host=host,
+        find_runs=lambda: runs,
+        find_finished=list,
+    )
 
 
 def test_run_resumes_after_the_stored_events(loaded_runs):
     """The run has the stored events and resumes after the last one."""
-    kept = make_progress([make_begun('i1', 3)], 'w')
+    kept = make_progress([make_begun('i1', 3)], [], 'w')
     assert adopt_progress(loaded_runs, 'b', [kept]) == 3
     assert loaded_runs['i1'].texts == ['i1 1', 'i1 2', 'i1 3']
     assert loaded_runs['i1'].last_event == 3
@@ -77,22 +95,42 @@
 
 def test_longest_progress_is_used(loaded_runs):
     """Two runners may have run the item, one after the other."""
-    older = make_progress([make_begun('i1', 2)], 'w')
-    newer = make_progress([make_begun('i1', 5)], 'w')
+    older = make_progress([make_begun('i1', 2)], [], 'w')
+    newer = make_progress([make_begun('i1', 5)], [], 'w')
     adopt_progress(loaded_runs, 'b', [newer, older])
     assert loaded_runs['i1'].last_event == 5
 
 
+@pytest.mark.parametrize('finished_first', [True, False])
+def test_finished_item_needs_no_run(loaded_runs, finished_first):
+    """Its result waited to be written as the earlier runner was lost."""
+    finished = make_progress([], [make_finished('i1', 'whole text')], 'w')
+    partial = make_progress([make_begun('i1', 3)], [], 'w')
+    stored = [finished, partial] if finished_first else [partial, finished]
+    adopt_progress(loaded_runs, 'b', stored)
+    assert loaded_runs['i1'].is_finished
+    assert loaded_runs['i1'].texts == ['whole text']
+    assert not loaded_runs['i2'].is_finished
+
+
+def test_finished_items_come_before_the_others():
+    """A repeated run costs more than the rest of one."""
+    long = make_begun('i1', 3)
+    long.texts = ['x' * MAX_CHARS]
+    kept = make_progress([long], [make_finished('i2', 'whole')], 'w')
+    assert [item.item_id for item in kept.items] == ['i2']
+
+
 def test_item_of_another_batch_is_ignored(loaded_runs):
     """Item ids are only unique within a batch."""
-    kept = make_progress([make_begun('i1', 3, batch='other')], 'w')
+    kept = make_progress([make_begun('i1', 3, batch='other')], [], 'w')
     assert not adopt_progress(loaded_runs, 'b', [kept])
 
 
 def test_started_run_is_not_changed(loaded_runs):
     """A run that has started gets its events from its own stream."""
     loaded_runs['i1'].starts = 1
-    kept = make_progress([make_begun('i1', 3)], 'w')
+    kept = make_progress([make_begun('i1', 3)], [], 'w')
     adopt_progress(loaded_runs, 'b', [kept])
     assert not loaded_runs['i1'].texts
 
@@ -101,7 +139,7 @@
     """Each runner continues to count the attempts of a failing item."""
     failed = make_run('i1')
     failed.failures = 2
-    adopt_progress(loaded_runs, 'b', [make_progress([failed], 'w')])
+    adopt_progress(loaded_runs, 'b', [make_progress([failed], [], 'w')])
     assert loaded_runs['i1'].failures == 2
 
 
@@ -112,17 +150,17 @@
     big.texts = [part, part, part]
     more = make_run('more')
     more.texts = [part + part, part + part]
-    progress = make_progress([more, big, make_run('new')], 'w')
+    progress = make_progress([more, big, make_run('new')], [], 'w')
     assert [one.item_id for one in progress.items] == ['big']
 
 
 def test_large_progress_is_written_less_often():
     """The bytes per second stay about the same."""
-    small = make_progress([make_begun('i1', 3)], 'w')
+    small = make_progress([make_begun('i1', 3)], [], 'w')
     big = make_run('big')
     big.texts = ['x' * (MAX_CHARS - 1)]
     assert write_interval_s(small) == pytest.approx(MIN_INTERVAL_S)
-    large_s = write_interval_s(make_progress([big], 'w'))
+    large_s = write_interval_s(make_progress([big], [], 'w'))
     assert large_s * CHARS_PER_S >= MAX_CHARS - 1
 
 
@@ -159,7 +197,7 @@
 def test_unreadable_object_is_ignored(store, loaded_runs):
     """An object of another version only causes repeated work."""
     curio.run(store.write, progress_name('s3'), '{"x": 1}', ABSENT)
-    kept = serialize_json(make_progress([make_begun('i2', 2)], 'w'))
+    kept = serialize_json(make_progress([make_begun('i2', 2)], [], 'w'))
     curio.run(store.write, progress_name('s2'), kept, ABSENT)
     log = make_log(store, [])
     curio.run(log.read)
--- a/tests/test_runner_takeover.py
+++ b/tests/test_runner_takeover.py
@@ -15,6 +15,11 @@
 from jacinthmount.ports import ABSENT
 from jacinthmount.recent_objects import RecentObjects
 from jacinthmount.records import serialize_json
+from jacinthmount.run_progress import (
+    ItemProgress,
+    make_progress,
+    progress_name,
+)
 from jacinthmount.stores import MemoryStore
 from jacinthmount_node.relay.batch_jobs import write_results
 from jacinthmount_node.relay.batch_runner import (
@@ -139,6 +144,36 @@
     assert later == {KEY: 2}
 
 
+def test_successor_writes_the_results_that_its_predecessor_kept(successor):
+    """Items that had ended there are not run again.
+
+    Guards against whole runs that were repeated, since results wait about a
+    second until they are written.
+    """
+    finished = ItemProgress(
+        batch=KEY,
+        item_id='a',
+        last_event=None,
+        failures=0,
+        texts=['of a'],
+        finished=True,
+    )
+
+    async def play():
+        await successor.store.write(
+            progress_name('s2'),
+            serialize_json(make_progress([], [finished], 'w')),
+            ABSENT,
+        )
+        await successor.take_over()
+        job = successor.runner._jobs[KEY]
+        return job.pending, set(job.runs)
+
+    pending, waiting = curio.run(play)
+    assert [(one.item_id, one.text) for one in pending] == [('a', 'of a')]
+    assert waiting == {'b', 'c', 'd'}
+
+
 def test_segments_of_a_batch_that_no_other_runner_ran_are_reported(successor):
     """It was accepted while this runner was the only active one."""
 
