--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -41,7 +41,7 @@
 __all__ = ('RelayDaemon', 'run_relay')
 
 RESTART_PAUSE_S = 0.5
-SIGNAL_POLL_S = 0.05
+SIGNAL_POLL_S = 0.1
 # Load balancers may still send requests for this long after the process stops
 # being ready.
 BALANCER_DRAIN_S = 3.2
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -19,7 +19,7 @@
 RETRY_MAX_S = 0.8
 # Factors between which retry delays are randomised.
 RETRY_SPREAD = (0.7, 1.3)
-POLL_INTERVAL_S = 0.1
+POLL_INTERVAL_S = 0.25
 OnChange = Callable[['ObjectWatch', list[Stored]], Awaitable[None]]
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -49,6 +49,8 @@
 
     __slots__ = (
         '_answers',
+        '_called',
+        '_calls',
         '_pool',
         '_queues',
         '_reporter',
@@ -69,11 +71,20 @@
         self._answers = ResponseRelay(state=state, protocol=protocol)
         self._reporter = reporter
         self._queues: dict[str, OnlineQueue] = {}
+        self._calls = 0
+        self._called = curio.Event()
         self._running: dict[OnlineCall, tuple[EndpointUse, Exchange]] = {}
 
     async def run(self) -> None:
         """Dispatches queued requests when endpoints become available again."""
         while True:
+            # An idle host has nothing to check.
+            await self._called.wait()
+            self._called.clear()
+            await self._check_until_idle()
+
+    async def _check_until_idle(self) -> None:
+        while self._calls:
             await curio.sleep(QUEUE_CHECK_INTERVAL_S)
             now = self._state.now()
             for placement in self._state.placements.values():
@@ -92,6 +103,14 @@
         :raises JacinthmountError: the request was refused, or failed before
             any part of a response was sent.
         """
+        self._calls += 1
+        await self._called.set()
+        try:
+            await self._answer(call, responder)
+        finally:
+            self._calls -= 1
+
+    async def _answer(self, call: OnlineCall, responder: Responder) -> None:
         while True:
             queue = self._queue(call.service)
             use = await self._acquire(call, queue, responder)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -32,7 +32,7 @@
 # merges their registrations into few pages.
 COALESCE_HOSTS_S = 0.5
 COALESCE_S = 0.1
-OUTAGE_CHECK_S = 0.1
+OUTAGE_CHECK_S = 0.2
 # A host that has just started waits this long for an active runner, which sends
 # it updates, before it watches the store.
 START_GRACE_S = 2.0
