Let the runner read immutable objects once for all hosts

A runner now reads what it is asked for and does not have, and keeps it; that an object is absent is believed only of a read made for this request.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/fallback_store.py
@@ -16,6 +16,7 @@
 from jacinthmount_node.net.sockets import with_timeout
 from jacinthmount_node.relay.counted_store import CountedStore
 from jacinthmount_node.relay.messages import (
+    CopyAbsent,
     CopyRead,
     RelayHost,
     StoreFailed,
@@ -27,7 +28,7 @@
 from jacinthmount_node.relay.peer_requests import PeerRequests
 from jacinthmount_node.relay.state import RelayState
 
-__all__ = ('FallbackStore', 'answer_store_call')
+__all__ = ('FallbackStore', 'answer_copy_read', 'answer_store_call')
 
 # Time after a failure before the store, or the host that sends updates to this
 # one, is tried again.
@@ -97,6 +98,8 @@
             reply = await self._request_peer(CopyRead(name=name))
             if isinstance(reply, StoreFound) and reply.stored is not None:
                 return reply.stored
+            if isinstance(reply, CopyAbsent):
+                return None
         return await self.read(name)
 
     async def write(self, name: str, body: str, expected: int) -> int:
@@ -209,6 +212,22 @@
         return reply
 
 
+async def answer_copy_read(store: ObjectStore, call: CopyRead) -> Record:
+    """Reads an immutable object for another host and keeps a copy.
+
+    Many hosts ask for the same objects after they have lost their caches. A
+    reply without an object says nothing, unless it is :class:`CopyAbsent`.
+    """
+    try:
+        stored = await store.read_immutable(call.name)
+    except StoreUnavailable as exc:
+        log_event('copy_unread', name=call.name, detail=exc.detail)
+        return StoreFound(stored=None)
+    if stored is None or stored.body is None:
+        return CopyAbsent(name=call.name)
+    return StoreFound(stored=stored)
+
+
 async def answer_store_call(
     store: ObjectStore,
     call: StoreRead | StoreWrite,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
@@ -15,7 +15,10 @@
 
 from jacinthmount_node.messages import Hello
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
-from jacinthmount_node.relay.fallback_store import answer_store_call
+from jacinthmount_node.relay.fallback_store import (
+    answer_copy_read,
+    answer_store_call,
+)
 from jacinthmount_node.relay.messages import (
     BatchAdmission,
     CopyRead,
@@ -196,6 +199,8 @@
 @_answer.register
 async def _(body: CopyRead, handler: MessageHandler) -> Record | None:
     stored = handler.runner.find_copy(body.name) if handler.runner else None
+    if stored is None and handler.runner is not None:
+        return await answer_copy_read(handler.state.store, body)
     return StoreFound(stored=stored)
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -23,6 +23,7 @@
     'SegmentCount',
     'Snapshot',
     'SnapshotAsk',
+    'CopyAbsent',
     'CopyRead',
     'CreditAsk',
     'StoreFailed',
@@ -248,7 +249,15 @@
 
 
 class CopyRead(Record):
-    """Requests a runner's copy of an immutable object."""
+    """Requests an immutable object of a runner, which reads it if needed."""
+
+    __slots__ = ('name',)
+
+    name: str
+
+
+class CopyAbsent(Record):
+    """Reply of a runner that has just found that an object does not exist."""
 
     __slots__ = ('name',)
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -83,15 +83,6 @@
             self._called.clear()
             await self._check_until_idle()
 
-    async def _check_until_idle(self) -> None:
-        while self._calls:
-            await curio.sleep(QUEUE_CHECK_INTERVAL_S)
-            now = self._state.now()
-            for placement in self._state.placements.values():
-                placement.note_unresponsive(now)
-            self._abort_unresponsive(now)
-            await self.pump()
-
     async def pump(self) -> None:
         """Dispatches queued requests to endpoints with free capacity."""
         for queue in self._queues.values():
@@ -110,6 +101,15 @@
         finally:
             self._calls -= 1
 
+    async def _check_until_idle(self) -> None:
+        while self._calls:
+            await curio.sleep(QUEUE_CHECK_INTERVAL_S)
+            now = self._state.now()
+            for placement in self._state.placements.values():
+                placement.note_unresponsive(now)
+            self._abort_unresponsive(now)
+            await self.pump()
+
     async def _answer(self, call: OnlineCall, responder: Responder) -> None:
         while True:
             queue = self._queue(call.service)
--- a/tests/test_fallback_store.py
+++ b/tests/test_fallback_store.py
@@ -18,6 +18,7 @@
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
 from jacinthmount_node.relay.fallback_store import (
     FallbackStore,
+    answer_copy_read,
     answer_store_call,
 )
 from jacinthmount_node.relay.messages import CopyRead, RelayHost, StoreFound
@@ -194,6 +195,80 @@
     assert peer.requests == ['CopyRead']
 
 
+class _Runner:
+    """Links to a runner that reads the store for others."""
+
+    def __init__(self, direct):
+        self.store = FallbackStore(
+            direct=direct,
+            state=RelayState(
+                settings=make_relay_settings(runs_batches=True),
+                store=direct,
+                clock=ManualClock(),
+                rng=random.Random(1),
+            ),
+            peer_requests=None,
+        )
+
+    async def request_at(self, address, body, timeout_s):
+        """Replies as the handler of a runner does."""
+        return await answer_copy_read(self.store, body)
+
+
+@pytest.fixture
+def readable():
+    """A store that answers."""
+    found = _RefusingStore()
+    found.refuses = False
+    return found
+
+
+def test_runner_reads_an_object_once_for_all_hosts(direct, readable):
+    """Guards against 2,046 reads of results on a day with two kills of all.
+
+    Every front had lost its copies and read each segment itself.
+    """
+    curio.run(readable.write, 'a/1', 'x', ABSENT)
+    runner = _Runner(readable)
+    before = readable.calls
+    for _ in range(5):
+        front = make_fed_front(direct, runner)
+        assert curio.run(front.read_immutable, 'a/1').body == 'x'
+    assert readable.calls == before + 1
+    assert not direct.calls
+
+
+def test_absence_that_a_runner_has_just_read_is_not_checked_again(
+    direct, readable
+):
+    """It is read anew for each request, since the object may be written."""
+    runner = _Runner(readable)
+    front = make_fed_front(direct, runner)
+    assert curio.run(front.read_immutable, 'a/1') is None
+    curio.run(readable.write, 'a/1', 'x', ABSENT)
+    assert curio.run(front.read_immutable, 'a/1').body == 'x'
+    assert not direct.calls
+
+
+def test_host_reads_the_store_if_the_runner_cannot(direct, readable):
+    """A failure of the runner never means that an object does not exist."""
+    runner = _Runner(_RefusingStore())
+    curio.run(readable.write, 'a/1', 'x', ABSENT)
+    front = make_fed_front(readable, runner)
+    assert curio.run(front.read_immutable, 'a/1').body == 'x'
+
+
+def make_fed_front(direct, links):
+    """Builds the store of a front that a runner feeds."""
+    state = make_state(direct)
+    state.note_update_source('h2:1', by_active=True)
+    return FallbackStore(
+        direct=direct,
+        state=state,
+        peer_requests=PeerRequests(state=state, links=links),
+    )
+
+
 def test_recent_objects_stay_within_their_bytes():
     """The least recently used object is evicted."""
     recent = RecentObjects(limit_bytes=30)
