Prefer endpoints near the host among equally loaded ones

Ways: the fewest requests in flight, equal ones by chance (before); the same, equal ones by data centre (this); the own data centre first until it queues was not tried, since it gives up the even load that keeps streams early in a crest.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -201,7 +201,10 @@
             return None
         return max(
             uses,
-            key=lambda use: self._capacity.free(use.entry.endpoint_id),
+            key=lambda use: (
+                self._capacity.free(use.entry.endpoint_id),
+                self._state.centres.is_own(use.entry.data_centre),
+            ),
         )
 
     async def _start(self, run: ItemRun, use: EndpointUse) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_capacity.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_capacity.py
@@ -77,7 +77,16 @@
         ]
         if not candidates:
             return ''
-        chosen = min(candidates, key=self._in_flight)
+        data_centre = self._state.data_centre_of(host)
+        # Of equally loaded endpoints one near the host is chosen, which saves
+        # traffic between data centres.
+        chosen = min(
+            candidates,
+            key=lambda use: (
+                self._in_flight(use),
+                use.entry.data_centre != data_centre,
+            ),
+        )
         chosen.cold.on_sent(now)
         self._load.begin(host, chosen.entry.endpoint_id, now)
         return chosen.entry.endpoint_id
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -229,6 +229,11 @@
         """Finds the host with a peer address."""
         return self._hosts_by_address.get(address)
 
+    def data_centre_of(self, host: str) -> str:
+        """Returns the data centre of a host, empty if it is not registered."""
+        found = self._hosts.get(host)
+        return found.data_centre if found else ''
+
     def fronts(self) -> list[str]:
         """Lists the names of the hosts that serve callers."""
         return self._fronts
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -246,6 +246,8 @@
     def choose(self, tried: set[str], now: float) -> EndpointUse | None:
         """Chooses the endpoint with capacity and the fewest online requests.
 
+        Of equally loaded ones those in the data centre of this host come first.
+
         :param tried: ids of endpoints to leave out.
         :returns: None if every endpoint is full, cold or was tried.
         """
@@ -262,12 +264,13 @@
         self,
         use: EndpointUse,
         now: float,
-    ) -> tuple[bool, int, float]:
+    ) -> tuple[bool, int, bool, float]:
         online = use.in_flight(now)
         full = online + use.batch_from_others >= use.entry.slots
         full = full or use.had_queue(now)
+        is_remote = not self._centres.is_own(use.entry.data_centre)
         # Batch would be preempted, which restarts one of its streams.
-        return full, online, self._rng.random()
+        return full, online, is_remote, self._rng.random()
 
 
 def _restarted(before: EndpointEntry, after: EndpointEntry) -> bool:
--- a/packages/jacinthmount/jacinthmount/reachability.py
+++ b/packages/jacinthmount/jacinthmount/reachability.py
@@ -26,6 +26,10 @@
         self._last_contact: dict[str, float] = {}
         self._unanswered_at: dict[str, float] = {}
 
+    def is_own(self, data_centre: str) -> bool:
+        """Returns whether this host is in a data centre."""
+        return data_centre == self._own
+
     def on_contact(self, data_centre: str, now: float) -> None:
         """Records that data arrived from a data centre."""
         self._last_contact[data_centre] = now
@@ -50,7 +54,7 @@
 
     def is_unresponsive(self, data_centre: str) -> bool:
         """Returns whether there was no contact since an unanswered request."""
-        if data_centre == self._own:
+        if self.is_own(data_centre):
             return False
         unanswered_at = self._unanswered_at.get(data_centre)
         if unanswered_at is None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -42,6 +42,13 @@
     return use
 
 
+def test_equally_loaded_endpoint_of_the_own_data_centre_is_chosen(placement):
+    """The others follow before any endpoint gets a second request."""
+    placed = [place(placement).entry.endpoint_id for _ in range(3)]
+    assert set(placed[:2]) == {'e1', 'e2'}
+    assert placed[2] == 'e3'
+
+
 def test_requests_spread_evenly(placement):
     """Six requests at once take two slots of each endpoint."""
     for _ in range(6):
--- a/tests/test_runner_capacity.py
+++ b/tests/test_runner_capacity.py
@@ -6,6 +6,7 @@
 from jacinthmount.cold_period import runner_limit
 from jacinthmount.endpoint_table import LeavingEndpoint
 from jacinthmount.memory import ManualClock
+from jacinthmount.records import replaced
 from jacinthmount.stores import MemoryStore
 from jacinthmount_node.relay.messages import (
     EndpointUseReport,
@@ -84,6 +85,20 @@
     assert placed.count('') == ENDPOINTS
 
 
+def test_equally_loaded_endpoint_near_the_host_is_chosen(rooms, state):
+    """Load is even all the same; only the order within a round changes."""
+    state.update_hosts([
+        replaced(make_host(number), data_centre='west') for number in range(9)
+    ])
+    for number in (2, 4):
+        entry = make_entry(f'e{number}', data_centre='west')
+        state.endpoints.put(entry, 2)
+    state.refresh_placements()
+    placed = place_all(rooms, ENDPOINTS)
+    assert set(placed[:2]) == {'e2', 'e4'}
+    assert len(set(placed)) == ENDPOINTS
+
+
 def test_endpoints_with_items_come_last(rooms):
     """No item is preempted while another endpoint is free."""
     run = make_run('a')
