Evacuate a data centre on the first interface as well

A declaration [evacuation NAME], or the command evacuate, makes the endpoints of a data centre leave as long as it is there. A field of the data centre was weighed: objects that earlier builds wrote could no longer be read. Tests of processes: nothing reaches the engines, requests are refused as not run, other data centres serve, and the return.

--- a/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
@@ -133,6 +133,14 @@
     undo: bool
 
 
+@attrs.define(kw_only=True)
+class EvacuateCommand:
+    """Stops new work to the endpoints of a data centre, or allows it again."""
+
+    data_centre: str
+    undo: bool
+
+
 @attrs.define(kw_only=True)
 class ExplainCommand:
     """Lists the log lines that concern a request, an item or a batch."""
@@ -318,6 +326,15 @@
                     flag('undo', 'Allow new work again.'),
                 ],
             ),
+            cappa.Command(
+                EvacuateCommand,
+                name='evacuate',
+                help='Stop new work to the endpoints of a data centre.',
+                arguments=[
+                    positional('data_centre', 'Name of the data centre.'),
+                    flag('undo', 'Allow new work again.'),
+                ],
+            ),
             cappa.Command(
                 ExplainCommand,
                 name='explain',
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
@@ -294,6 +294,21 @@
     return await porcelain.drain_endpoint(store, endpoint, leaving=leaving)
 
 
+@run.register
+def _run_evacuate(command: commands.EvacuateCommand, context: Context) -> int:
+    evacuated = not command.undo
+    curio.run(
+        porcelain.evacuate_data_centre,
+        context.store(),
+        command.data_centre,
+        evacuated,
+    )
+    context.write_line(
+        f'{command.data_centre}: evacuated {"yes" if evacuated else "no"}'
+    )
+    return 0
+
+
 @run.register
 def _run_explain(command: commands.ExplainCommand, context: Context) -> int:
     timeline = build_timeline(iter_lines(command.files), command.wanted_id)
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
@@ -11,6 +11,7 @@
     CONFIG_PREFIX,
     SCHEMAS,
     Endpoint,
+    Evacuation,
     object_name,
     parse_declarations,
 )
@@ -38,6 +39,7 @@
 __all__ = (
     'apply_changes',
     'drain_endpoint',
+    'evacuate_data_centre',
     'grant_key',
     'list_keys',
     'plan_changes',
@@ -309,6 +311,32 @@
     )
 
 
+async def evacuate_data_centre(
+    store: ObjectStore,
+    name: str,
+    evacuated: bool,
+) -> None:
+    """Declares a data centre evacuated, or removes the declaration.
+
+    Repeating it changes nothing.
+
+    :raises NotFound: there is no such data centre.
+    """
+    data_centre = await store.read(object_name('data_centre', name))
+    if data_centre is None or data_centre.body is None:
+        raise NotFound(detail=f'no data centre {name}')
+    evacuation_name = object_name('evacuation', name)
+    found = await store.read(evacuation_name)
+    if found is not None and found.body is not None:
+        if not evacuated:
+            await store.delete(evacuation_name, found.version)
+    elif evacuated:
+        record = Evacuation(name=name, write_id=new_write_id())
+        await write_with_retry(
+            store, evacuation_name, serialize_json(record), ABSENT
+        )
+
+
 async def call_admin(
     address: str,
     method: str,
--- a/packages/jacinthmount/jacinthmount/declarations.py
+++ b/packages/jacinthmount/jacinthmount/declarations.py
@@ -6,13 +6,14 @@
 
 from jacinthmount.errors import InvalidDeclarations
 from jacinthmount.ini import Option, iter_sections, make_option, parse_section
-from jacinthmount.records import Record
+from jacinthmount.records import Record, replaced
 
 __all__ = (
     'Account',
     'Catalogue',
     'DataCentre',
     'Endpoint',
+    'Evacuation',
     'Profile',
     'Route',
     'SCHEMAS',
@@ -144,6 +145,18 @@
     write_id: str
 
 
+class Evacuation(Record):
+    """Requests that a data centre's endpoints get no new requests.
+
+    ``name`` is the name of the data centre.
+    """
+
+    __slots__ = ('name', 'write_id')
+
+    name: str
+    write_id: str
+
+
 SCHEMAS: Mapping[str, tuple[type[Record], tuple[Option, ...]]] = (
     types.MappingProxyType({
         'data_centre': (
@@ -180,6 +193,7 @@
                 ),
             ),
         ),
+        'evacuation': (Evacuation, ()),
         'profile': (
             Profile,
             (
@@ -374,6 +388,7 @@
         for record in records:
             name = getattr(record, 'name', '')
             self._of_kind(type(record))[name] = record
+        self._mark_evacuated()
         self._endpoints: dict[tuple[str, str], list[Endpoint]] = {}
         for endpoint in self._of_kind(Endpoint).values():
             key = (endpoint.service, endpoint.data_centre)
@@ -403,6 +418,13 @@
         declared = self.find(Service, service)
         return declared.kind if declared else ''
 
+    def _mark_evacuated(self) -> None:
+        evacuated = self._of_kind(Evacuation)
+        endpoints = self._of_kind(Endpoint)
+        for name, endpoint in endpoints.items():
+            if endpoint.data_centre in evacuated:
+                endpoints[name] = replaced(endpoint, leaving=True)
+
     def _of_kind(self, record_type: type) -> dict[str, Any]:
         return self._kinds.setdefault(record_type, {})
 
@@ -447,6 +469,12 @@
             )
     for endpoint in catalogue.list_records(Endpoint):
         problems.extend(_check_endpoint(catalogue, endpoint))
+    for evacuation in catalogue.list_records(Evacuation):
+        if catalogue.find(DataCentre, evacuation.name) is None:
+            problems.append(
+                f'[evacuation {evacuation.name}]: '
+                f'no data centre {evacuation.name!r}',
+            )
     for route in catalogue.list_records(Route):
         target = catalogue.find(Service, route.service)
         if target is None or target.kind != 'plain':
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -8,7 +8,12 @@
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
-from jacinthmount.declarations import SCHEMAS, parse_declarations
+from jacinthmount.declarations import (
+    SCHEMAS,
+    Catalogue,
+    object_name,
+    parse_declarations,
+)
 from jacinthmount.errors import InvalidDeclarations, KeyMissing, KeyUnknown
 from jacinthmount.keys import Keyring, contains_key, parse_bearer
 from jacinthmount.records import replaced
@@ -27,6 +32,17 @@
     assert len(records) == 5
 
 
+@pytest.mark.parametrize('evacuated', [False, True])
+def test_endpoints_of_an_evacuated_data_centre_are_leaving(evacuated):
+    """Their own declarations stay as they are."""
+    text = f'{DECLARATIONS}\n[evacuation east]\n' if evacuated else DECLARATIONS
+    records = parse_declarations({'all.ini': text})
+    catalogue = Catalogue(records=list(records.values()))
+    endpoint = catalogue.endpoints('model-a', 'east')[0]
+    assert endpoint.leaving is evacuated
+    assert not records[object_name('endpoint', 'engine-1')].leaving
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'expected'),
     [
@@ -36,6 +52,11 @@
         ('rate_per_s = 5', 'rate_per_s = nan', 'below'),
         ('profile = online', 'profile = offline', "no profile 'offline'"),
         ('address = 127.0.0.1:1000', 'address = here', 'is not IP:port'),
+        (
+            '[account gin]',
+            '[evacuation west]\n\n[account gin]',
+            "no data centre 'west'",
+        ),
         ('[account gin]', '[acount gin]', 'unknown kind'),
         ('[account gin]', '[account Gin!]', 'use 1 to 63'),
         ('region = test', 'region =', 'must not be empty'),
--- a/tests/test_config_failures.py
+++ b/tests/test_config_failures.py
@@ -8,7 +8,7 @@
 
 import curio
 import pytest
-from jacinthmount.errors import StoreConflict
+from jacinthmount.errors import NotFound, StoreConflict
 from jacinthmount_ctl import porcelain
 from jacinthmount_standin.callers import call_http
 from jacinthmount_standin.declare import write_declarations
@@ -198,6 +198,35 @@
     await porcelain.drain_endpoint(store, endpoint, leaving=True)
 
 
+def test_evacuated_data_centre_gets_no_new_work(site):
+    """Its hosts refuse requests as not run until it returns."""
+    key = site.grant('gin')[1]
+    eventually(lambda: site.chat('east-h1', key, 'before').status == 200)
+    evacuate(site, 'east', evacuated=True)
+    time.sleep(LEAVING_BOUND_S)
+    before = [site.engine_runs(name) for name in ('engine-1', 'engine-2')]
+    refused = site.chat('east-h1', key, 'during')
+    assert (refused.status, refused.error['run_state']) == (503, 'not_run')
+    assert site.chat('west-h1', key, 'during').status == 200
+    after = [site.engine_runs(name) for name in ('engine-1', 'engine-2')]
+    assert before == after
+    evacuate(site, 'east', evacuated=False)
+    eventually(lambda: site.chat('east-h1', key, 'after').status == 200)
+
+
+def evacuate(site, data_centre, *, evacuated):
+    """Declares a data centre evacuated, or removes the declaration."""
+    curio.run(
+        porcelain.evacuate_data_centre, site.store(), data_centre, evacuated
+    )
+
+
+def test_evacuation_of_an_unknown_data_centre_is_refused(site):
+    """A typing error evacuates nothing."""
+    with pytest.raises(NotFound):
+        evacuate(site, 'eats', evacuated=True)
+
+
 def test_graceful_shutdown_cuts_nothing(site):
     """Open streams complete; batch items are neither lost nor duplicated."""
     key = site.grant('gin')[1]
