Let the evacuation test use the other data centre first

It now evacuates the first data centre to see that the other one serves, and waits until the returned endpoints are no longer presumed cold. What it asserts of the evacuation is as before.

--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -229,10 +229,13 @@
     """
     site.start_engine('engine-3', zone='west')
     west = site.engines['engine-3']
+    site.evacuate('east')
     eventually(lambda: stream(site)[0] == 200 and count_runs(west))
+    site.end_evacuation('east')
     site.switch(site.store, refuse_host='front-2')
     site.evacuate('west')
-    time.sleep(1.5)
+    # The endpoints of the other data centre are presumed cold for 3 s.
+    time.sleep(4.0)
     ran = count_runs(west)
     for number in range(10):
         for front in site.fronts:
