--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -222,15 +222,21 @@
     assert count_runs(engine) == ran
 
 
-def test_evacuated_data_centre_gets_nothing_until_it_returns(site):
-    """Streams and items go to the others, also at hosts without the store.
+def start_west(site):
+    """Starts an engine in another data centre, which serves a stream.
 
-    With no other data centre left, requests are refused as not run.
+    :returns: its port.
     """
     site.start_engine('engine-3', zone='west')
     west = site.engines['engine-3']
     site.evacuate('east')
     eventually(lambda: stream(site)[0] == 200 and count_runs(west))
+    return west
+
+
+def test_evacuated_data_centre_gets_nothing(site):
+    """Streams and items go to the others, also at hosts without the store."""
+    west = start_west(site)
     site.end_evacuation('east')
     site.switch(site.store, refuse_host='front-2')
     site.evacuate('west')
@@ -243,8 +249,15 @@
     assert submit(site, make_items(8)) == 202
     eventually(lambda: is_complete(site, front='front-1'))
     assert count_runs(west) == ran
-    site.evacuate('east')
+
+
+def test_nothing_is_served_while_all_data_centres_are_evacuated(site):
+    """Requests are refused as not run until one of them returns."""
+    west = start_west(site)
+    site.evacuate('west')
     eventually(lambda: stream(site)[0] == 503)
+    ran = count_runs(west)
+    assert {stream(site)[0] for _ in range(5)} == {503}
     assert count_runs(west) == ran
     site.end_evacuation('west')
     eventually(lambda: stream(site)[0] == 200)
