--- a/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
@@ -168,6 +168,8 @@
 
 FOLDER = positional('folder', 'Folder with INI declarations.')
 BATCH_ID = positional('batch_id', 'Id of the batch.')
+LOG_FILES = positionals('files', 'Log files; standard input if none is given.')
+UNDO = flag('undo', 'Allow new work again.')
 
 KEYS = cappa.Command(
     KeysCommand,
@@ -323,7 +325,7 @@
                 help='Stop new work to an endpoint.',
                 arguments=[
                     positional('endpoint', 'Name of the endpoint.'),
-                    flag('undo', 'Allow new work again.'),
+                    UNDO,
                 ],
             ),
             cappa.Command(
@@ -332,7 +334,7 @@
                 help='Stop new work to the endpoints of a data centre.',
                 arguments=[
                     positional('data_centre', 'Name of the data centre.'),
-                    flag('undo', 'Allow new work again.'),
+                    UNDO,
                 ],
             ),
             cappa.Command(
@@ -343,9 +345,7 @@
                     positional(
                         'wanted_id', 'Id of a request, an item or a batch.'
                     ),
-                    positionals(
-                        'files', 'Log files; standard input if none is given.'
-                    ),
+                    LOG_FILES,
                 ],
             ),
             cappa.Command(
@@ -353,9 +353,7 @@
                 name='losses',
                 help='Count what callers lost, by cause, from logs.',
                 arguments=[
-                    positionals(
-                        'files', 'Log files; standard input if none is given.'
-                    ),
+                    LOG_FILES,
                 ],
             ),
         ),
--- a/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
@@ -198,8 +198,10 @@
 
 @_answer.register
 async def _(body: CopyRead, handler: MessageHandler) -> Record | None:
-    stored = handler.runner.find_copy(body.name) if handler.runner else None
-    if stored is None and handler.runner is not None:
+    if handler.runner is None:
+        return StoreFound(stored=None)
+    stored = handler.runner.find_copy(body.name)
+    if stored is None:
         return await answer_copy_read(handler.state.store, body)
     return StoreFound(stored=stored)
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -188,13 +188,7 @@
         # Called before the slot is released: while the request counts as in
         # flight, the runner preempts batch items on the endpoint.
         call.tried.add(use.entry.endpoint_id)
-        uses = self._state.placement(use.entry.service).uses()
-        untried = [
-            candidate
-            for candidate in uses
-            if candidate.entry.endpoint_id not in call.tried
-            and not candidate.evacuated
-        ]
+        untried = self._state.placement(use.entry.service).untried(call.tried)
         if call.refusals and not untried:
             await curio.sleep(REFUSED_PAUSE_S)
             call.tried.clear()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/progress_log.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/progress_log.py
@@ -70,7 +70,8 @@
         """Writes the progress at intervals, if it has changed."""
         while True:
             await curio.sleep(CHECK_INTERVAL_S)
-            if self._count() != self._written:
+            count = _count(self._find_runs(), self._find_finished())
+            if count != self._written:
                 await curio.sleep(await self.write())
 
     async def write(self) -> float:
@@ -78,10 +79,9 @@
 
         :returns: seconds to wait before the next write.
         """
-        progress = make_progress(
-            self._find_runs(), self._find_finished(), new_write_id()
-        )
-        count = self._count()
+        runs, finished = self._find_runs(), self._find_finished()
+        progress = make_progress(runs, finished, new_write_id())
+        count = _count(runs, finished)
         try:
             self._version = await self._store.write(
                 self._name,
@@ -123,6 +123,8 @@
         """
         return adopt_progress(runs, batch, self._loaded)
 
-    def _count(self) -> tuple[int, int]:
-        events = sum(len(run.texts) for run in self._find_runs())
-        return events, len(self._find_finished())
+
+def _count(
+    runs: list[ItemRun], finished: list[ItemProgress]
+) -> tuple[int, int]:
+    return sum(len(run.texts) for run in runs), len(finished)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_capacity.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_capacity.py
@@ -77,7 +77,8 @@
         ]
         if not candidates:
             return ''
-        data_centre = self._state.data_centre_of(host)
+        registered = self._state.hosts.get(host)
+        data_centre = registered.data_centre if registered else ''
         # Of equally loaded endpoints one near the host is chosen, which saves
         # traffic between data centres.
         chosen = min(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -213,6 +213,15 @@
         self._source_reply_at = now
         self._source_address = address
 
+    def has_update_source(self) -> bool:
+        """Returns whether a runner sends updates to this host.
+
+        Runners query the store themselves.
+        """
+        return not self.settings.runs_batches and bool(
+            self.find_update_source()
+        )
+
     def find_update_source(self) -> str:
         """Finds the peer address of the runner that sends updates.
 
@@ -229,11 +238,6 @@
         """Finds the host with a peer address."""
         return self._hosts_by_address.get(address)
 
-    def data_centre_of(self, host: str) -> str:
-        """Returns the data centre of a host, empty if it is not registered."""
-        found = self._hosts.get(host)
-        return found.data_centre if found else ''
-
     def fronts(self) -> list[str]:
         """Lists the names of the hosts that serve callers."""
         return self._fronts
--- a/packages/jacinthmount-node/jacinthmount_node/relay/store_probe.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/store_probe.py
@@ -66,8 +66,7 @@
                 await self.probe()
 
     async def _check_recovery(self) -> None:
-        runs_batches = self._state.settings.runs_batches
-        if not runs_batches and self._state.find_update_source():
+        if self._state.has_update_source():
             # A runner reaches the store and sends its changes.
             for watch in self._watches():
                 watch.end_outage()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -201,7 +201,7 @@
             prefix=prefix,
             on_change=on_change,
             rng=self._state.rng,
-            has_update_source=self._has_update_source,
+            has_update_source=self._state.has_update_source,
             make_delays=lambda: self._make_delays(coalesce_s),
             is_probed=True,
         )
@@ -219,11 +219,6 @@
             coalesce_s=coalesce_s,
         )
 
-    def _has_update_source(self) -> bool:
-        if self._state.settings.runs_batches:
-            return False
-        return bool(self._state.find_update_source())
-
     def _watches(self) -> tuple[ObjectWatch, ...]:
         return (
             self._config_watch,
--- a/packages/jacinthmount/jacinthmount/endpoint_table.py
+++ b/packages/jacinthmount/jacinthmount/endpoint_table.py
@@ -94,8 +94,9 @@
         self._revisions[entry.endpoint_id] = revision
         if _start_of(entry) in self._leaving:
             entry = replaced(entry, leaving=True)
+        if entry.endpoint_id not in self._entries:
+            self._ids = None
         self._entries[entry.endpoint_id] = entry
-        self._ids = None
         self._lapsed.discard(entry.endpoint_id)
 
     def remove(self, endpoint_id: str, revision: int, now: float) -> None:
@@ -106,8 +107,7 @@
         if now < self._store_recovered_at + LAPSE_GRACE_S:
             self._lapsed.add(endpoint_id)
             return
-        self._entries.pop(endpoint_id, None)
-        self._ids = None
+        self._drop(endpoint_id)
         self._lapsed.discard(endpoint_id)
 
     def note_leaving(self, leaving: LeavingEndpoint) -> bool:
@@ -141,8 +141,7 @@
         if not self._lapsed or now < self._store_recovered_at + LAPSE_GRACE_S:
             return False
         for endpoint_id in self._lapsed:
-            self._entries.pop(endpoint_id, None)
-        self._ids = None
+            self._drop(endpoint_id)
         self._lapsed.clear()
         return True
 
@@ -168,6 +167,10 @@
         """Finds an endpoint by id."""
         return self._entries.get(endpoint_id)
 
+    def _drop(self, endpoint_id: str) -> None:
+        if self._entries.pop(endpoint_id, None) is not None:
+            self._ids = None
+
 
 class EndpointIds:
     """Sorted ids of endpoints, with a digest that hosts compare.
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -154,11 +154,11 @@
         uses = {}
         for entry in entries:
             use = self._uses.get(entry.endpoint_id)
+            is_known = use is not None and use.entry is entry
             if use is None or _restarted(use.entry, entry):
                 use = EndpointUse(entry=entry, limit=self._limit)
                 use.evacuated = entry.data_centre in self._evacuated
-                use.cold.on_stated(entry.cold_left_s, self._rng, now)
-            elif use.entry is not entry:
+            if not is_known:
                 use.cold.on_stated(entry.cold_left_s, self._rng, now)
             use.entry = entry
             uses[entry.endpoint_id] = use
@@ -217,14 +217,21 @@
 
         :param tried: ids of endpoints to leave out.
         """
-        untried = [
+        untried = self.untried(tried)
+        return [
+            use for use in untried if self.is_available(use, now)
+        ] or untried
+
+    def untried(self, tried: set[str]) -> list[EndpointUse]:
+        """Lists the endpoints that a request has not tried, available or not.
+
+        :param tried: ids of endpoints to leave out.
+        """
+        return [
             use
             for use in self._uses.values()
             if use.entry.endpoint_id not in tried and not use.evacuated
         ]
-        return [
-            use for use in untried if self.is_available(use, now)
-        ] or untried
 
     def is_available(self, use: EndpointUse, now: float) -> bool:
         """Returns whether new requests may be sent to an endpoint."""
