--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -75,6 +75,7 @@
         Cancelling this ends the run at the endpoint.
         """
         exchange = None
+        events_before = len(run.texts)
         try:
             exchange = await self._pool.open(
                 use.entry.address,
@@ -91,6 +92,8 @@
                 batch=run.batch_id,
                 endpoint=use.entry.endpoint_id,
                 events=len(run.texts),
+                new_events=len(run.texts) - events_before,
+                parts=','.join(self._protocol.parse_shared_parts(run.headers)),
                 error=f'{type(exc).__name__}: {exc}',
             )
             if exchange is not None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -287,6 +287,8 @@
             endpoint=use.entry.endpoint_id,
             stage=Stage(stage).name,
             reused=bool(exchange and exchange.reused),
+            events=call.events if exchange else 0,
+            parts=','.join(call.request.shared_parts),
             error=f'{type(exc).__name__}: {exc}',
             after_s=round(self._state.now() - call.arrived_at, 3),
         )
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -12,6 +12,7 @@
 
     ``service`` serves its first attempt. ``assigned_id`` is the id of the
     endpoint that the runner chose for that attempt, or an empty string.
+    ``events`` counts the events of the current attempt.
     """
 
     __slots__ = (
@@ -22,6 +23,7 @@
         'body',
         'deadline',
         'endpoint_id',
+        'events',
         'last_reply_at',
         'last_event',
         'assigned_id',
@@ -64,6 +66,7 @@
         self.endpoint_id = ''
         self.waited_s = 0.0
         self.attempts = 0
+        self.events = 0
         self.refusals = 0
         self.tried: set[str] = set()
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/protocols.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/protocols.py
@@ -28,7 +28,8 @@
     ``headers`` are those that are passed on to the endpoint. ``left_s`` is how
     many more seconds the caller waits, or None if it states no limit.
     ``received_events`` is the number of the last event that the caller received
-    of a stream it resumes, or None.
+    of a stream it resumes, or None. ``shared_parts`` are the ids of the parts
+    of its prompt that other requests may have as well.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         'headers',
         'left_s',
         'received_events',
+        'shared_parts',
     )
 
     request_id: str
@@ -52,6 +54,7 @@
     headers: list[tuple[str, str]]
     left_s: float | None
     received_events: int | None
+    shared_parts: list[str]
 
 
 class ReadResults(Record):
@@ -192,6 +195,13 @@
         """Makes the headers of an attempt."""
         raise NotImplementedError
 
+    def parse_shared_parts(self, headers: dict[str, str]) -> list[str]:
+        """Returns the ids of the parts of a prompt that others may share.
+
+        :param headers: headers of a batch item.
+        """
+        raise NotImplementedError
+
     def parse_response(
         self,
         request_id: str,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
@@ -74,6 +74,7 @@
             to another request.
         """
         call.attempts += 1
+        call.events = 0
         request = EndpointRequest(
             request_id=call.request.request_id,
             endpoint_id=use.entry.endpoint_id,
@@ -150,6 +151,7 @@
             self._record_contact(call, use)
             if not events:
                 continue
+            call.events += len(events)
             packed = b''.join(event.packed for event in events)
             if responder.started:
                 await responder.write(packed)
