--- a/packages/jacinthmount-node/jacinthmount_node/metrics.py
+++ b/packages/jacinthmount-node/jacinthmount_node/metrics.py
@@ -54,6 +54,8 @@
         '_registry',
         'batch_items',
         'batch_preempted',
+        'blocked_parts',
+        'crash_suspects',
         'endless_answers',
         'first_token_s',
         'orders',
@@ -151,6 +153,16 @@
             'Data centres whose endpoints get no requests.',
             registry=registry,
         )
+        self.blocked_parts = Gauge(
+            'jacinthmount_blocked_prompt_parts',
+            'Records of prompt parts on which endpoints crashed.',
+            registry=registry,
+        )
+        self.crash_suspects = Counter(
+            'jacinthmount_crash_suspects',
+            'Strikes against prompt parts after crashes of endpoints.',
+            registry=registry,
+        )
         self.table_revision = Gauge(
             'jacinthmount_config_revision',
             'Newest configuration held.',
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -7,17 +7,17 @@
 from jacinthmount.held_shares import HeldShares
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.messages import Hello
 from jacinthmount_node.net.endpoint_pools import EndpointPools
 from jacinthmount_node.net.http_server import (
     HttpServer,
     ServerLimits,
 )
-from jacinthmount_node.net.peers import PeerLinks, PeerServer
+from jacinthmount_node.net.peers import PeerServer
 from jacinthmount_node.net.sockets import listen
 from jacinthmount_node.parts import Part, run_parts
 from jacinthmount_node.relay.batch_api import BatchApi
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
+from jacinthmount_node.relay.crash_evidence import CrashEvidence
 from jacinthmount_node.relay.endpoint_probes import EndpointProbes
 from jacinthmount_node.relay.fallback_store import FallbackStore
 from jacinthmount_node.relay.front import RelayFront
@@ -36,7 +36,7 @@
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.status_pages import StatusPages
 from jacinthmount_node.relay.sync import RelaySync
-from jacinthmount_node.relay.tracked_links import TrackedLinks
+from jacinthmount_node.relay.tracked_links import open_links
 
 __all__ = ('RelayDaemon', 'run_relay')
 
@@ -53,6 +53,7 @@
     """All components of one relay process."""
 
     __slots__ = (
+        '_evidence',
         '_front_server',
         '_limits',
         '_pages',
@@ -86,20 +87,11 @@
         self._pools = EndpointPools()
         self._front_server: HttpServer | None = None
         self._runner: RelayBatchRunner | None = None
-        links = TrackedLinks(
-            links=PeerLinks(
-                local_ip=settings.ip,
-                context=None,
-                hello=Hello(
-                    host=state.host,
-                    incarnation=state.incarnation,
-                    data_centre=settings.data_centre,
-                ),
-                metrics=state.metrics,
-            ),
-            state=state,
-        )
+        links = open_links(state)
         peer_requests = PeerRequests(state=state, links=links)
+        self._evidence = CrashEvidence(
+            state=state, links=links, pool=self._pools.online
+        )
         self._store = FallbackStore(
             direct=ports.store,
             state=state,
@@ -140,6 +132,7 @@
         self._parts: dict[str, Part] = {
             'sync': self._sync.run,
             'reports': self._reporter.run,
+            'crash evidence': self._evidence.run,
             'store calls': self._store.direct.run,
         }
         rooms = None
@@ -153,6 +146,7 @@
             sync=self._sync,
             runner_link=self._runner_link,
             reporter=self._reporter,
+            evidence=self._evidence,
             rooms=rooms,
             runner=self._runner,
         )
@@ -187,6 +181,7 @@
                 state=self._state,
                 pool=self._pools.items,
                 protocol=self._ports.endpoints,
+                evidence=self._evidence,
             ),
             copies=self._store.copies,
             connectivity=self._connectivity,
@@ -207,6 +202,7 @@
             pool=self._pools.online,
             protocol=self._ports.endpoints,
             reporter=self._reporter,
+            evidence=self._evidence,
         )
         front = RelayFront(
             state=state,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -17,6 +17,7 @@
 from jacinthmount_node.metrics import NO_ACCOUNT
 from jacinthmount_node.net.http_server import HttpRequest, Responder, error_body
 from jacinthmount_node.relay.batch_api import BatchApi
+from jacinthmount_node.relay.crash_evidence import find_prompt_error
 from jacinthmount_node.relay.online import OnlineRelay
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.protocols import (
@@ -144,6 +145,9 @@
         await _submit(call, front, route, account, body, responder)
         return
     service = route.pick_service(front.state.rng)
+    exc = find_prompt_error(front.state, service, call.shared_parts, 0)
+    if exc is not None:
+        raise exc
     assigned_id = ''
     if account is not None:
         assigned_id = await front.quota.take(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -15,6 +15,10 @@
     Exchange,
 )
 from jacinthmount_node.net.sockets import with_timeout
+from jacinthmount_node.relay.crash_evidence import (
+    CrashEvidence,
+    find_prompt_error,
+)
 from jacinthmount_node.relay.endpoint_responses import (
     count_endless,
     idle_limit,
@@ -56,7 +60,7 @@
     :param pool: connections for batch items only.
     """
 
-    __slots__ = ('_pool', '_protocol', '_state')
+    __slots__ = ('_evidence', '_pool', '_protocol', '_state')
 
     def __init__(
         self,
@@ -64,9 +68,11 @@
         state: RelayState,
         pool: ClientPool,
         protocol: EndpointProtocol,
+        evidence: CrashEvidence,
     ) -> None:
         self._state = state
         self._pool = pool
+        self._evidence = evidence
         self._protocol = protocol
 
     async def run(self, run: ItemRun, use: EndpointUse) -> RunEnd:
@@ -86,18 +92,22 @@
         except ATTEMPT_ERRORS as exc:
             use.on_failure(self._state.now())
             count_endless(self._state.metrics, exc)
+            new_events = len(run.texts) - events_before
             log_event(
                 'item_lost',
                 item=run.item_id,
                 batch=run.batch_id,
                 endpoint=use.entry.endpoint_id,
                 events=len(run.texts),
-                new_events=len(run.texts) - events_before,
-                parts=','.join(self._protocol.parse_shared_parts(run.headers)),
+                new_events=new_events,
+                parts=','.join(self._parts(run)),
                 error=f'{type(exc).__name__}: {exc}',
             )
             if exchange is not None:
                 await exchange.close()
+                await self._evidence.on_lost(
+                    use, run.item_id, self._parts(run), new_events
+                )
             return RunEnd.LOST
         except BaseException:
             if exchange is not None:
@@ -106,6 +116,25 @@
         await self._pool.release(exchange, idle_s)
         return outcome
 
+    def is_blocked(self, run: ItemRun, service: str) -> bool:
+        """Returns whether endpoints crashed on parts of an item's prompt."""
+        if self._state.breaker.is_closed:
+            return False
+        exc = find_prompt_error(self._state, service, self._parts(run), 0)
+        if exc is not None and not run.is_blocked:
+            log_event(
+                'item_blocked',
+                item=run.item_id,
+                batch=run.batch_id,
+                code=exc.code,
+                detail=exc.detail,
+            )
+        run.is_blocked = exc is not None
+        return run.is_blocked
+
+    def _parts(self, run: ItemRun) -> list[str]:
+        return self._protocol.parse_shared_parts(run.headers)
+
     async def _exchange(
         self,
         run: ItemRun,
@@ -137,7 +166,7 @@
             return outcome, idle_limit(answer)
         if not answer.signed:
             raise EndpointFailed(detail='response without endpoint signature')
-        await self._collect(run, exchange, use.entry.data_centre)
+        await self._collect(run, exchange, use)
         use.on_success()
         return RunEnd.COMPLETED, idle_limit(answer)
 
@@ -167,13 +196,18 @@
         return RunEnd.LOST
 
     async def _collect(
-        self, run: ItemRun, exchange: Exchange, data_centre: str
+        self, run: ItemRun, exchange: Exchange, use: EndpointUse
     ) -> None:
         checker = EventChecker(last=run.last_event)
+        parts = self._parts(run)
+        progressed = False
+        events_before = len(run.texts)
         chars = sum(len(text) for text in run.texts)
         async for events in iter_events(exchange, checker):
             run.last_seen_at = self._state.now()
-            self._state.centres.on_contact(data_centre, run.last_seen_at)
+            self._state.centres.on_contact(
+                use.entry.data_centre, run.last_seen_at
+            )
             for event in events:
                 if event.number is None:
                     continue
@@ -182,6 +216,10 @@
                 _check_result_size(chars)
                 run.texts.append(text)
                 run.last_event = event.number
+            if not progressed:
+                progressed = await self._evidence.on_events(
+                    use.entry.service, parts, len(run.texts) - events_before
+                )
 
 
 def _check_result_size(chars: int) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
@@ -15,6 +15,7 @@
 
 from jacinthmount_node.messages import Hello
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
+from jacinthmount_node.relay.crash_evidence import CrashEvidence, StrikeNews
 from jacinthmount_node.relay.fallback_store import (
     answer_copy_read,
     answer_store_call,
@@ -54,6 +55,7 @@
     __slots__ = (
         'allocation',
         'credit',
+        'evidence',
         'reporter',
         'rooms',
         'runner',
@@ -71,6 +73,7 @@
         sync: RelaySync,
         runner_link: RunnerLink,
         reporter: HostReporter,
+        evidence: CrashEvidence,
         rooms: RunnerCapacity | None,
         runner: RelayBatchRunner | None,
     ) -> None:
@@ -83,6 +86,7 @@
         self.sync = sync
         self.runner_link = runner_link
         self.reporter = reporter
+        self.evidence = evidence
         self.rooms = rooms
         self.runner = runner
         self.allocation = ShareAllocation(slack=state.settings.rate_slack)
@@ -249,6 +253,11 @@
     )
 
 
+@_answer.register
+async def _(body: StrikeNews, handler: MessageHandler) -> Record | None:
+    return await handler.evidence.on_news(body)
+
+
 @_answer.register
 async def _(body: CreditAsk, handler: MessageHandler) -> Record | None:
     account = handler.find_account(body.account)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -22,6 +22,10 @@
     Exchange,
 )
 from jacinthmount_node.net.http_server import Responder
+from jacinthmount_node.relay.crash_evidence import (
+    CrashEvidence,
+    find_prompt_error,
+)
 from jacinthmount_node.relay.endpoint_responses import count_endless
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.online_queue import OnlineQueue
@@ -51,6 +55,7 @@
         '_answers',
         '_called',
         '_calls',
+        '_evidence',
         '_pool',
         '_queues',
         '_reporter',
@@ -65,10 +70,14 @@
         pool: ClientPool,
         protocol: EndpointProtocol,
         reporter: HostReporter,
+        evidence: CrashEvidence,
     ) -> None:
         self._state = state
         self._pool = pool
-        self._answers = ResponseRelay(state=state, protocol=protocol)
+        self._evidence = evidence
+        self._answers = ResponseRelay(
+            state=state, protocol=protocol, evidence=evidence
+        )
         self._reporter = reporter
         self._queues: dict[str, OnlineQueue] = {}
         self._calls = 0
@@ -119,7 +128,7 @@
             call.waited_s = started_at - call.arrived_at
             try:
                 await self._report_start(call)
-                self._recheck_key(call)
+                self._recheck(call, responder)
                 stage = await self._attempt(call, use, responder)
                 if stage is not None:
                     await self._wait_if_all_full(call, use)
@@ -200,6 +209,15 @@
         )
         return max(MIN_ATTEMPT_S, min(queue_deadline, call.deadline) - now)
 
+    def _recheck(self, call: OnlineCall, responder: Responder) -> None:
+        """Refuses a request that must not be sent any more.
+
+        :raises JacinthmountError: its key was withdrawn or its prompt blocked
+            while the request waited.
+        """
+        self._recheck_key(call)
+        self._recheck_prompt(call, responder)
+
     def _recheck_key(self, call: OnlineCall) -> None:
         # The key may have been withdrawn while the request was queued.
         if call.route.public or not self._state.config.has_accounts:
@@ -209,6 +227,20 @@
                 detail='key was withdrawn while the request waited'
             )
 
+    def _recheck_prompt(self, call: OnlineCall, responder: Responder) -> None:
+        # Endpoints may have crashed on its parts while the request waited.
+        exc = find_prompt_error(
+            self._state,
+            call.service,
+            call.request.shared_parts,
+            call.attempts,
+        )
+        if exc is None:
+            return
+        if responder.started:
+            responder.abort()
+        raise exc
+
     async def _attempt(
         self,
         call: OnlineCall,
@@ -241,7 +273,7 @@
             count_endless(self._state.metrics, exc)
             use.unreachable = exchange is None
             stage = exchange.stage if exchange else Stage.CONNECTING
-            self._log_lost_attempt(call, use, stage, exc, exchange)
+            await self._record_loss(call, use, stage, exc, exchange)
             return stage
         finally:
             self._running.pop(call, None)
@@ -273,7 +305,7 @@
             batch=use.batch_from_others,
         )
 
-    def _log_lost_attempt(
+    async def _record_loss(
         self,
         call: OnlineCall,
         use: EndpointUse,
@@ -292,6 +324,13 @@
             error=f'{type(exc).__name__}: {exc}',
             after_s=round(self._state.now() - call.arrived_at, 3),
         )
+        if stage >= Stage.SENT:
+            await self._evidence.on_lost(
+                use,
+                call.request.request_id,
+                call.request.shared_parts,
+                call.events,
+            )
 
     def _retry_or_raise(
         self,
@@ -306,6 +345,10 @@
             attempts_left = call.refusals + len(call.tried) < MAX_TRIES and (
                 in_time or not call.refusals
             )
+        elif not self._evidence.may_repeat(
+            call.service, call.request.shared_parts
+        ):
+            attempts_left = False
         outcome = next_action(
             Attempt(
                 stage=stage,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -12,7 +12,8 @@
 
     ``service`` serves its first attempt. ``assigned_id`` is the id of the
     endpoint that the runner chose for that attempt, or an empty string.
-    ``events`` counts the events of the current attempt.
+    ``events`` counts the events of the current attempt, which has
+    ``progressed`` if they show that the endpoint did not crash on its answer.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         'last_event',
         'assigned_id',
         'refusals',
+        'progressed',
         'request',
         'route',
         'service',
@@ -67,6 +69,7 @@
         self.waited_s = 0.0
         self.attempts = 0
         self.events = 0
+        self.progressed = False
         self.refusals = 0
         self.tried: set[str] = set()
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
@@ -8,6 +8,7 @@
 
 from jacinthmount_node.net.http_client import Exchange
 from jacinthmount_node.net.http_server import Responder
+from jacinthmount_node.relay.crash_evidence import CrashEvidence
 from jacinthmount_node.relay.endpoint_responses import (
     idle_limit,
     iter_events,
@@ -48,15 +49,17 @@
 class ResponseRelay:
     """Relays responses of endpoints to callers as they arrive."""
 
-    __slots__ = ('_protocol', '_state')
+    __slots__ = ('_evidence', '_protocol', '_state')
 
     def __init__(
         self,
         *,
         state: RelayState,
         protocol: EndpointProtocol,
+        evidence: CrashEvidence,
     ) -> None:
         self._state = state
+        self._evidence = evidence
         self._protocol = protocol
 
     async def relay(
@@ -75,6 +78,7 @@
         """
         call.attempts += 1
         call.events = 0
+        call.progressed = False
         request = EndpointRequest(
             request_id=call.request.request_id,
             endpoint_id=use.entry.endpoint_id,
@@ -112,17 +116,21 @@
             if call.route.streams:
                 await self._relay_stream(call, use, exchange, answer, responder)
                 return idle_limit(answer)
-        await self._relay_complete(call, exchange, answer, responder)
+        await self._relay_complete(call, use, exchange, answer, responder)
         return idle_limit(answer)
 
     async def _relay_complete(
         self,
         call: OnlineCall,
+        use: EndpointUse,
         exchange: Exchange,
         answer: EndpointResponse,
         responder: Responder,
     ) -> None:
         body = await exchange.read_body()
+        await self._evidence.on_answer(
+            use.entry.service, call.request.shared_parts
+        )
         status = exchange.status
         if responder.started:
             raise EndpointFailed(detail=f'status {status} on resuming a stream')
@@ -151,7 +159,7 @@
             self._record_contact(call, use)
             if not events:
                 continue
-            call.events += len(events)
+            await self._count_events(call, use, len(events))
             packed = b''.join(event.packed for event in events)
             if responder.started:
                 await responder.write(packed)
@@ -163,6 +171,15 @@
             await responder.start(HTTPStatus.OK, answer.headers)
         await responder.finish()
 
+    async def _count_events(
+        self, call: OnlineCall, use: EndpointUse, count: int
+    ) -> None:
+        call.events += count
+        if not call.progressed:
+            call.progressed = await self._evidence.on_events(
+                use.entry.service, call.request.shared_parts, call.events
+            )
+
     def _record_contact(self, call: OnlineCall, use: EndpointUse) -> None:
         call.last_reply_at = self._state.now()
         use.on_contact(call.last_reply_at)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -158,7 +158,7 @@
         )
         for run in ordered:
             service = self._find_service(run)
-            if service is None:
+            if service is None or self._item_runner.is_blocked(run, service):
                 continue
             if service not in spare:
                 spare[service] = self._capacity.spare(service)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -17,6 +17,7 @@
 from jacinthmount.peer_choice import PeerChoice
 from jacinthmount.placement import EndpointUse, Placement
 from jacinthmount.ports import Clock, ObjectStore
+from jacinthmount.prompt_breaker import PromptBreaker
 from jacinthmount.reachability import DataCentreContacts
 from jacinthmount.report_pace import ReportPace
 
@@ -41,6 +42,7 @@
         '_fronts',
         '_hosts',
         '_hosts_by_address',
+        'breaker',
         'centres',
         'clock',
         'config_revision',
@@ -77,6 +79,7 @@
         self._config: FleetConfig | None = None
         self.config_revision = 0
         self.endpoints = EndpointTable()
+        self.breaker = PromptBreaker()
         self.placements: dict[str, Placement] = {}
         self.evacuated: frozenset[str] = frozenset()
         self._hosts: dict[str, RelayHost] = {}
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -16,6 +16,10 @@
 from jacinthmount.records import parse_json, serialize_json
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.blocked_parts import (
+    BLOCKED_PREFIX,
+    BlockedPartRecords,
+)
 from jacinthmount_node.relay.evacuations import Evacuations
 from jacinthmount_node.relay.messages import RelayHost, Snapshot, SnapshotAsk
 from jacinthmount_node.relay.object_watch import ObjectWatch, WatchDelays
@@ -59,6 +63,8 @@
     __slots__ = (
         '_snapshot_requested',
         '_started_at',
+        '_blocked',
+        '_blocked_watch',
         '_config_watch',
         '_decoder',
         '_endpoint_watch',
@@ -102,6 +108,11 @@
             cfg.evacuation_prefix,
             Evacuations(state=state).apply,
         )
+        self._blocked = BlockedPartRecords(state=state)
+        self._blocked_watch = self._make_watch(
+            BLOCKED_PREFIX,
+            self._blocked.apply,
+        )
         self._host_watch = self._make_watch(
             HOST_PREFIX,
             self._apply_hosts,
@@ -113,6 +124,7 @@
             others=[
                 self._endpoint_watch,
                 self._evacuation_watch,
+                self._blocked_watch,
                 self._host_watch,
             ],
         )
@@ -126,6 +138,8 @@
             await group.spawn(self._run_outage_check)
             await group.spawn(self._run_peer_requests)
             await group.spawn(self._probe.run)
+            if self._state.settings.runs_batches:
+                await group.spawn(self._blocked.run)
 
     @property
     def in_outage(self) -> bool:
@@ -224,6 +238,7 @@
             self._config_watch,
             self._endpoint_watch,
             self._evacuation_watch,
+            self._blocked_watch,
             self._host_watch,
         )
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/tracked_links.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/tracked_links.py
@@ -2,10 +2,11 @@
 
 from jacinthmount.records import Record
 
+from jacinthmount_node.messages import Hello
 from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.relay.state import RelayState
 
-__all__ = ('TrackedLinks',)
+__all__ = ('TrackedLinks', 'open_links')
 
 
 class TrackedLinks:
@@ -41,3 +42,21 @@
         next request to it.
         """
         await self._links.keep_only(addresses)
+
+
+def open_links(state: RelayState) -> TrackedLinks:
+    """Creates the links of a host, which connect at their first request."""
+    cfg = state.settings
+    return TrackedLinks(
+        links=PeerLinks(
+            local_ip=cfg.ip,
+            context=None,
+            hello=Hello(
+                host=state.host,
+                incarnation=state.incarnation,
+                data_centre=cfg.data_centre,
+            ),
+            metrics=state.metrics,
+        ),
+        state=state,
+    )
--- a/packages/jacinthmount/jacinthmount/batch_order.py
+++ b/packages/jacinthmount/jacinthmount/batch_order.py
@@ -38,6 +38,7 @@
         'headers',
         'last_seen_at',
         'host_name',
+        'is_blocked',
         'is_finished',
         'item_id',
         'last_event',
@@ -82,6 +83,8 @@
         self.texts: list[str] = []
         self.last_event: int | None = None
         self.failures = 0
+        # Endpoints crashed on parts of its prompt.
+        self.is_blocked = False
         # The events are complete, but the result is not in the log yet.
         self.is_finished = False
         self.starts = 0
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -29,6 +29,7 @@
     'OrderFenced',
     'OutcomeUnknown',
     'PeerUnavailable',
+    'PromptBlocked',
     'QuotaExceeded',
     'RateExceeded',
     'RequestCancelled',
@@ -350,6 +351,14 @@
     run_state = NOT_RUN
 
 
+class PromptBlocked(JacinthmountError):
+    """Endpoints crashed on prompts with the same parts."""
+
+    code = 1308
+    http_status = 503
+    run_state = NOT_RUN
+
+
 class PeerUnavailable(JacinthmountError):
     """A peer host did not answer in time."""
 
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -1,11 +1,14 @@
 """Prompt parts that crash the engines, on real processes."""
 
+import base64
 import contextlib
+import json
 import time
 from http.client import HTTPException
 
 import pytest
 from jacinthmount_platform_standin.site import PlatformSite
+from jacinthmount_standin.callers import call_http
 
 ENGINES = 4
 BAD = '0a11:100,bad1:50'
@@ -14,6 +17,8 @@
 ALLOWED_CRASHES = 5
 REQUESTS = 12
 PAUSE_S = 0.1
+WAIT_S = 10.0
+RECORDS = '/api/objects/blocked-parts'
 
 
 @pytest.fixture
@@ -46,6 +51,58 @@
     return 0
 
 
+def eventually(holds):
+    """Waits until a condition holds."""
+    until = time.monotonic() + WAIT_S
+    while not holds():
+        assert time.monotonic() < until, 'the condition did not come to hold'
+        time.sleep(PAUSE_S)
+
+
+def crash_until_blocked(site):
+    """Sends requests with the bad part until all fronts refuse them.
+
+    :returns: how many engines ended.
+    """
+    crashes = 0
+    for number in range(REQUESTS):
+        asked = {
+            ask(site, front, f'c{number:x}{front[-1]}', BAD)
+            for front in site.fronts
+        }
+        time.sleep(PAUSE_S)
+        crashes += site.restart_ended_engines()
+        if asked == {503}:
+            return crashes
+    raise AssertionError('the part was not blocked')
+
+
+def read_records(site):
+    """Lists the names of the records of blocked parts in the store."""
+    _, answer = call_http(site.store, 'GET', RECORDS)
+    return [one['metadata']['name'] for one in json.loads(answer)['items']]
+
+
+def make_item(item_id, parts):
+    """Builds a batch item whose prompt has shared parts."""
+    return {
+        'id': item_id,
+        'path': '/audit/1',
+        'headers': {
+            'Token-Usage': '10,5',
+            'Prompt-Prefix': f'{parts},{item_id}:10',
+        },
+        'body': base64.b64encode(b'bale').decode(),
+        'tokens': 20,
+    }
+
+
+def count_results(site, batch_id):
+    """Counts the results of a batch that can be read."""
+    _, answer = site.call('front-2', 'GET', f'/api/lots/{batch_id}?after=0')
+    return json.loads(answer)['next'] if answer else 0
+
+
 def test_prompt_part_crashes_engine_after_engine(site):
     """Requests with the part stop reaching engines; others are served."""
     fronts = list(site.fronts)
@@ -60,3 +117,69 @@
     for front in fronts:
         assert ask(site, front, f'e-{front}', BAD) == 503
         assert ask(site, front, f'f-{front}', SOUND) == 200
+
+
+def test_blocked_part_is_known_after_a_restart_of_all_hosts(site):
+    """The record outlives them, until an operator removes it."""
+    crash_until_blocked(site)
+    eventually(lambda: read_records(site))
+    for name in site.controls:
+        site.kill(name)
+    for name in site.controls:
+        site.start_host(name)
+    for front in site.fronts:
+        site.wait_ready(front)
+        assert ask(site, front, f'e-{front}', BAD) == 503
+    time.sleep(PAUSE_S)
+    assert not site.restart_ended_engines()
+    for name in read_records(site):
+        call_http(site.store, 'DELETE', f'{RECORDS}/{name}')
+    eventually(lambda: ask(site, 'front-1', 'f1', BAD) != 503)
+
+
+def test_hosts_learn_blocked_parts_while_the_store_is_away(site):
+    """Strikes and verdict need no store; the record follows later."""
+    site.switch(site.store, refuse=True)
+    # Ended engines keep their registration, so they are not replaced.
+    asked = []
+    for number in range(ENGINES):
+        front = f'front-{number % 2 + 1}'
+        asked.append(ask(site, front, f'a{number}', BAD))
+        time.sleep(PAUSE_S)
+    assert asked[-1] == 503
+    site.switch(site.store, refuse=False)
+    eventually(lambda: read_records(site))
+    for front in site.fronts:
+        assert ask(site, front, f'e-{front}', BAD) == 503
+
+
+def test_repeated_request_crashes_two_engines_at_most(site):
+    """A resumable request may be sent to another engine once more."""
+    assert ask(site, 'front-1', 'r1', BAD, path='/check/1') == 502
+    time.sleep(PAUSE_S)
+    assert site.restart_ended_engines() <= 2
+
+
+def test_items_with_a_blocked_part_wait_and_others_are_run(site):
+    """The batch keeps the item, which has not run any more."""
+    crash_until_blocked(site)
+    items = [
+        make_item('i1', BAD),
+        *(make_item(f's{one}', SOUND) for one in range(4)),
+    ]
+    site.call('front-1', 'POST', '/audit/x', {'items': items}, attempt_id='b1')
+    eventually(lambda: count_results(site, 'b1') == 4)
+    time.sleep(1.0)
+    assert not site.restart_ended_engines()
+    assert 'i1' not in {run['id'] for run in site.ran()}
+
+
+def test_items_with_one_part_crash_three_engines_at_most(site):
+    """Guards against items that are run again after each crash."""
+    items = [make_item(f'i{one}', BAD) for one in range(6)]
+    crashes = 0
+    site.call('front-1', 'POST', '/audit/x', {'items': items}, attempt_id='b1')
+    for _ in range(20):
+        time.sleep(0.3)
+        crashes += site.restart_ended_engines()
+    assert 0 < crashes <= ALLOWED_CRASHES
--- a/tests/test_relay_sync.py
+++ b/tests/test_relay_sync.py
@@ -221,7 +221,7 @@
         task = await curio.spawn(sync.run, daemon=True)
         await curio.sleep(START_GRACE_S / 2)
         early = store.watched
-        watched = await wait_until(lambda: store.watched == 4)
+        watched = await wait_until(lambda: store.watched == 5)
         await task.cancel()
         return early, watched
 
--- a/tests/test_run_scheduler.py
+++ b/tests/test_run_scheduler.py
@@ -20,6 +20,10 @@
     def __init__(self):
         self.begun = []
 
+    def is_blocked(self, run, service):
+        """Blocks no item."""
+        return False
+
     async def run(self, run, use):
         """See :meth:`~jacinthmount_node.relay.item_runs.ItemRunner.run`."""
         self.begun.append((run.item_id, run.last_event))
