--- /dev/null
+++ b/tests/test_limit_failures.py
@@ -0,0 +1,116 @@
+"""Endpoints that name a limit in their answers, on real processes."""
+
+import base64
+import contextlib
+import json
+import threading
+import time
+from http.client import HTTPException
+
+import pytest
+from jacinthmount_platform_standin.site import PlatformSite
+from jacinthmount_standin.callers import call_http
+
+LIMIT_PER_S = 2.0
+WINDOW_S = 4.0
+# What the platform tolerates in a window.
+ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+LEARN_S = 1.0
+LOAD_S = 6.0
+CALLERS = 6
+PAUSE_S = 0.15
+
+
+@pytest.fixture
+def site(tmp_path):
+    """A site of two fronts, two runners and two engines, one with a limit."""
+    found = PlatformSite(folder=tmp_path, fronts=2, runners=2)
+    try:
+        found.start()
+        found.switch(found.engines['engine-1'], limit_per_s=str(LIMIT_PER_S))
+        yield found
+    finally:
+        found.stop()
+
+
+def send_load(site, statuses, caller):
+    """Sends requests one after the other to both fronts in turn."""
+    until = time.monotonic() + LOAD_S
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        with contextlib.suppress(OSError, HTTPException):
+            status, _ = site.call(
+                f'front-{number % 2 + 1}',
+                'POST',
+                '/scan/1',
+                {},
+                attempt_id=f'a{caller}-{number}',
+                token_usage='10,5',
+                deadline_remaining='5000',
+            )
+            statuses.append(status)
+        time.sleep(PAUSE_S)
+
+
+def play_load(site):
+    """Sends requests from several callers at once.
+
+    :returns: the statuses.
+    """
+    statuses = []
+    threads = [
+        threading.Thread(target=send_load, args=(site, statuses, caller))
+        for caller in range(CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
+
+
+def most_in_window(site, engine):
+    """Returns the most requests that an engine ran in some window.
+
+    The first second, in which hosts learn its limit, is left out.
+    """
+    _, answer = call_http(site.engines[engine], 'GET', '/ran')
+    times = [run['at'] for run in json.loads(answer)['ran']]
+    counted = [at for at in times if at > times[0] + LEARN_S]
+    return max(
+        (
+            sum(start <= at < start + WINDOW_S for at in counted)
+            for start in counted
+        ),
+        default=0,
+    )
+
+
+def test_endpoint_gets_more_than_the_limit_it_names(site):
+    """All hosts together keep to it, and the others take the rest."""
+    statuses = play_load(site)
+    assert set(statuses) == {200}
+    assert 0 < most_in_window(site, 'engine-1') <= ALLOWED
+
+
+def test_items_of_batches_exceed_the_limit_of_an_endpoint(site):
+    """Items count as requests, also those that go on after giving way."""
+    items = [
+        {
+            'id': f'item-{number}',
+            'path': '/audit/1',
+            'headers': {'Token-Usage': '10,5'},
+            'body': base64.b64encode(b'bale').decode(),
+            'tokens': 20,
+        }
+        for number in range(100)
+    ]
+    assert (
+        site.call(
+            'front-1', 'POST', '/audit/x', {'items': items}, attempt_id='b1'
+        )[0]
+        == 202
+    )
+    assert set(play_load(site)) == {200}
+    assert 0 < most_in_window(site, 'engine-1') <= ALLOWED
