Keep to the limits that endpoints name (LIMIT)

Cause: the field was read nowhere. Requests went to all endpoints alike (busiest to mean 1.04 and 1.08), and items that gave way came back at once.

Change: one pace of an endpoint for all hosts, divided as that of cold endpoints is. Hosts learn the limit from their answers and from each other, prefer endpoints without one, ask the runner for a place when those are full, and refuse at once what no endpoint takes in time.

Beside a batch a few requests may be refused as not run, as items leave their slots a moment later; the bound of the limit is the same.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/crash_evidence.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/crash_evidence.py
@@ -4,7 +4,6 @@
 from jacinthmount.errors import (
     EndpointFailed,
     JacinthmountError,
-    PeerUnavailable,
     PromptBlocked,
 )
 from jacinthmount.placement import EndpointUse
@@ -13,15 +12,13 @@
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.http_client import ClientPool
-from jacinthmount_node.relay.messages import RelayHost
+from jacinthmount_node.relay.host_news import HostNews
 from jacinthmount_node.relay.state import RelayState
-from jacinthmount_node.relay.tracked_links import TrackedLinks
 
 __all__ = ('CrashEvidence', 'StrikeNews', 'find_prompt_error', 'log_blocked')
 
 CONNECT_TIMEOUT_S = 0.1
 CHECK_PAUSES_S = (0.05, 0.2, 0.5)
-NEWS_TIMEOUT_S = 0.3
 # Repairs what hosts missed while they were cut off or restarted.
 EXCHANGE_INTERVAL_S = 2.0
 # An answer went on with its second event; the first may be all that an
@@ -53,17 +50,17 @@
     :param pool: connects to endpoints that may have crashed.
     """
 
-    __slots__ = ('_blocked', '_links', '_pool', '_state')
+    __slots__ = ('_blocked', '_news', '_pool', '_state')
 
     def __init__(
         self,
         *,
         state: RelayState,
-        links: TrackedLinks,
+        news: HostNews,
         pool: ClientPool,
     ) -> None:
         self._state = state
-        self._links = links
+        self._news = news
         self._pool = pool
         self._blocked: list[BlockedParts] = []
 
@@ -197,37 +194,14 @@
 
     async def _publish(self, strikes: list[PartStrike]) -> None:
         self.log_changes()
-        news = StrikeNews(strikes=strikes, asks=False)
-        for host in self._state.hosts.values():
-            if host.host != self._state.host:
-                await curio.spawn(self._send, host, news, daemon=True)
+        await self._news.publish(StrikeNews(strikes=strikes, asks=False))
 
     async def _exchange(self) -> None:
-        others = [
-            host
-            for host in self._state.hosts.values()
-            if host.host != self._state.host
-        ]
-        if not others:
-            return
         strikes = self._state.breaker.strikes(self._state.now())
-        await self._send(
-            self._state.rng.choice(others),
-            StrikeNews(strikes=strikes, asks=True),
+        reply = await self._news.exchange(
+            StrikeNews(strikes=strikes, asks=True)
         )
-
-    async def _send(self, host: RelayHost, news: StrikeNews) -> None:
-        try:
-            reply = await self._links.request_at(
-                host.peer_address, news, NEWS_TIMEOUT_S
-            )
-        except PeerUnavailable as exc:
-            # A later exchange repeats them.
-            log_event(
-                'strikes_not_delivered', peer=host.host, detail=exc.detail
-            )
-            return
-        if isinstance(reply, StrikeNews) and reply.strikes:
+        if isinstance(reply, StrikeNews):
             await self.on_news(reply)
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -17,7 +17,7 @@
 from jacinthmount_node.parts import Part, run_parts
 from jacinthmount_node.relay.batch_api import BatchApi
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
-from jacinthmount_node.relay.crash_evidence import CrashEvidence
+from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_probes import EndpointProbes
 from jacinthmount_node.relay.fallback_store import FallbackStore
 from jacinthmount_node.relay.front import RelayFront
@@ -53,7 +53,7 @@
     """All components of one relay process."""
 
     __slots__ = (
-        '_evidence',
+        '_notices',
         '_front_server',
         '_limits',
         '_pages',
@@ -89,7 +89,7 @@
         self._runner: RelayBatchRunner | None = None
         links = open_links(state)
         peer_requests = PeerRequests(state=state, links=links)
-        self._evidence = CrashEvidence(
+        self._notices = EndpointNotices(
             state=state, links=links, pool=self._pools.online
         )
         self._store = FallbackStore(
@@ -132,7 +132,7 @@
         self._parts: dict[str, Part] = {
             'sync': self._sync.run,
             'reports': self._reporter.run,
-            'crash evidence': self._evidence.run,
+            'endpoint notices': self._notices.run,
             'store calls': self._store.direct.run,
         }
         rooms = None
@@ -146,7 +146,7 @@
             sync=self._sync,
             runner_link=self._runner_link,
             reporter=self._reporter,
-            evidence=self._evidence,
+            notices=self._notices,
             rooms=rooms,
             runner=self._runner,
         )
@@ -181,7 +181,7 @@
                 state=self._state,
                 pool=self._pools.items,
                 protocol=self._ports.endpoints,
-                evidence=self._evidence,
+                notices=self._notices,
             ),
             copies=self._store.copies,
             connectivity=self._connectivity,
@@ -202,7 +202,8 @@
             pool=self._pools.online,
             protocol=self._ports.endpoints,
             reporter=self._reporter,
-            evidence=self._evidence,
+            runner_link=self._runner_link,
+            notices=self._notices,
         )
         front = RelayFront(
             state=state,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -15,10 +15,8 @@
     Exchange,
 )
 from jacinthmount_node.net.sockets import with_timeout
-from jacinthmount_node.relay.crash_evidence import (
-    CrashEvidence,
-    find_prompt_error,
-)
+from jacinthmount_node.relay.crash_evidence import find_prompt_error
+from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_responses import (
     count_endless,
     idle_limit,
@@ -60,7 +58,7 @@
     :param pool: connections for batch items only.
     """
 
-    __slots__ = ('_evidence', '_pool', '_protocol', '_state')
+    __slots__ = ('_notices', '_pool', '_protocol', '_state')
 
     def __init__(
         self,
@@ -68,11 +66,11 @@
         state: RelayState,
         pool: ClientPool,
         protocol: EndpointProtocol,
-        evidence: CrashEvidence,
+        notices: EndpointNotices,
     ) -> None:
         self._state = state
         self._pool = pool
-        self._evidence = evidence
+        self._notices = notices
         self._protocol = protocol
 
     async def run(self, run: ItemRun, use: EndpointUse) -> RunEnd:
@@ -105,7 +103,7 @@
             )
             if exchange is not None:
                 await exchange.close()
-                await self._evidence.on_lost(
+                await self._notices.crashes.on_lost(
                     use, run.item_id, self._parts(run), new_events
                 )
             return RunEnd.LOST
@@ -160,6 +158,8 @@
         answer = parse_response_head(self._protocol, run.item_id, exchange)
         if answer.leaving:
             self._state.note_leaving(use.entry)
+        if not answer.other_endpoint:
+            await self._notices.limits.on_answer(use, answer.limit_per_s)
         if exchange.status >= HTTPStatus.MULTIPLE_CHOICES:
             await exchange.read_body()
             outcome = self._classify(run, use, exchange.status, answer)
@@ -217,7 +217,7 @@
                 run.texts.append(text)
                 run.last_event = event.number
             if not progressed:
-                progressed = await self._evidence.on_events(
+                progressed = await self._notices.crashes.on_events(
                     use.entry.service, parts, len(run.texts) - events_before
                 )
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
@@ -15,7 +15,9 @@
 
 from jacinthmount_node.messages import Hello
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
-from jacinthmount_node.relay.crash_evidence import CrashEvidence, StrikeNews
+from jacinthmount_node.relay.crash_evidence import StrikeNews
+from jacinthmount_node.relay.endpoint_limits import LimitNews
+from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.fallback_store import (
     answer_copy_read,
     answer_store_call,
@@ -55,7 +57,7 @@
     __slots__ = (
         'allocation',
         'credit',
-        'evidence',
+        'notices',
         'reporter',
         'rooms',
         'runner',
@@ -73,7 +75,7 @@
         sync: RelaySync,
         runner_link: RunnerLink,
         reporter: HostReporter,
-        evidence: CrashEvidence,
+        notices: EndpointNotices,
         rooms: RunnerCapacity | None,
         runner: RelayBatchRunner | None,
     ) -> None:
@@ -86,7 +88,7 @@
         self.sync = sync
         self.runner_link = runner_link
         self.reporter = reporter
-        self.evidence = evidence
+        self.notices = notices
         self.rooms = rooms
         self.runner = runner
         self.allocation = ShareAllocation(slack=state.settings.rate_slack)
@@ -249,13 +251,22 @@
         known=True,
         granted=granted,
         wait_s=handler.allocation.wait_s(account.name, now),
-        endpoint_id=await handler.choose_endpoint(body) if granted else '',
+        endpoint_id=(
+            await handler.choose_endpoint(body)
+            if granted or not body.wanted
+            else ''
+        ),
     )
 
 
 @_answer.register
 async def _(body: StrikeNews, handler: MessageHandler) -> Record | None:
-    return await handler.evidence.on_news(body)
+    return await handler.notices.crashes.on_news(body)
+
+
+@_answer.register
+async def _(body: LimitNews, handler: MessageHandler) -> Record | None:
+    return handler.notices.limits.on_news(body)
 
 
 @_answer.register
--- a/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/messages.py
@@ -149,7 +149,8 @@
     """Requests rate tokens of an account, and an endpoint for a request.
 
     ``service`` is the service that the request needs, or empty if no endpoint
-    is to be chosen.
+    is to be chosen. ``wanted`` is 0 for a request that has its token and needs
+    an endpoint only.
     """
 
     __slots__ = ('host', 'account', 'service', 'wanted')
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -22,16 +22,16 @@
     Exchange,
 )
 from jacinthmount_node.net.http_server import Responder
-from jacinthmount_node.relay.crash_evidence import (
-    CrashEvidence,
-    find_prompt_error,
-)
+from jacinthmount_node.relay.crash_evidence import find_prompt_error
+from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_responses import count_endless
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.online_queue import OnlineQueue
+from jacinthmount_node.relay.place_requests import PlaceRequests
 from jacinthmount_node.relay.protocols import EndpointProtocol
 from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.response_relay import AttemptRefused, ResponseRelay
+from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('OnlineRelay',)
@@ -55,7 +55,8 @@
         '_answers',
         '_called',
         '_calls',
-        '_evidence',
+        '_notices',
+        '_places',
         '_pool',
         '_queues',
         '_reporter',
@@ -70,15 +71,17 @@
         pool: ClientPool,
         protocol: EndpointProtocol,
         reporter: HostReporter,
-        evidence: CrashEvidence,
+        runner_link: RunnerLink,
+        notices: EndpointNotices,
     ) -> None:
         self._state = state
         self._pool = pool
-        self._evidence = evidence
+        self._notices = notices
         self._answers = ResponseRelay(
-            state=state, protocol=protocol, evidence=evidence
+            state=state, protocol=protocol, notices=notices
         )
         self._reporter = reporter
+        self._places = PlaceRequests(state=state, runner_link=runner_link)
         self._queues: dict[str, OnlineQueue] = {}
         self._calls = 0
         self._called = curio.Event()
@@ -173,6 +176,8 @@
         queue: OnlineQueue,
         responder: Responder,
     ) -> EndpointUse:
+        if not call.assigned_id and queue.is_limited(call.tried):
+            call.assigned_id = await self._places.find(call)
         try:
             return await queue.acquire(
                 call.account,
@@ -197,7 +202,9 @@
         # Called before the slot is released: while the request counts as in
         # flight, the runner preempts batch items on the endpoint.
         call.tried.add(use.entry.endpoint_id)
-        untried = self._state.placement(use.entry.service).untried(call.tried)
+        untried = self._state.placement(use.entry.service).startable(
+            call.tried, self._wait_limit_s(call), self._state.now()
+        )
         if call.refusals and not untried:
             await curio.sleep(REFUSED_PAUSE_S)
             call.tried.clear()
@@ -325,7 +332,7 @@
             after_s=round(self._state.now() - call.arrived_at, 3),
         )
         if stage >= Stage.SENT:
-            await self._evidence.on_lost(
+            await self._notices.crashes.on_lost(
                 use,
                 call.request.request_id,
                 call.request.shared_parts,
@@ -345,7 +352,7 @@
             attempts_left = call.refusals + len(call.tried) < MAX_TRIES and (
                 in_time or not call.refusals
             )
-        elif not self._evidence.may_repeat(
+        elif not self._notices.crashes.may_repeat(
             call.service, call.request.shared_parts
         ):
             attempts_left = False
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
@@ -13,6 +13,8 @@
 
 ACCOUNT_WEIGHT = 1.0
 TOKENS_PER_REQUEST = 1.0
+# Another host may send to a limited endpoint earlier than this one.
+MAX_RETURN_S = 1.0
 
 
 class _Waiter:
@@ -64,6 +66,15 @@
         self._queue.begin(account)
         return use
 
+    def is_limited(self, tried: set[str]) -> bool:
+        """Returns whether a request would have to wait for a limited endpoint.
+
+        :param tried: ids of the endpoints that failed the request.
+        """
+        if not self._placement.has_limits(tried):
+            return False
+        return self._placement.choose(tried, self._state.now()) is None
+
     def release(self, account: str, use: EndpointUse, took_s: float) -> None:
         """Releases a slot.
 
@@ -103,12 +114,14 @@
             own=self._queue.waiting(account),
             accounts=self._queue.accounts(),
         )
-        uses = self._placement.available(tried, now)
+        uses = self._placement.startable(tried, wait_limit_s, now)
         wait_s = self._guard.estimate_wait_s(
             ahead,
             sum(use.online for use in uses),
         )
-        if not uses or wait_s > wait_limit_s:
+        if not uses:
+            self._refuse_for_limits(tried, now)
+        if wait_s > wait_limit_s:
             raise EndpointsFull(
                 detail=f'{ahead} wait, expected wait {wait_s:.2f} s',
                 retry_after_s=self._guard.retry_after_s(
@@ -116,6 +129,15 @@
                 ),
             )
 
+    def _refuse_for_limits(self, tried: set[str], now: float) -> None:
+        next_start_s = self._placement.next_start_s(tried, now)
+        raise EndpointsFull(
+            detail=f'no endpoint takes a request within {next_start_s:.2f} s',
+            retry_after_s=self._guard.retry_after_s(
+                min(next_start_s, MAX_RETURN_S), self._state.rng
+            ),
+        )
+
     async def _wait(
         self,
         account: str,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/protocols.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/protocols.py
@@ -165,6 +165,8 @@
     ``signed`` if the response carries the endpoint's signature, ``leaving`` if
     the endpoint announces its shutdown. ``headers`` may be passed on to the
     caller. ``idle_s`` is how long the connection may stay idle, or None.
+    ``limit_per_s`` is how many requests per second the endpoint takes from all
+    hosts together, 0 if it names no limit.
     """
 
     __slots__ = (
@@ -176,6 +178,7 @@
         'headers',
         'load',
         'idle_s',
+        'limit_per_s',
     )
 
     own: bool
@@ -186,6 +189,7 @@
     headers: list[tuple[str, str]]
     load: EngineLoad | None
     idle_s: float | None
+    limit_per_s: float
 
 
 class EndpointProtocol:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
@@ -8,7 +8,7 @@
 
 from jacinthmount_node.net.http_client import Exchange
 from jacinthmount_node.net.http_server import Responder
-from jacinthmount_node.relay.crash_evidence import CrashEvidence
+from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_responses import (
     idle_limit,
     iter_events,
@@ -49,17 +49,17 @@
 class ResponseRelay:
     """Relays responses of endpoints to callers as they arrive."""
 
-    __slots__ = ('_evidence', '_protocol', '_state')
+    __slots__ = ('_notices', '_protocol', '_state')
 
     def __init__(
         self,
         *,
         state: RelayState,
         protocol: EndpointProtocol,
-        evidence: CrashEvidence,
+        notices: EndpointNotices,
     ) -> None:
         self._state = state
-        self._evidence = evidence
+        self._notices = notices
         self._protocol = protocol
 
     async def relay(
@@ -105,6 +105,8 @@
         )
         if answer.leaving:
             self._state.note_leaving(use.entry)
+        if not answer.other_endpoint:
+            await self._notices.limits.on_answer(use, answer.limit_per_s)
         if answer.load is not None:
             use.on_load(answer.load.waiting, self._state.now())
         if answer.not_run:
@@ -128,7 +130,7 @@
         responder: Responder,
     ) -> None:
         body = await exchange.read_body()
-        await self._evidence.on_answer(
+        await self._notices.crashes.on_answer(
             use.entry.service, call.request.shared_parts
         )
         status = exchange.status
@@ -176,7 +178,7 @@
     ) -> None:
         call.events += count
         if not call.progressed:
-            call.progressed = await self._evidence.on_events(
+            call.progressed = await self._notices.crashes.on_events(
                 use.entry.service, call.request.shared_parts, call.events
             )
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -196,12 +196,14 @@
             for use in placement.uses()
             if use.entry.endpoint_id in open_ids
             and placement.is_available(use, now)
+            and use.limit.may_send_item(now)
         ]
         if not uses:
             return None
         return max(
             uses,
             key=lambda use: (
+                not use.limit.is_named,
                 self._capacity.free(use.entry.endpoint_id),
                 self._state.centres.is_own(use.entry.data_centre),
             ),
@@ -216,6 +218,7 @@
         run.starts += 1
         run.last_seen_at = now
         self._capacity.begin(run)
+        use.on_paced(now)
         log_event(
             'item_started',
             item=run.item_id,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/runner_capacity.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/runner_capacity.py
@@ -73,22 +73,14 @@
             for use in compared
             if self._accepts_online(use.entry)
             and placement.is_available(use, now)
-            and use.cold.may_send(now)
+            and use.may_send(now)
         ]
         if not candidates:
             return ''
         registered = self._state.hosts.get(host)
         data_centre = registered.data_centre if registered else ''
-        # Of equally loaded endpoints one near the host is chosen, which saves
-        # traffic between data centres.
-        chosen = min(
-            candidates,
-            key=lambda use: (
-                self._in_flight(use),
-                use.entry.data_centre != data_centre,
-            ),
-        )
-        chosen.cold.on_sent(now)
+        chosen = min(candidates, key=lambda use: self._rank(use, data_centre))
+        chosen.on_paced(now)
         self._load.begin(host, chosen.entry.endpoint_id, now)
         return chosen.entry.endpoint_id
 
@@ -220,6 +212,20 @@
         running = len(self._running.get(endpoint_id, ()))
         return self._load.total(endpoint_id) + running
 
+    def _rank(
+        self, use: EndpointUse, data_centre: str
+    ) -> tuple[bool, bool, int, bool]:
+        # Endpoints that name a limit come after those with a free slot. Of
+        # equally loaded endpoints one near the host is chosen, which saves
+        # traffic between data centres.
+        in_flight = self._in_flight(use)
+        return (
+            in_flight >= use.entry.slots,
+            use.limit.is_named,
+            in_flight,
+            use.entry.data_centre != data_centre,
+        )
+
     def _accepts_batch(self, endpoint_id: str) -> bool:
         now = self._state.now()
         known_since = self._known_since.setdefault(endpoint_id, now)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -5,6 +5,7 @@
 import uuid
 
 from jacinthmount.cold_period import ColdLimit, host_limit, runner_limit
+from jacinthmount.endpoint_limit import RUNNER_SHARE, host_share
 from jacinthmount.endpoint_table import (
     EndpointEntry,
     EndpointTable,
@@ -42,6 +43,7 @@
         '_fronts',
         '_hosts',
         '_hosts_by_address',
+        '_limit_share',
         'breaker',
         'centres',
         'clock',
@@ -85,6 +87,8 @@
         self._hosts: dict[str, RelayHost] = {}
         self._hosts_by_address: dict[str, RelayHost] = {}
         self._fronts: list[str] = []
+        # Part of the limits of endpoints that this process may use.
+        self._limit_share = RUNNER_SHARE
         self.pace = ReportPace(hosts=0)
         self.leadership = Leadership(host=settings.host, now=clock.now())
         self.centres = DataCentreContacts(own=settings.data_centre)
@@ -120,6 +124,8 @@
         self._hosts_by_address = {one.peer_address: one for one in hosts}
         self._fronts = [one.host for one in hosts if not one.runs_batches]
         self.pace = ReportPace(hosts=len(hosts))
+        if not self.settings.runs_batches:
+            self._limit_share = host_share(len(self._fronts))
         self._update_cold_limits()
 
     @property
@@ -159,6 +165,7 @@
             now = self.now()
             found = Placement(rng=self.rng, centres=self.centres)
             found.apply_limit(self._cold_limit(service))
+            found.apply_share(self._limit_share, now)
             found.apply_evacuations(self.evacuated, now)
             found.set_entries(self.endpoints.usable(service), now)
             self.placements[service] = found
@@ -262,6 +269,7 @@
     def _update_cold_limits(self) -> None:
         for service, placement in self.placements.items():
             placement.apply_limit(self._cold_limit(service))
+            placement.apply_share(self._limit_share, self.now())
 
     def _cold_limit(self, service: str) -> ColdLimit:
         rule = self._config.services.get(service) if self._config else None
--- a/packages/jacinthmount/jacinthmount/cold_period.py
+++ b/packages/jacinthmount/jacinthmount/cold_period.py
@@ -14,7 +14,14 @@
 
 from jacinthmount.records import Record
 
-__all__ = ('ColdLimit', 'ColdPeriod', 'host_limit', 'runner_limit')
+__all__ = (
+    'HOSTS_FRACTION',
+    'RUNNER_FRACTION',
+    'ColdLimit',
+    'ColdPeriod',
+    'host_limit',
+    'runner_limit',
+)
 
 # Two runners that both count as active still exceed the rate by a third only.
 RUNNER_FRACTION = 2 / 3
@@ -104,6 +111,10 @@
         """
         return not self._presumed or self.may_send(now)
 
+    def wait_s(self, now: float) -> float:
+        """Returns the seconds until this process may choose the endpoint."""
+        return max(0.0, min(self._ends_at, self._next_at) - now)
+
     def on_sent(self, now: float) -> None:
         """Records that a request is about to be sent."""
         self._next_at = now + self.limit.interval_s
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -7,6 +7,7 @@
 import random
 
 from jacinthmount.cold_period import ColdLimit, ColdPeriod
+from jacinthmount.endpoint_limit import RUNNER_SHARE, LimitPace, LimitShare
 from jacinthmount.endpoint_table import EndpointEntry
 from jacinthmount.reachability import DataCentreContacts
 
@@ -41,15 +42,23 @@
         'ejected_until',
         'entry',
         'evacuated',
+        'limit',
         'online',
         'online_from_others',
         'no_data_since',
         'unreachable',
     )
 
-    def __init__(self, *, entry: EndpointEntry, limit: ColdLimit) -> None:
+    def __init__(
+        self,
+        *,
+        entry: EndpointEntry,
+        limit: ColdLimit,
+        share: LimitShare = RUNNER_SHARE,
+    ) -> None:
         self.entry = entry
         self.cold = ColdPeriod(limit=limit)
+        self.limit = LimitPace(share=share)
         # The operator wants no requests sent to the data centre.
         self.evacuated = False
         self.online = 0
@@ -65,7 +74,20 @@
     def begin(self, now: float) -> None:
         """Counts an online request that is about to be sent."""
         self.online += 1
+        self.on_paced(now)
+
+    def on_paced(self, now: float) -> None:
+        """Counts a request against what a cold or limited endpoint gets."""
         self.cold.on_sent(now)
+        self.limit.on_sent(now)
+
+    def may_send(self, now: float) -> bool:
+        """Returns whether a cold or limited endpoint may get a request."""
+        return self.cold.may_send(now) and self.limit.may_send(now)
+
+    def wait_s(self, now: float) -> float:
+        """Returns the seconds until it may get a request of this process."""
+        return max(self.cold.wait_s(now), self.limit.wait_s(now))
 
     def on_view(self, online: int, batch: int, now: float) -> None:
         """Records the requests in flight from other hosts."""
@@ -135,7 +157,7 @@
 class Placement:
     """Endpoints of one service, and the choice of one for a request."""
 
-    __slots__ = ('_centres', '_evacuated', '_limit', '_rng', '_uses')
+    __slots__ = ('_centres', '_evacuated', '_limit', '_rng', '_share', '_uses')
 
     def __init__(
         self,
@@ -146,6 +168,7 @@
         self._rng = rng
         self._centres = centres
         self._limit = NO_LIMIT
+        self._share = RUNNER_SHARE
         self._evacuated: frozenset[str] = frozenset()
         self._uses: dict[str, EndpointUse] = {}
 
@@ -156,7 +179,9 @@
             use = self._uses.get(entry.endpoint_id)
             is_known = use is not None and use.entry is entry
             if use is None or _restarted(use.entry, entry):
-                use = EndpointUse(entry=entry, limit=self._limit)
+                use = EndpointUse(
+                    entry=entry, limit=self._limit, share=self._share
+                )
                 use.evacuated = entry.data_centre in self._evacuated
             if not is_known:
                 use.cold.on_stated(entry.cold_left_s, self._rng, now)
@@ -172,6 +197,48 @@
         for use in self._uses.values():
             use.cold.limit = limit
 
+    def apply_share(self, share: LimitShare, now: float) -> None:
+        """Sets the part of the limits of endpoints for this process."""
+        if share == self._share:
+            return
+        self._share = share
+        for use in self._uses.values():
+            use.limit.apply_share(share, now)
+
+    def has_limits(self, tried: set[str]) -> bool:
+        """Returns whether an endpoint names a limit.
+
+        :param tried: ids of endpoints to leave out.
+        """
+        return any(use.limit.is_named for use in self.untried(tried))
+
+    def next_start_s(self, tried: set[str], now: float) -> float:
+        """Returns the seconds until a request may be sent, as far as limits go.
+
+        :param tried: ids of endpoints to leave out.
+        """
+        return min(
+            (use.wait_s(now) for use in self.untried(tried)),
+            default=0.0,
+        )
+
+    def startable(
+        self, tried: set[str], within_s: float, now: float
+    ) -> list[EndpointUse]:
+        """Lists the endpoints whose limits allow a request soon.
+
+        If none of them is available, they are listed all the same.
+
+        :param tried: ids of endpoints to leave out.
+        :param within_s: seconds that the request may wait.
+        """
+        in_time = [
+            use for use in self.untried(tried) if use.wait_s(now) <= within_s
+        ]
+        return [
+            use for use in in_time if self.is_available(use, now)
+        ] or in_time
+
     def apply_evacuations(self, evacuated: frozenset[str], now: float) -> None:
         """Sets the data centres to which no requests may be sent.
 
@@ -261,7 +328,7 @@
         with_capacity = [
             use
             for use in self.available(tried, now)
-            if use.has_capacity(now) and use.cold.may_send(now)
+            if use.has_capacity(now) and use.may_send(now)
         ]
         if not with_capacity:
             return None
@@ -271,13 +338,13 @@
         self,
         use: EndpointUse,
         now: float,
-    ) -> tuple[bool, int, bool, float]:
+    ) -> tuple[bool, bool, int, bool, float]:
         online = use.in_flight(now)
         full = online + use.batch_from_others >= use.entry.slots
         full = full or use.had_queue(now)
         is_remote = not self._centres.is_own(use.entry.data_centre)
         # Batch would be preempted, which restarts one of its streams.
-        return full, online, is_remote, self._rng.random()
+        return full, use.limit.is_named, online, is_remote, self._rng.random()
 
 
 def _restarted(before: EndpointEntry, after: EndpointEntry) -> bool:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -643,3 +643,41 @@
         assert answer['status'] == {'state': 'completed'}
 
     with_store(check)
+
+
+@pytest.mark.parametrize(
+    ('text', 'per_s'),
+    [
+        ('3', 3.0),
+        ('2.75', 2.75),
+        ('0.05', 0.05),
+        ('4, 3', 3.0),
+        ('', 0.0),
+        ('-1', 0.0),
+        ('nan', 0.0),
+        ('1e3', 0.0),
+        ('9' * 400, 0.0),
+    ],
+)
+def test_limit_of_an_engine_is_a_decimal_number(text, per_s):
+    """Anything else counts as no limit."""
+    answer = PlatformEngines().parse_response(
+        '9c41', 200, {'attempt-id': '9c41', 'server-limit': text}
+    )
+    assert answer.limit_per_s == per_s
+    assert 'server-limit' not in dict(answer.headers)
+
+
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        ('5c1e:800,91BD:410,e440:250', ['5c1e', '91bd']),
+        ('e440:250', []),
+        ('', []),
+        (' 5c1e , e440 ', ['5c1e']),
+    ],
+)
+def test_last_part_of_a_prompt_is_not_shared(text, parts):
+    """It belongs to the request alone."""
+    found = PlatformEngines().parse_shared_parts({'Prompt-Prefix': text})
+    assert found == parts
