Begin the tests of limits with a pool that holds tokens

One of five runs got 429 in its first quarter of a second: the pool of a rate begins to fill with the first request (the log says 'pool empty'). Each front sends one request a second before the load.

--- a/tests/test_limit_failures.py
+++ b/tests/test_limit_failures.py
@@ -28,7 +28,9 @@
     found = PlatformSite(folder=tmp_path, fronts=2, runners=2)
     try:
         found.start(slots=8)
-        # The shares of the rate follow the first reports.
+        # The pool of a rate begins to fill with the first request.
+        for front in found.fronts:
+            ask(found, front, f'first-{front}')
         time.sleep(SETTLE_S)
         found.switch(found.engines['engine-1'], limit_per_s=str(LIMIT_PER_S))
         yield found
@@ -36,6 +38,23 @@
         found.stop()
 
 
+def ask(site, front, request_id):
+    """Sends one request.
+
+    :returns: its status.
+    """
+    status, _ = site.call(
+        front,
+        'POST',
+        '/scan/1',
+        {},
+        attempt_id=request_id,
+        token_usage='10,5',
+        deadline_remaining='5000',
+    )
+    return status
+
+
 def send_load(site, statuses, caller):
     """Sends requests one after the other to both fronts in turn."""
     until = time.monotonic() + LOAD_S
@@ -43,16 +62,8 @@
     while time.monotonic() < until:
         number += 1
         with contextlib.suppress(OSError, HTTPException):
-            status, _ = site.call(
-                f'front-{number % 2 + 1}',
-                'POST',
-                '/scan/1',
-                {},
-                attempt_id=f'a{caller}-{number}',
-                token_usage='10,5',
-                deadline_remaining='5000',
-            )
-            statuses.append(status)
+            front = f'front-{number % 2 + 1}'
+            statuses.append(ask(site, front, f'a{caller}-{number}'))
         time.sleep(PAUSE_S)
 
 
