--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -113,7 +113,7 @@
         self.stage = Stage.ANSWERING
         self.status = event.status_code
         self.headers = _join_headers(event.headers)
-        if framed and not _is_framed(self.status, self.headers):
+        if framed and not self.framed:
             raise EndpointFailed(
                 detail='answer without framing by length or chunks'
             )
@@ -178,6 +178,11 @@
         else:
             self._memory.release(self)
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer has a length or chunks, once its head is read."""
+        return _is_framed(self.status, self.headers)
+
     def reusable(self) -> bool:
         """Returns whether the connection can be used for another exchange."""
         if self._wire.trailing_data[0]:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_responses.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_responses.py
@@ -46,12 +46,17 @@
     :returns: an iterator over lists of events.
     :raises EndpointFailed: the stream is incomplete or out of order.
     """
+    has_events = False
     async for received in exchange.iter_body():
         events: list[ServerEvent] = checker.feed(received)
+        has_events = has_events or bool(events)
         exchange.track_event_bytes(checker.pending_bytes)
         yield events
     if not checker.is_between_events:
         raise EndpointFailed(detail='stream ended inside an event')
+    if not exchange.framed and not has_events:
+        # An endpoint that crashes may end its answer in the same way.
+        raise EndpointFailed(detail='stream without framing has no event')
 
 
 def count_endless(metrics: Metrics, exc: BaseException) -> None:
--- a/tests/test_call_failures.py
+++ b/tests/test_call_failures.py
@@ -245,6 +245,24 @@
     assert {text(answer) for answer in answers} == {text(expected)}
 
 
+def test_error_of_the_next_engine_stands_in_a_broken_stream(site, key):
+    """The stream goes on or is cut, without the text of the error."""
+    for engine in ENGINES:
+        site.fleet.switch(
+            site.fleet.engine_port(engine), cut_after_tokens=3, cuts=1
+        )
+    failing = site.fleet.engine_port(next(iter(ENGINES)))
+    site.fleet.switch(failing, fail=3)
+    answers = [site.chat('east-h1', key, 'own', stream=True) for _ in range(6)]
+    for engine in ENGINES:
+        site.fleet.switch(
+            site.fleet.engine_port(engine), cut_after_tokens=0, cuts=0, fail=0
+        )
+    for answer in answers:
+        assert b'failed' not in answer.body
+        assert b'HTTP/1.1' not in answer.body
+
+
 def test_answers_of_two_live_requests_swapped(site, key):
     """Neither caller gets the answer that belongs to the other."""
     # The shared prefix routes both to the same engine.
--- a/tests/test_limit_failures.py
+++ b/tests/test_limit_failures.py
@@ -28,10 +28,7 @@
     found = PlatformSite(folder=tmp_path, fronts=2, runners=2)
     try:
         found.start(slots=8)
-        # The pool of a rate begins to fill with the first request.
-        for front in found.fronts:
-            ask(found, front, f'first-{front}')
-        time.sleep(SETTLE_S)
+        fill_pool(found)
         found.switch(found.engines['engine-1'], limit_per_s=str(LIMIT_PER_S))
         yield found
     finally:
@@ -55,6 +52,13 @@
     return status
 
 
+def fill_pool(site):
+    """Waits for tokens; a pool begins to fill with the first request."""
+    for front in site.fronts:
+        ask(site, front, f'first-{front}')
+    time.sleep(SETTLE_S)
+
+
 def send_load(site, statuses, caller):
     """Sends requests one after the other to both fronts in turn."""
     until = time.monotonic() + LOAD_S
