--- a/packages/jacinthmount-node/jacinthmount_node/relay/blocked_parts.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/blocked_parts.py
@@ -7,7 +7,7 @@
     StoreConflict,
     StoreUnavailable,
 )
-from jacinthmount.ports import ABSENT, Stored
+from jacinthmount.ports import ABSENT, ObjectStore, Stored
 from jacinthmount.prompt_breaker import BlockedParts
 from jacinthmount.records import parse_json, serialize_json
 
@@ -16,7 +16,12 @@
 from jacinthmount_node.relay.object_watch import ObjectWatch
 from jacinthmount_node.relay.state import RelayState
 
-__all__ = ('BLOCKED_PREFIX', 'BlockedPartRecords', 'blocked_name')
+__all__ = (
+    'BLOCKED_PREFIX',
+    'BlockedPartRecords',
+    'clear_blocked',
+    'read_blocked',
+)
 
 BLOCKED_PREFIX = 'blocked-parts/'
 WRITE_INTERVAL_S = 0.5
@@ -33,12 +38,7 @@
 
     async def apply(self, watch: ObjectWatch, changed: list[Stored]) -> None:
         """Replaces the recorded parts after a change."""
-        recorded = []
-        for stored in watch.objects():
-            try:
-                recorded.append(parse_json(BlockedParts, stored.body or ''))
-            except MalformedRecord as exc:
-                log_event('bad_object', name=stored.name, detail=exc.detail)
+        recorded = _parse_records(watch.objects())
         for blocked in recorded:
             log_blocked('blocked_parts_recorded', blocked)
         self._state.breaker.apply_recorded(recorded, self._state.now())
@@ -53,7 +53,7 @@
         while True:
             await curio.sleep(WRITE_INTERVAL_S)
             found = {
-                blocked_name(blocked): blocked
+                _make_name(blocked): blocked
                 for blocked in self._state.breaker.unrecorded()
             }
             if self._state.leadership.active:
@@ -70,7 +70,39 @@
             log_event('blocked_parts_not_written', detail=exc.detail)
 
 
-def blocked_name(blocked: BlockedParts) -> str:
+async def read_blocked(store: ObjectStore) -> list[BlockedParts]:
+    """Reads the records of blocked parts.
+
+    :raises StoreUnavailable: the store did not answer.
+    """
+    listing = await store.list_names(BLOCKED_PREFIX)
+    return _parse_records(listing.objects)
+
+
+async def clear_blocked(store: ObjectStore, part: str) -> None:
+    """Removes the records that name a part.
+
+    :raises StoreUnavailable: the store did not answer.
+    :raises StoreConflict: a record was changed meanwhile.
+    """
+    listing = await store.list_names(BLOCKED_PREFIX)
+    for stored in listing.objects:
+        for blocked in _parse_records([stored]):
+            if part in blocked.parts:
+                await store.delete(stored.name, stored.version)
+
+
+def _parse_records(objects: list[Stored]) -> list[BlockedParts]:
+    recorded = []
+    for stored in objects:
+        try:
+            recorded.append(parse_json(BlockedParts, stored.body or ''))
+        except MalformedRecord as exc:
+            log_event('bad_object', name=stored.name, detail=exc.detail)
+    return recorded
+
+
+def _make_name(blocked: BlockedParts) -> str:
     """Returns the name of the record of blocked parts."""
     key = '\n'.join([blocked.service, *blocked.parts])
     return f'{BLOCKED_PREFIX}{xxhash.xxh3_64_hexdigest(key.encode())}'
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -3,6 +3,8 @@
 import base64
 import contextlib
 import json
+import subprocess
+import sys
 import time
 from http.client import HTTPException
 
@@ -137,6 +139,26 @@
     eventually(lambda: ask(site, 'front-1', 'f1', BAD) != 503)
 
 
+def test_operator_lists_and_clears_a_blocked_part(site, tmp_path):
+    """The command shows it, and afterwards its requests are sent again."""
+    crash_until_blocked(site)
+    eventually(lambda: read_records(site))
+    command = [
+        sys.executable,
+        '-m',
+        'jacinthmount_platform.blocked',
+        str(tmp_path / 'front-1.toml'),
+    ]
+    listed = subprocess.run(command, capture_output=True, check=True)
+    # No sound request has told the part from its companion.
+    assert b'0a11,bad1 (3 crashes: engine-' in listed.stdout
+    cleared = subprocess.run(
+        [*command, '--clear', 'bad1'], capture_output=True, check=True
+    )
+    assert not cleared.stdout
+    eventually(lambda: ask(site, 'front-1', 'f1', BAD) != 503)
+
+
 def test_hosts_learn_blocked_parts_while_the_store_is_away(site):
     """Strikes and verdict need no store; the record follows later."""
     site.switch(site.store, refuse=True)
