Bound the strikes of a single part, and read the limits' pace once more

Read as a newcomer: a table that held one part only would have dropped the strike just added; a pace without a limit counted requests for nothing.

--- a/packages/jacinthmount/jacinthmount/endpoint_limit.py
+++ b/packages/jacinthmount/jacinthmount/endpoint_limit.py
@@ -107,12 +107,11 @@
         self.named_at = named_at
         before = self.per_s
         self.per_s = max(per_s, MIN_PER_S) if per_s else 0.0
+        self._resize(now)
         if self.per_s and not before:
-            self._resize(now)
             self._bucket.level = 0.0
             # Hosts that learn it at the same time take turns.
             self._turn_at = now + rng.uniform(0, self._interval_s())
-        self._resize(now)
         return self.per_s != before
 
     def wait_s(self, now: float) -> float:
@@ -137,6 +136,8 @@
 
     def on_sent(self, now: float) -> None:
         """Records that a request is about to be sent."""
+        if not self.per_s:
+            return
         self._bucket.refill(now)
         self._bucket.level -= 1
         self._skip_turns(now)
@@ -151,8 +152,6 @@
 
     def _skip_turns(self, now: float) -> None:
         """Goes on to the first turn that has not ended."""
-        if not self.per_s:
-            return
         turn_s = 1 / (self.per_s * HOSTS_FRACTION)
         missed_s = now - self._turn_at - turn_s
         if missed_s >= 0:
@@ -160,6 +159,4 @@
             self._turn_at += interval_s * (missed_s // interval_s + 1)
 
     def _interval_s(self) -> float:
-        if not self.per_s:
-            return 0.0
         return 1 / (self.per_s * self._share.fraction)
--- a/packages/jacinthmount/jacinthmount/prompt_breaker.py
+++ b/packages/jacinthmount/jacinthmount/prompt_breaker.py
@@ -72,8 +72,8 @@
 class PromptBreaker:
     """Strikes against prompt parts, and the parts that are blocked.
 
-    Parts are blocked by the strikes known here, or by an operator-visible
-    record that outlives the hosts.
+    Parts are blocked by the strikes known here, or by a record in the store,
+    which outlives the hosts and which operators can remove.
     """
 
     __slots__ = ('_by_strikes', '_in_use', '_recorded', '_strikes')
@@ -220,10 +220,14 @@
         if crash in by_crash:
             return False
         by_crash[crash] = _Strike(observed_at=observed_at)
-        while sum(map(len, self._strikes.values())) > MAX_STRIKES:
-            self._strikes.pop(next(iter(self._strikes)))
+        self._drop_oldest()
         return True
 
+    def _drop_oldest(self) -> None:
+        count = sum(map(len, self._strikes.values()))
+        while count > MAX_STRIKES and len(self._strikes) > 1:
+            count -= len(self._strikes.pop(next(iter(self._strikes))))
+
     def _clear(self, key: PartKey, now: float) -> list[PartStrike]:
         crashes = self._open_crashes(key)
         cleared = []
