--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -27,6 +27,7 @@
     BatchAdmissionReply,
 )
 from jacinthmount_node.relay.object_watch import ObjectWatch, WatchDelays
+from jacinthmount_node.relay.outage_refresh import OutageRefresh
 from jacinthmount_node.relay.progress_log import ProgressLog
 from jacinthmount_node.relay.result_writer import ResultWriter
 from jacinthmount_node.relay.run_scheduler import RunScheduler
@@ -64,6 +65,7 @@
         '_announce',
         '_copies',
         '_jobs',
+        '_outage_refresh',
         '_progress',
         '_connectivity',
         '_capacity',
@@ -121,11 +123,16 @@
             rng=state.rng,
             make_delays=lambda: _make_delays(state),
         )
+        self._outage_refresh = OutageRefresh(
+            watch=self._watch,
+            is_unavailable=connectivity.is_store_unavailable,
+        )
 
     async def run(self) -> None:
         """Works until cancelled."""
         async with curio.TaskGroup() as group:
             await group.spawn(self._watch.run)
+            await group.spawn(self._outage_refresh.run)
             await group.spawn(self._run_checks)
             await group.spawn(self._scheduler.run)
             await group.spawn(self._progress.run)
--- a/tests/test_runner_takeover.py
+++ b/tests/test_runner_takeover.py
@@ -10,11 +10,11 @@
     make_chunks,
     result_segment_name,
 )
-from jacinthmount.leadership import RunnerState
+from jacinthmount.leadership import Leadership, RunnerState
 from jacinthmount.memory import ManualClock
 from jacinthmount.ports import ABSENT
 from jacinthmount.recent_objects import RecentObjects
-from jacinthmount.records import serialize_json
+from jacinthmount.records import replaced, serialize_json
 from jacinthmount.run_progress import (
     ItemProgress,
     make_progress,
@@ -55,6 +55,21 @@
     def is_store_unavailable(self):
         return self.is_unavailable
 
+    async def probe_store(self):
+        """Changes nothing."""
+
+
+class _Store(MemoryStore):
+    """A store whose watch calls may wait without an answer."""
+
+    hides_changes = False
+
+    async def watch_page(self, prefix, after, wait_s):
+        """See :meth:`~jacinthmount.ports.ObjectStore.watch_page`."""
+        if self.hides_changes:
+            await curio.sleep(wait_s)
+        return await super().watch_page(prefix, after, wait_s)
+
 
 async def announce():
     """Notifies no other host."""
@@ -64,7 +79,7 @@
     """A runner that takes over an open batch, and the store."""
 
     def __init__(self):
-        self.store = MemoryStore()
+        self.store = _Store()
         self.clock = ManualClock()
         self.clock.advance(100)
         self.state = RelayState(
@@ -252,3 +267,34 @@
     meanwhile, complete = curio.run(play)
     assert not meanwhile
     assert complete
+
+
+def test_items_run_on_after_a_batch_was_ended_in_an_outage(
+    successor, monkeypatch
+):
+    """The watch call that waited all the while tells nothing of the end.
+
+    Guards against items that were sent 6 s after their batch had been ended
+    through another host.
+    """
+    connectivity = successor.runner._connectivity
+    successor.store.hides_changes = True
+    # No other runner takes over meanwhile.
+    monkeypatch.setattr(Leadership, 'decide', lambda leadership, now: True)
+
+    async def play():
+        await successor.take_over()
+        running = await curio.spawn(successor.runner.run, daemon=True)
+        await curio.sleep(0.3)
+        connectivity.is_unavailable = True
+        await curio.sleep(0.3)
+        name = batch_name(KEY)
+        found = await successor.store.read(name)
+        ended = replaced(make_manifest(), ended=True)
+        await successor.store.write(name, serialize_json(ended), found.version)
+        connectivity.is_unavailable = False
+        await curio.sleep(0.5)
+        await running.cancel()
+        return list(successor.runner._jobs)
+
+    assert curio.run(play) == []
