--- a/tests/test_fallback_store.py
+++ b/tests/test_fallback_store.py
@@ -288,6 +288,10 @@
     def __init__(self, age_s):
         self.age_s = age_s
 
+    def is_store_unavailable(self):
+        """No outage is known."""
+        return False
+
     def store_contact_age_s(self):
         return self.age_s
 
