--- a/packages/jacinthmount-node/jacinthmount_node/metrics.py
+++ b/packages/jacinthmount-node/jacinthmount_node/metrics.py
@@ -55,6 +55,7 @@
         'batch_items',
         'batch_preempted',
         'blocked_parts',
+        'blocked_requests',
         'crash_suspects',
         'endless_answers',
         'first_token_s',
@@ -158,9 +159,14 @@
             'Records of prompt parts on which endpoints crashed.',
             registry=registry,
         )
+        self.blocked_requests = Gauge(
+            'jacinthmount_blocked_requests',
+            'Records of requests on which endpoints crashed.',
+            registry=registry,
+        )
         self.crash_suspects = Counter(
             'jacinthmount_crash_suspects',
-            'Strikes against prompt parts after crashes of endpoints.',
+            'Strikes against requests after crashes of endpoints.',
             registry=registry,
         )
         self.table_revision = Gauge(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -17,7 +17,8 @@
 from jacinthmount_node.metrics import NO_ACCOUNT
 from jacinthmount_node.net.http_server import HttpRequest, Responder, error_body
 from jacinthmount_node.relay.batch_api import BatchApi
-from jacinthmount_node.relay.crash_evidence import find_prompt_error
+from jacinthmount_node.relay.blocked_records import begin_trial
+from jacinthmount_node.relay.crash_evidence import find_blocked_error
 from jacinthmount_node.relay.online import OnlineRelay
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.protocols import (
@@ -144,17 +145,6 @@
     if route.takes_batches:
         await _submit(call, front, route, account, body, responder)
         return
-    service = route.pick_service(front.state.rng)
-    exc = find_prompt_error(front.state, service, call.shared_parts, 0)
-    if exc is not None:
-        raise exc
-    assigned_id = ''
-    if account is not None:
-        assigned_id = await front.quota.take(
-            account,
-            service,
-            route.target_s,
-        )
     left_s = DEFAULT_TIMEOUT_S if call.left_s is None else call.left_s
     if route.timeout_s:
         left_s = min(left_s, route.timeout_s)
@@ -165,13 +155,34 @@
         body=body,
         arrived_at=arrived_at,
         deadline=arrived_at + left_s,
-        service=service,
-        assigned_id=assigned_id,
+        service=route.pick_service(front.state.rng),
     )
+    await _refuse_if_blocked(front.state, online)
+    if account is not None:
+        online.assigned_id = await front.quota.take(
+            account,
+            online.service,
+            route.target_s,
+        )
     await front.relay.answer(online, responder)
     _log_served(front, online, responder)
 
 
+async def _refuse_if_blocked(state: RelayState, online: OnlineCall) -> None:
+    """Refuses a request that crashes endpoints, unless it may be tried.
+
+    :raises JacinthmountError: the request is blocked, or its prompt.
+    """
+    exc = find_blocked_error(state, online.service, online.suspect, 0)
+    if exc is None:
+        return
+    parts = online.suspect.parts
+    if state.breaker.find_blocked_parts(online.service, parts) is None:
+        online.is_trial = await begin_trial(state, online.suspect.request)
+    if not online.is_trial:
+        raise exc
+
+
 def _log_served(
     front: RelayFront,
     online: OnlineCall,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -4,9 +4,11 @@
 from http import HTTPStatus
 
 from jacinthmount.batch_order import ItemRun
+from jacinthmount.crash_strikes import Suspect
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 from jacinthmount.event_stream import EventChecker
 from jacinthmount.placement import EndpointUse
+from jacinthmount.request_digest import digest_item
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.http_client import (
@@ -15,7 +17,6 @@
     Exchange,
 )
 from jacinthmount_node.net.sockets import with_timeout
-from jacinthmount_node.relay.crash_evidence import find_prompt_error
 from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_responses import (
     count_endless,
@@ -34,6 +35,8 @@
 
 CONNECT_TIMEOUT_S = 0.4
 HEAD_TIMEOUT_S = 3.0
+# Items that wait because endpoints crashed and whose wait was logged.
+MAX_LOGGED_WAITS = 4096
 # Size limit of one value of the object API, less the enclosing field names.
 MAX_RESULT_CHARS = 1_000_000
 
@@ -58,7 +61,7 @@
     :param pool: connections for batch items only.
     """
 
-    __slots__ = ('_notices', '_pool', '_protocol', '_state')
+    __slots__ = ('_blocked', '_notices', '_pool', '_protocol', '_state')
 
     def __init__(
         self,
@@ -72,6 +75,8 @@
         self._pool = pool
         self._notices = notices
         self._protocol = protocol
+        # Ids of the items whose wait after crashes was logged.
+        self._blocked: set[str] = set()
 
     async def run(self, run: ItemRun, use: EndpointUse) -> RunEnd:
         """Runs an item, resuming after its last event.
@@ -98,13 +103,14 @@
                 endpoint=use.entry.endpoint_id,
                 events=len(run.texts),
                 new_events=new_events,
-                parts=','.join(self._parts(run)),
+                digest=self._suspect(run).request,
+                parts=','.join(self._suspect(run).parts),
                 error=f'{type(exc).__name__}: {exc}',
             )
             if exchange is not None:
                 await exchange.close()
                 await self._notices.crashes.on_lost(
-                    use, run.item_id, self._parts(run), new_events
+                    use, run.item_id, self._suspect(run), new_events
                 )
             return RunEnd.LOST
         except BaseException:
@@ -115,23 +121,41 @@
         return outcome
 
     def is_blocked(self, run: ItemRun, service: str) -> bool:
-        """Returns whether endpoints crashed on parts of an item's prompt."""
-        if self._state.breaker.is_closed:
-            return False
-        exc = find_prompt_error(self._state, service, self._parts(run), 0)
-        if exc is not None and not run.is_blocked:
+        """Returns whether an item waits because endpoints crashed under it.
+
+        An item is owed, so it runs again, each time after a longer pause. One
+        whose prompt is blocked waits until the parts are cleared.
+        """
+        breaker = self._state.breaker
+        suspect = self._suspect(run)
+        wait_s = breaker.rerun_wait_s(suspect.request, self._state.now())
+        parts = breaker.find_blocked_parts(service, suspect.parts)
+        is_undecided = self._notices.crashes.is_undecided(suspect)
+        is_blocked = wait_s > 0 or is_undecided or parts is not None
+        if is_blocked and run.item_id not in self._blocked:
+            if len(self._blocked) >= MAX_LOGGED_WAITS:
+                self._blocked.clear()
+            self._blocked.add(run.item_id)
             log_event(
                 'item_blocked',
                 item=run.item_id,
                 batch=run.batch_id,
-                code=exc.code,
-                detail=exc.detail,
+                digest=suspect.request,
+                wait_s=round(wait_s, 3),
+                parts=','.join(parts.parts) if parts else '',
             )
-        run.is_blocked = exc is not None
-        return run.is_blocked
+        if not is_blocked:
+            self._blocked.discard(run.item_id)
+        return is_blocked
 
-    def _parts(self, run: ItemRun) -> list[str]:
-        return self._protocol.parse_shared_parts(run.headers)
+    def _suspect(self, run: ItemRun) -> Suspect:
+        if run.suspect is None:
+            run.suspect = Suspect(
+                request=digest_item(run.account, run.batch, run.item_id),
+                parts=self._protocol.parse_shared_parts(run.headers),
+                is_owed=True,
+            )
+        return run.suspect
 
     async def _exchange(
         self,
@@ -168,6 +192,9 @@
             raise EndpointFailed(detail='response without endpoint signature')
         await self._collect(run, exchange, use)
         use.on_success()
+        await self._notices.crashes.on_answer(
+            use.entry.service, self._suspect(run)
+        )
         return RunEnd.COMPLETED, idle_limit(answer)
 
     def _classify(
@@ -199,7 +226,7 @@
         self, run: ItemRun, exchange: Exchange, use: EndpointUse
     ) -> None:
         checker = EventChecker(last=run.last_event)
-        parts = self._parts(run)
+        suspect = self._suspect(run)
         progressed = False
         events_before = len(run.texts)
         chars = sum(len(text) for text in run.texts)
@@ -218,7 +245,7 @@
                 run.last_event = event.number
             if not progressed:
                 progressed = await self._notices.crashes.on_events(
-                    use.entry.service, parts, len(run.texts) - events_before
+                    use.entry.service, suspect, len(run.texts) - events_before
                 )
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
@@ -15,7 +15,7 @@
 
 from jacinthmount_node.messages import Hello
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
-from jacinthmount_node.relay.crash_evidence import StrikeNews
+from jacinthmount_node.relay.crash_evidence import CrashNews
 from jacinthmount_node.relay.endpoint_limits import LimitNews
 from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.fallback_store import (
@@ -260,7 +260,7 @@
 
 
 @_answer.register
-async def _(body: StrikeNews, handler: MessageHandler) -> Record | None:
+async def _(body: CrashNews, handler: MessageHandler) -> Record | None:
     return await handler.notices.crashes.on_news(body)
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -22,7 +22,7 @@
     Exchange,
 )
 from jacinthmount_node.net.http_server import Responder
-from jacinthmount_node.relay.crash_evidence import find_prompt_error
+from jacinthmount_node.relay.crash_evidence import find_blocked_error
 from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_responses import count_endless
 from jacinthmount_node.relay.online_call import OnlineCall
@@ -219,11 +219,11 @@
     def _recheck(self, call: OnlineCall, responder: Responder) -> None:
         """Refuses a request that must not be sent any more.
 
-        :raises JacinthmountError: its key was withdrawn or its prompt blocked
-            while the request waited.
+        :raises JacinthmountError: its key was withdrawn, or the request was
+            blocked, while it waited.
         """
         self._recheck_key(call)
-        self._recheck_prompt(call, responder)
+        self._recheck_crashes(call, responder)
 
     def _recheck_key(self, call: OnlineCall) -> None:
         # The key may have been withdrawn while the request was queued.
@@ -234,15 +234,12 @@
                 detail='key was withdrawn while the request waited'
             )
 
-    def _recheck_prompt(self, call: OnlineCall, responder: Responder) -> None:
-        # Endpoints may have crashed on its parts while the request waited.
-        exc = find_prompt_error(
-            self._state,
-            call.service,
-            call.request.shared_parts,
-            call.attempts,
+    def _recheck_crashes(self, call: OnlineCall, responder: Responder) -> None:
+        # Endpoints may have crashed on it while the request waited.
+        exc = find_blocked_error(
+            self._state, call.service, call.suspect, call.attempts
         )
-        if exc is None:
+        if exc is None or call.is_trial:
             return
         if responder.started:
             responder.abort()
@@ -327,7 +324,8 @@
             stage=Stage(stage).name,
             reused=bool(exchange and exchange.reused),
             events=call.events if exchange else 0,
-            parts=','.join(call.request.shared_parts),
+            digest=call.suspect.request,
+            parts=','.join(call.suspect.parts),
             error=f'{type(exc).__name__}: {exc}',
             after_s=round(self._state.now() - call.arrived_at, 3),
         )
@@ -335,7 +333,7 @@
             await self._notices.crashes.on_lost(
                 use,
                 call.request.request_id,
-                call.request.shared_parts,
+                call.suspect,
                 call.events,
             )
 
@@ -352,8 +350,8 @@
             attempts_left = call.refusals + len(call.tried) < MAX_TRIES and (
                 in_time or not call.refusals
             )
-        elif not self._notices.crashes.may_repeat(
-            call.service, call.request.shared_parts
+        elif call.is_trial or not self._notices.crashes.may_repeat(
+            call.service, call.suspect
         ):
             attempts_left = False
         outcome = next_action(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -1,6 +1,8 @@
 """An online request and the progress of its attempts."""
 
+from jacinthmount.crash_strikes import Suspect
 from jacinthmount.fleet_config import RouteRule
+from jacinthmount.request_digest import digest_request
 
 from jacinthmount_node.relay.protocols import RelayedRequest
 
@@ -14,6 +16,8 @@
     endpoint that the runner chose for that attempt, or an empty string.
     ``events`` counts the events of the current attempt, which has
     ``progressed`` if they show that the endpoint did not crash on its answer.
+    ``suspect`` tells the request from others if an endpoint crashes. The only
+    attempt of a request with ``is_trial`` may be sent although it is blocked.
     """
 
     __slots__ = (
@@ -25,6 +29,7 @@
         'deadline',
         'endpoint_id',
         'events',
+        'is_trial',
         'last_reply_at',
         'last_event',
         'assigned_id',
@@ -33,6 +38,7 @@
         'request',
         'route',
         'service',
+        'suspect',
         'tried',
         'waited_s',
     )
@@ -47,7 +53,6 @@
         arrived_at: float,
         deadline: float,
         service: str,
-        assigned_id: str,
     ) -> None:
         """Starts without attempts.
 
@@ -61,7 +66,7 @@
         self.arrived_at = arrived_at
         self.deadline = deadline
         self.service = service
-        self.assigned_id = assigned_id
+        self.assigned_id = ''
         self.last_event = request.received_events
         self.last_reply_at = arrived_at
         self.answered_at = arrived_at
@@ -70,13 +75,25 @@
         self.attempts = 0
         self.events = 0
         self.progressed = False
+        self.is_trial = False
         self.refusals = 0
         self.tried: set[str] = set()
+        self.suspect = Suspect(
+            request=digest_request(
+                account,
+                request.host_name,
+                request.method,
+                request.target,
+                body,
+            ),
+            parts=request.shared_parts,
+        )
 
     def may_repeat(self, now: float) -> bool:
         """Checks whether another endpoint may run the request again."""
         return (
             self.route.idempotent
+            and not self.is_trial
             and self.attempts < self.route.max_attempts
             and self.deadline > now
         )
--- a/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
@@ -130,9 +130,7 @@
         responder: Responder,
     ) -> None:
         body = await exchange.read_body()
-        await self._notices.crashes.on_answer(
-            use.entry.service, call.request.shared_parts
-        )
+        await self._notices.crashes.on_answer(use.entry.service, call.suspect)
         status = exchange.status
         if responder.started:
             raise EndpointFailed(detail=f'status {status} on resuming a stream')
@@ -156,6 +154,7 @@
         answer: EndpointResponse,
         responder: Responder,
     ) -> None:
+        is_whole = call.last_event is None
         checker = EventChecker(last=call.last_event)
         async for events in iter_events(exchange, checker):
             self._record_contact(call, use)
@@ -171,6 +170,11 @@
             call.last_event = checker.last
         if not responder.started:
             await responder.start(HTTPStatus.OK, answer.headers)
+        if is_whole:
+            # Endpoints may crash one after the other on parts of an answer.
+            await self._notices.crashes.on_answer(
+                use.entry.service, call.suspect
+            )
         await responder.finish()
 
     async def _count_events(
@@ -179,7 +183,7 @@
         call.events += count
         if not call.progressed:
             call.progressed = await self._notices.crashes.on_events(
-                use.entry.service, call.request.shared_parts, call.events
+                use.entry.service, call.suspect, call.events
             )
 
     def _record_contact(self, call: OnlineCall, use: EndpointUse) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -5,6 +5,7 @@
 import uuid
 
 from jacinthmount.cold_period import ColdLimit, host_limit, runner_limit
+from jacinthmount.crash_breaker import CrashBreaker
 from jacinthmount.endpoint_limit import RUNNER_SHARE, host_share
 from jacinthmount.endpoint_table import (
     EndpointEntry,
@@ -18,7 +19,6 @@
 from jacinthmount.peer_choice import PeerChoice
 from jacinthmount.placement import EndpointUse, Placement
 from jacinthmount.ports import Clock, ObjectStore
-from jacinthmount.prompt_breaker import PromptBreaker
 from jacinthmount.reachability import DataCentreContacts
 from jacinthmount.report_pace import ReportPace
 
@@ -81,7 +81,7 @@
         self._config: FleetConfig | None = None
         self.config_revision = 0
         self.endpoints = EndpointTable()
-        self.breaker = PromptBreaker()
+        self.breaker = CrashBreaker()
         self.placements: dict[str, Placement] = {}
         self.evacuated: frozenset[str] = frozenset()
         self._hosts: dict[str, RelayHost] = {}
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -16,9 +16,9 @@
 from jacinthmount.records import parse_json, serialize_json
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.relay.blocked_parts import (
+from jacinthmount_node.relay.blocked_records import (
     BLOCKED_PREFIX,
-    BlockedPartRecords,
+    BlockedRecords,
 )
 from jacinthmount_node.relay.evacuations import Evacuations
 from jacinthmount_node.relay.messages import RelayHost, Snapshot, SnapshotAsk
@@ -108,7 +108,7 @@
             cfg.evacuation_prefix,
             Evacuations(state=state).apply,
         )
-        self._blocked = BlockedPartRecords(state=state)
+        self._blocked = BlockedRecords(state=state)
         self._blocked_watch = self._make_watch(
             BLOCKED_PREFIX,
             self._blocked.apply,
--- a/packages/jacinthmount/jacinthmount/batch_order.py
+++ b/packages/jacinthmount/jacinthmount/batch_order.py
@@ -10,6 +10,8 @@
 import heapq
 from collections.abc import Callable, Iterable
 
+from jacinthmount.crash_strikes import Suspect
+
 __all__ = ('ItemRun', 'choose_preempted', 'order_waiting')
 
 # Part of its forecast that an item needs at least: a run that is shorter than
@@ -38,7 +40,6 @@
         'headers',
         'last_seen_at',
         'host_name',
-        'is_blocked',
         'is_finished',
         'item_id',
         'last_event',
@@ -47,6 +48,7 @@
         'service',
         'started_at',
         'starts',
+        'suspect',
         'texts',
         'tokens',
         'waiting_since',
@@ -83,8 +85,8 @@
         self.texts: list[str] = []
         self.last_event: int | None = None
         self.failures = 0
-        # Endpoints crashed on parts of its prompt.
-        self.is_blocked = False
+        # What tells it from others if an endpoint crashes.
+        self.suspect: Suspect | None = None
         # The events are complete, but the result is not in the log yet.
         self.is_finished = False
         self.starts = 0
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -32,6 +32,7 @@
     'PromptBlocked',
     'QuotaExceeded',
     'RateExceeded',
+    'RequestBlocked',
     'RequestCancelled',
     'RequestTimeout',
     'ShareUnconfirmed',
@@ -359,6 +360,14 @@
     run_state = NOT_RUN
 
 
+class RequestBlocked(JacinthmountError):
+    """Endpoints crashed on the same request."""
+
+    code = 1309
+    http_status = 503
+    run_state = NOT_RUN
+
+
 class PeerUnavailable(JacinthmountError):
     """A peer host did not answer in time."""
 
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -37,6 +37,8 @@
 def ask(site, front, request_id, parts, path='/scan/1'):
     """Sends a request whose prompt has shared parts and one of its own.
 
+    No two are alike: their bodies differ.
+
     :returns: its status, 0 if the connection was closed without an answer.
     """
     with contextlib.suppress(OSError, HTTPException):
@@ -44,7 +46,7 @@
             front,
             'POST',
             path,
-            {},
+            request_id.encode(),
             attempt_id=request_id,
             token_usage='10,5',
             deadline_remaining='5000',
