Specification of the budget of a request that crashes endpoints

Two hosts, news that is late, lost or doubled, a record that is written and seen, trials, a restart; the breaker is the production code. Two broken variants are refuted: a crash after progress forgotten, trials not counted by the record. A sound request has trials left unless crashes failed each of them.

--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -6,6 +6,7 @@
 
 from spec import (
     config_spread,
+    crash_budget,
     engine_orders,
     keyed_call,
     loans,
@@ -30,6 +31,12 @@
     'parts of a rate': rate_parts.build(rate_parts.Rules()),
     'configuration spread': config_spread.build(config_spread.Rules()),
     'keyed call': keyed_call.build(keyed_call.Rules()),
+    'budget of a deadly request': crash_budget.build(
+        crash_budget.Rules(is_deadly=True),
+    ),
+    'way back of a sound request': crash_budget.build(
+        crash_budget.Rules(is_deadly=False),
+    ),
     'engine orders, fenced': engine_orders.build(
         engine_orders.Rules(fenced=True),
     ),
@@ -102,6 +109,14 @@
     'old declarations ordered': engine_orders.build(
         engine_orders.Rules(fenced=True, ignore_basis=True),
     ),
+    'crash after progress forgotten': crash_budget.build(
+        crash_budget.Rules(
+            is_deadly=True, breaker=crash_budget.ForgetsLateCrashes
+        ),
+    ),
+    'trials not counted by the record': crash_budget.build(
+        crash_budget.Rules(is_deadly=True, count_trials=False),
+    ),
     'sent call said not to run': keyed_call.build(
         keyed_call.Rules(treat_sent_as_not_run=True),
     ),
