Show what a planned stop does to requests (LOST), as failing tests

On the HTTP server alone: connections in the kernel's queue are reset when the listener closes, a connection is closed after an answer that did not announce it, and a pipelined request is read and never answered.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,8 @@
 """Tests of the graceful shutdown of the HTTP server."""
 
+import contextlib
+import socket as std_socket
+
 import curio
 import pytest
 from curio import socket as curio_socket
@@ -8,6 +11,7 @@
 from jacinthmount_standin.addresses import LOOPBACK, PortReserve
 
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+STREAM_REQUEST = b'GET /stream HTTP/1.1\r\nhost: a\r\n\r\n'
 
 
 @pytest.fixture
@@ -133,3 +137,100 @@
     idle_first = not draining.terminated
     assert (await receive_all(busy)).endswith(b'whole')
     return idle_first
+
+
+def test_connection_waiting_for_accept_reset_as_the_server_drains(address):
+    """Connections that the kernel has accepted are answered.
+
+    Guards against closing the listener with connections in its queue.
+    """
+    received = curio.run(_drain_with_queue, address, 8)
+    assert len([one for one in received if one.endswith(b'whole')]) == 8
+
+
+async def _drain_with_queue(address, count):
+    """Drains a server before it could accept connections with requests.
+
+    :returns: what each caller received.
+    """
+    server = HttpServer(
+        sock=listen(f'{address[0]}:{address[1]}'),
+        handler=answer,
+    )
+    serving = await curio.spawn(server.run, daemon=True)
+    await curio.sleep(0.05)
+    callers = [std_socket.create_connection(address) for _ in range(count)]
+    for caller in callers:
+        caller.sendall(REQUEST)
+    await server.drain()
+    await serving.cancel()
+    received = [_read_rest(caller) for caller in callers]
+    for caller in callers:
+        caller.close()
+    return received
+
+
+def _read_rest(caller):
+    """Reads until the connection ends or is reset."""
+    received = b''
+    with contextlib.suppress(ConnectionResetError):
+        while piece := caller.recv(1000):
+            received += piece
+    return received
+
+
+def test_connection_closed_without_notice_after_an_answer(address):
+    """An answer that began before the stop does not announce the close.
+
+    So the caller may send another request, whose answer announces it.
+    """
+    received = curio.run(_close_after_stream, address)
+    first, _, second = received.partition(b'0\r\n\r\n')
+    assert b'connection: close' not in first.lower()
+    assert second.endswith(b'whole')
+    assert b'connection: close' in second.lower()
+
+
+async def _stream_or_answer(request, responder):
+    if request.path != '/stream':
+        await answer(request, responder)
+        return
+    await responder.start(200, [], b'piece')
+    await curio.sleep(0.2)
+    await responder.finish()
+
+
+async def _close_after_stream(address):
+    """Asks for a stream, stops the server in it, and asks once more.
+
+    :returns: the bytes that the caller received.
+    """
+    server = HttpServer(
+        sock=listen(f'{address[0]}:{address[1]}'),
+        handler=_stream_or_answer,
+    )
+    serving = await curio.spawn(server.run, daemon=True)
+    async with await curio_socket.create_connection(address) as conn:
+        await conn.sendall(STREAM_REQUEST)
+        received = await conn.recv(1000)
+        server.close_after_answers()
+        # Until some time after the end of the stream.
+        await curio.sleep(0.5)
+        await conn.sendall(REQUEST)
+        received += await receive_all(conn)
+    await serving.cancel()
+    return received
+
+
+def test_pipelined_request_closed_unanswered_as_the_server_drains(address):
+    """A request that came before the answer to the one ahead is answered."""
+
+    async def talk(conn):
+        await conn.sendall(REQUEST)
+        await curio.sleep(0.05)
+        await conn.sendall(REQUEST)
+        return await receive_all(conn)
+
+    received = curio.run(drain_with, address, talk)
+    assert received.count(b'whole') == 2
+    assert received.lower().count(b'connection: close') == 1
