--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -286,6 +286,7 @@
         '_accepting',
         '_closing',
         '_connections',
+        '_group',
         '_handler',
         '_sock',
         'limits',
@@ -307,11 +308,13 @@
         self.limits = limits or ServerLimits()
         self._closing = False
         self._accepting: curio.Task | None = None
+        self._group: curio.TaskGroup | None = None
         self._connections: set[_Connection] = set()
 
     async def run(self) -> None:
         """Accepts connections until drained or cancelled."""
         async with curio.TaskGroup(wait=None) as group:
+            self._group = group
             self._accepting = await curio.spawn(self._accept, group)
             try:
                 await self._accepting.wait()
@@ -333,10 +336,7 @@
         those that are still idle then are closed.
         """
         self._closing = True
-        if self._accepting is not None:
-            # A socket must not be closed while a task waits for it.
-            await self._accepting.cancel()
-        await self._sock.close()
+        await self._close_listener()
         await curio.sleep(DRAIN_GRACE_S)
         for waiting in self._connections:
             if not waiting.busy:
@@ -352,13 +352,37 @@
     async def _accept(self, group: curio.TaskGroup) -> None:
         while True:
             sock, _ = await self._sock.accept()
-            conn = _Connection(
-                sock=sock,
-                handler=self._handler,
-                server=self,
-            )
-            self._connections.add(conn)
-            await group.spawn(self._serve, conn, daemon=True)
+            await self._begin(sock, group)
+
+    async def _begin(self, sock, group: curio.TaskGroup) -> None:
+        conn = _Connection(
+            sock=sock,
+            handler=self._handler,
+            server=self,
+        )
+        self._connections.add(conn)
+        await group.spawn(self._serve, conn, daemon=True)
+
+    async def _close_listener(self) -> None:
+        if self._accepting is not None:
+            # A socket must not be closed while a task waits for it.
+            await self._accepting.cancel()
+        if self._group is not None:
+            await self._accept_queued(self._group)
+        await self._sock.close()
+
+    async def _accept_queued(self, group: curio.TaskGroup) -> None:
+        # Closing a listener resets the connections in its queue.
+        while True:
+            sock = None
+            try:
+                async with curio.ignore_after(0):
+                    sock, _ = await self._sock.accept()
+            except OSError as exc:
+                log_failure('accept', exc)
+            if sock is None:
+                return
+            await self._begin(sock, group)
 
     async def _serve(self, conn: '_Connection') -> None:
         try:
