--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
@@ -19,7 +20,11 @@
 )
 
 from jacinthmount_node.logs import log_failure
-from jacinthmount_node.net.sockets import abort_socket, with_timeout
+from jacinthmount_node.net.sockets import (
+    abort_socket,
+    has_unread,
+    with_timeout,
+)
 from jacinthmount_node.net.wire_reader import WireReader
 from jacinthmount_node.net.yield_budget import READ_BYTES
 
@@ -332,16 +337,17 @@
     async def drain(self) -> None:
         """Closes the listener and waits for the requests in flight.
 
-        Accepted connections have ``DRAIN_GRACE_S`` for a request in transit;
-        those that are still idle then are closed.
+        Connections have ``DRAIN_GRACE_S`` for a request in transit, from the
+        close of the listener or their last answer on; those that are still
+        idle then are closed.
         """
         self._closing = True
         await self._close_listener()
         await curio.sleep(DRAIN_GRACE_S)
-        for waiting in self._connections:
-            if not waiting.busy:
-                waiting.abort()
-        while any(conn.busy for conn in self._connections):
+        while self._connections:
+            idle_since = time.monotonic() - DRAIN_GRACE_S
+            for conn in list(self._connections):
+                conn.close_if_idle(idle_since)
             await curio.sleep(POLL_S)
 
     @property
@@ -396,7 +402,9 @@
 
 class _Connection:
     __slots__ = (
+        '_ended',
         '_handler',
+        '_idle_since',
         '_reader',
         '_server',
         '_sock',
@@ -418,6 +426,9 @@
         self._reader = WireReader(sock=sock, wire=self._wire)
         self.broken = False
         self.busy = False
+        # Idle connections that were closed here take no more requests.
+        self._ended = False
+        self._idle_since = time.monotonic()
 
     async def run(self) -> None:
         while True:
@@ -428,11 +439,21 @@
                 await self._answer(request)
             finally:
                 self.busy = False
+                self._idle_since = time.monotonic()
             if not self._reusable():
                 return
             self._wire.start_next_cycle()
 
-    def abort(self) -> None:
+    def close_if_idle(self, idle_since: float) -> None:
+        """Closes the connection unless a request has come.
+
+        :param idle_since: monotonic time at which it was idle already.
+        """
+        if self.busy or self._ended or self._idle_since > idle_since:
+            return
+        if has_unread(self._sock):
+            return
+        self._ended = True
         abort_socket(self._sock)
 
     async def close(self) -> None:
@@ -494,7 +515,7 @@
         async with curio.ignore_after(self.limits.idle_s):
             received = await self._sock.recv(READ_BYTES)
             self._reader.take(received)
-            return bool(received)
+            return bool(received) and not self._ended
         return False
 
     def _check_head(self, event: h11.Event) -> HttpRequest | None:
@@ -582,7 +603,8 @@
         await task.cancel(blocking=False)
 
     def _reusable(self) -> bool:
-        if self.broken or self._server.closing:
+        # An answer that announces the close leaves the states otherwise.
+        if self.broken:
             return False
         done = h11.DONE
         return self._wire.our_state is done and self._wire.their_state is done
--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -1,6 +1,7 @@
 """TCP sockets, addresses, timeouts and the system clock."""
 
 import contextlib
+import select
 import socket as std_socket
 import time
 from collections.abc import Awaitable, Callable
@@ -14,6 +15,7 @@
     'SystemClock',
     'abort_socket',
     'connect',
+    'has_unread',
     'listen',
     'parse_address',
     'with_timeout',
@@ -71,6 +73,13 @@
         raw.shutdown(std_socket.SHUT_RDWR)
 
 
+def has_unread(sock) -> bool:
+    """Checks whether bytes, or the end of the peer's, wait to be read."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Splits ``IP:port`` into its parts."""
     host, _, port = address.rpartition(':')
