Answer a pipelined request that came before a stop's answer (LOST)

Callers saw: of two requests on one connection, the second sent before the answer to the first, only the first was answered in a planned stop, though the host had read both.

Cause: the first answer announced the close without a look at what had come behind its request; the task that watches for the caller's close had read it.

Evidence: test_pipelined_request_closed_unanswered_as_the_server_drains: one answer of two before, both now, and only the last one announces the close.

Why it works: the announcement waits while bytes behind a complete request are there. One that comes after the headers of the last answer crosses the close that they announced and is not passed on.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -460,7 +460,7 @@
         await self._sock.close()
 
     def connection_headers(self) -> list[tuple[str, str]]:
-        if self._server.closing:
+        if self._server.closing and not self._has_pipelined():
             return [('connection', 'close')]
         return []
 
@@ -551,6 +551,12 @@
             conn=self,
         )
 
+    def _has_pipelined(self) -> bool:
+        # Bytes before the end of the body belong to this request.
+        if self._wire.their_state is not h11.DONE:
+            return False
+        return bool(self._wire.trailing_data[0])
+
     async def _answer(self, request: HttpRequest) -> None:
         responder = Responder(conn=self)
         task = await curio.spawn(self._handle, request, responder)
