Refuse in a planned stop what may not end inside the grace (LOST)

Callers saw: requests that came late in the grace were taken and passed on; at its end they were cut without an answer, also those that may not be repeated.

Cause: the stop was known to the listener only. A request that was taken after SIGTERM got its whole time limit, and so did its endpoint (Deadline-Remaining 19,999 ms where 8,000 were left).

Evidence: test_late_request_cut_at_the_end_of_a_planned_stop (taken 3.4 s after SIGTERM on a kept connection: before, run and cut; now 503 with code 1304, not run, and no endpoint saw it) and test_deadline_longer_than_a_planned_stop. Ruled out: refusing all of them; a late request of a route whose requests are short is served as before (test_late_request_of_a_short_route_refused_in_a_planned_stop).

Why it works: at SIGTERM the host fixes the time by which answers have to be complete. Before it takes a token of the rate, and once more when it leaves the queue, a request is refused if that time comes first: before its own time limit, and before one and a half times the longest of the latest 32 requests of its route. A batch submission is refused if its time limit does not fit. What is passed on has its deadline cut to that time, so it is answered then at the latest, 504 or 502. An attempt that was sent is never turned into a refusal.

The stop of a host that also runs batches no longer delays the announcement of the close; the time for the balancer counts from SIGTERM.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
@@ -99,11 +99,13 @@
         """Accepts a batch; it is durable when this returns.
 
         :raises QuotaExceeded: too many tokens of the account wait already.
+        :raises ShuttingDown: the process may end before the answer.
         :raises StoreUnavailable: the batch was not accepted.
         :raises OutcomeUnknown: the batch may have been accepted; the caller
             has to repeat the submission.
         """
         self._raise_if_isolated()
+        self._state.stop.raise_if_too_late(self._state.now(), SUBMIT_TIMEOUT_S)
         try:
             await with_timeout(
                 SUBMIT_TIMEOUT_S,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -256,20 +256,29 @@
 
     async def _shut_down(self) -> None:
         log_event('leaving')
+        started_at = self._state.now()
         self._state.leaving = True
+        self._state.stop.begin(
+            started_at + self._state.settings.stop_s - STOP_RESERVE_S
+        )
+        if self._front_server is not None:
+            self._front_server.close_after_answers()
         if self._runner is not None:
             await self._runner.stop()
         if self._front_server is not None:
-            self._front_server.close_after_answers()
-            await curio.sleep(BALANCER_DRAIN_S)
-            drain_s = (
-                self._state.settings.stop_s - BALANCER_DRAIN_S - STOP_RESERVE_S
-            )
-            async with curio.ignore_after(max(0, drain_s)):
-                await self._front_server.drain()
+            await self._sleep_until(started_at + BALANCER_DRAIN_S)
+            await self._drain(self._front_server)
         await self._sync.deregister()
         log_event('stopped')
 
+    async def _drain(self, server: HttpServer) -> None:
+        drain_s = self._state.stop.ends_at - self._state.now()
+        async with curio.ignore_after(max(0, drain_s)):
+            await server.drain()
+
+    async def _sleep_until(self, moment: float) -> None:
+        await curio.sleep(max(0, moment - self._state.now()))
+
 
 def run_relay(settings: RelaySettings, ports: RelayPorts) -> None:
     """Runs a relay process until it receives SIGTERM or SIGINT."""
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -144,6 +144,7 @@
     if route.takes_batches:
         await _submit(call, front, route, account, body, responder)
         return
+    deadline = _find_deadline(call, route, front, arrived_at)
     service = route.pick_service(front.state.rng)
     exc = find_prompt_error(front.state, service, call.shared_parts, 0)
     if exc is not None:
@@ -155,16 +156,13 @@
             service,
             route.target_s,
         )
-    left_s = DEFAULT_TIMEOUT_S if call.left_s is None else call.left_s
-    if route.timeout_s:
-        left_s = min(left_s, route.timeout_s)
     online = OnlineCall(
         request=call,
         route=route,
         account=account.name if account else '',
         body=body,
         arrived_at=arrived_at,
-        deadline=arrived_at + left_s,
+        deadline=deadline,
         service=service,
         assigned_id=assigned_id,
     )
@@ -172,6 +170,26 @@
     _log_served(front, online, responder)
 
 
+def _find_deadline(
+    call: RelayedRequest,
+    route: RouteRule,
+    front: RelayFront,
+    arrived_at: float,
+) -> float:
+    """Returns the monotonic time by which a request has to be answered.
+
+    :raises ShuttingDown: this process may end before that answer.
+    """
+    left_s = DEFAULT_TIMEOUT_S if call.left_s is None else call.left_s
+    if route.timeout_s:
+        left_s = min(left_s, route.timeout_s)
+    now = front.state.now()
+    front.state.stop.raise_if_too_late(
+        now, arrived_at + left_s - now, route.name
+    )
+    return arrived_at + left_s
+
+
 def _log_served(
     front: RelayFront,
     online: OnlineCall,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -131,7 +131,7 @@
             call.waited_s = started_at - call.arrived_at
             try:
                 await self._report_start(call)
-                self._recheck(call, responder)
+                self._recheck(call, started_at, responder)
                 stage = await self._attempt(call, use, responder)
                 if stage is not None:
                     await self._wait_if_all_full(call, use)
@@ -216,12 +216,21 @@
         )
         return max(MIN_ATTEMPT_S, min(queue_deadline, call.deadline) - now)
 
-    def _recheck(self, call: OnlineCall, responder: Responder) -> None:
+    def _recheck(
+        self,
+        call: OnlineCall,
+        now: float,
+        responder: Responder,
+    ) -> None:
         """Refuses a request that must not be sent any more.
 
         :raises JacinthmountError: its key was withdrawn or its prompt blocked
-            while the request waited.
+            while the request waited, or this process ends too soon.
         """
+        stop = self._state.stop
+        if not call.attempts:
+            stop.raise_if_too_late(now, call.deadline - now, call.route.name)
+        call.deadline = min(call.deadline, stop.ends_at)
         self._recheck_key(call)
         self._recheck_prompt(call, responder)
 
@@ -287,9 +296,14 @@
             if exchange is not None and not kept:
                 await exchange.close()
         use.on_success()
+        self._note_run_time(call)
         await self._pool.release(exchange, idle_s)
         return None
 
+    def _note_run_time(self, call: OnlineCall) -> None:
+        took_s = self._state.now() - call.arrived_at
+        self._state.stop.note_run(call.route.name, took_s)
+
     def _record_refusal(
         self,
         call: OnlineCall,
@@ -331,6 +345,8 @@
             error=f'{type(exc).__name__}: {exc}',
             after_s=round(self._state.now() - call.arrived_at, 3),
         )
+        if self._state.now() >= call.deadline:
+            self._note_run_time(call)
         if stage >= Stage.SENT:
             await self._notices.crashes.on_lost(
                 use,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -21,6 +21,7 @@
 from jacinthmount.prompt_breaker import PromptBreaker
 from jacinthmount.reachability import DataCentreContacts
 from jacinthmount.report_pace import ReportPace
+from jacinthmount.stop_time import StopTime
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import Metrics
@@ -60,6 +61,7 @@
         'rng',
         'segments',
         'settings',
+        'stop',
         'store',
         'short_store_timeout_until',
     )
@@ -103,6 +105,7 @@
         # not reply, so the store may be unreachable as well.
         self.short_store_timeout_until = -math.inf
         self.leaving = False
+        self.stop = StopTime()
 
     def now(self) -> float:
         """Returns monotonic time in seconds."""
