Answer what still runs at the end of the grace (LOST)

Callers saw: a request that was in flight at SIGTERM and ran longer than the grace ended with a closed connection and no answer.

Cause: at the end of its time the process ended with the requests in flight; nothing told their handlers or callers.

Why it works: the server cancels each handler in flight with an exception of its own, after the time by which answers have to be complete and 0.2 s for the handlers' own errors, and sends the error itself; what is cut on its way never looks complete. It has 0.3 s for it, within the second kept for the steps after the drain. `cut_in_stop` is logged for each, and `request_cut` with the request's id on the platform path.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -13,13 +13,16 @@
 from jacinthmount.errors import (
     AmbiguousFraming,
     BodyTooLarge,
+    DeadlineExceeded,
     HeadersTooLarge,
     JacinthmountError,
     MalformedRequest,
     RequestTimeout,
+    ShuttingDown,
+    shorten,
 )
 
-from jacinthmount_node.logs import log_failure
+from jacinthmount_node.logs import log_event, log_failure
 from jacinthmount_node.net.sockets import (
     abort_socket,
     has_unread,
@@ -29,6 +32,7 @@
 from jacinthmount_node.net.yield_budget import READ_BYTES
 
 __all__ = (
+    'AnswerCut',
     'HttpRequest',
     'HttpServer',
     'Responder',
@@ -52,6 +56,13 @@
 BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
 
 
+class AnswerCut(curio.TaskCancelled):
+    """Cancels the handler of a request that outlasts a planned stop.
+
+    The server answers the request unless its answer has begun.
+    """
+
+
 class ServerLimits:
     """Size limits and timeouts of a listener.
 
@@ -350,6 +361,16 @@
                 conn.close_if_idle(idle_since)
             await curio.sleep(POLL_S)
 
+    async def cut_answers(self) -> None:
+        """Ends the requests in flight, and returns when they have ended.
+
+        Each gets an error unless its answer has begun.
+        """
+        while self._connections:
+            for conn in list(self._connections):
+                await conn.cut()
+            await curio.sleep(POLL_S)
+
     @property
     def closing(self) -> bool:
         """Whether connections are closed after their current answer."""
@@ -402,6 +423,7 @@
 
 class _Connection:
     __slots__ = (
+        '_answering',
         '_ended',
         '_handler',
         '_idle_since',
@@ -426,6 +448,7 @@
         self._reader = WireReader(sock=sock, wire=self._wire)
         self.broken = False
         self.busy = False
+        self._answering: curio.Task | None = None
         # Idle connections that were closed here take no more requests.
         self._ended = False
         self._idle_since = time.monotonic()
@@ -456,6 +479,18 @@
         self._ended = True
         abort_socket(self._sock)
 
+    async def cut(self) -> None:
+        """Ends the request in flight, or the connection if there is none."""
+        if self._ended:
+            return
+        self._ended = True
+        if self._answering is None:
+            if self.busy:
+                log_event('cut_in_stop', path='', answered=False)
+            abort_socket(self._sock)
+            return
+        await self._answering.cancel(exc=AnswerCut, blocking=False)
+
     async def close(self) -> None:
         await self._sock.close()
 
@@ -559,13 +594,15 @@
 
     async def _answer(self, request: HttpRequest) -> None:
         responder = Responder(conn=self)
-        task = await curio.spawn(self._handle, request, responder)
+        task = await curio.spawn(self._handle_until_cut, request, responder)
+        self._answering = task
         watcher = await curio.spawn(self._cancel_on_close, task)
         try:
             await task.join()
         except curio.TaskError:
             self.broken = True
         finally:
+            self._answering = None
             await watcher.cancel()
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -593,6 +630,36 @@
                     JacinthmountError(detail='internal error'),
                 )
 
+    async def _handle_until_cut(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        try:
+            await self._handle(request, responder)
+        except AnswerCut:
+            await self._answer_cut(request, responder)
+
+    async def _answer_cut(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        log_event(
+            'cut_in_stop',
+            path=shorten(request.path),
+            answered=not responder.started,
+        )
+        whole = self._wire.their_state in BODY_ENDED
+        self.broken = True
+        if responder.started:
+            return
+        # No handler lets a request run before its body is complete.
+        exc: JacinthmountError = ShuttingDown(detail='the host stops')
+        if whole:
+            exc = DeadlineExceeded(detail='the host stops before the answer')
+        await responder.send_error(exc)
+
     async def _cancel_on_close(self, task: curio.Task) -> None:
         # Cancels the request when the caller closes the connection. Reads only
         # after the end of the body, which the handler reads.
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -47,6 +47,10 @@
 BALANCER_DRAIN_S = 3.2
 # Part of the stop time that is reserved for the steps after the drain.
 STOP_RESERVE_S = 1.0
+# Requests have their own errors sent for this long before they are cut.
+CUT_DELAY_S = 0.2
+# Time to send the answers to requests that are cut.
+CUT_TIMEOUT_S = 0.3
 
 
 class RelayDaemon:
@@ -266,15 +270,20 @@
         if self._runner is not None:
             await self._runner.stop()
         if self._front_server is not None:
-            await self._sleep_until(started_at + BALANCER_DRAIN_S)
+            balancer_until = started_at + BALANCER_DRAIN_S
+            await self._sleep_until(
+                min(balancer_until, self._state.stop.ends_at)
+            )
             await self._drain(self._front_server)
         await self._sync.deregister()
         log_event('stopped')
 
     async def _drain(self, server: HttpServer) -> None:
-        drain_s = self._state.stop.ends_at - self._state.now()
-        async with curio.ignore_after(max(0, drain_s)):
+        cut_at = self._state.stop.ends_at + CUT_DELAY_S
+        async with curio.ignore_after(max(0, cut_at - self._state.now())):
             await server.drain()
+        async with curio.ignore_after(CUT_TIMEOUT_S):
+            await server.cut_answers()
 
     async def _sleep_until(self, moment: float) -> None:
         await curio.sleep(max(0, moment - self._state.now()))
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -15,7 +15,12 @@
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import NO_ACCOUNT
-from jacinthmount_node.net.http_server import HttpRequest, Responder, error_body
+from jacinthmount_node.net.http_server import (
+    AnswerCut,
+    HttpRequest,
+    Responder,
+    error_body,
+)
 from jacinthmount_node.relay.batch_api import BatchApi
 from jacinthmount_node.relay.crash_evidence import find_prompt_error
 from jacinthmount_node.relay.online import OnlineRelay
@@ -70,6 +75,13 @@
         try:
             call = self.protocol.parse_call(request)
             await _answer(call, self, request, responder)
+        except AnswerCut:
+            log_event(
+                'request_cut',
+                request=self.protocol.read_id(request),
+                events_sent=responder.started,
+            )
+            raise
         except JacinthmountError as exc:
             self._record_refusal(call, request, exc)
             if responder.started:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -234,3 +234,49 @@
     received = curio.run(drain_with, address, talk)
     assert received.count(b'whole') == 2
     assert received.lower().count(b'connection: close') == 1
+
+
+def test_requests_cut_at_the_end_of_a_drain(address):
+    """Whole ones get 504, those whose body never came are not run."""
+    received = curio.run(_cut_with_callers, address)
+    whole, half, streamed = received
+    assert whole.startswith(b'HTTP/1.1 504')
+    assert b'"run_state":"outcome_unknown"' in whole
+    assert half.startswith(b'HTTP/1.1 503')
+    assert b'"run_state":"not_run"' in half
+    assert streamed.startswith(b'HTTP/1.1 200')
+    assert not streamed.endswith(b'0\r\n\r\n')
+
+
+async def _answer_never(request, responder):
+    await request.read_body()
+    if request.path == '/stream':
+        await responder.start(200, [], b'piece')
+    await curio.Event().wait()
+
+
+async def _cut_with_callers(address):
+    """Cuts the answers of a server with three requests.
+
+    :returns: what the callers received.
+    """
+    server = HttpServer(
+        sock=listen(f'{address[0]}:{address[1]}'),
+        handler=_answer_never,
+    )
+    serving = await curio.spawn(server.run, daemon=True)
+    sent = [
+        REQUEST,
+        b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nab',
+        STREAM_REQUEST,
+    ]
+    callers = [std_socket.create_connection(address) for _ in sent]
+    for caller, request in zip(callers, sent, strict=True):
+        caller.sendall(request)
+    await curio.sleep(0.3)
+    await server.cut_answers()
+    await serving.cancel()
+    received = [_read_rest(caller) for caller in callers]
+    for caller in callers:
+        caller.close()
+    return received
