Answer a read with a long wait before a stopping host ends (LOST)

Callers saw: a read of a batch's results that was allowed to wait for longer than the grace ended with a closed connection.

Cause: its wait ended only by the caller's time.

Evidence: test_read_with_a_long_wait_cut_at_the_end_of_a_planned_stop: no answer before, 200 now.

Why it works: the wait also ends at the time by which the answers of a stopping host have to be complete, with the results that there are.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
@@ -140,7 +140,7 @@
         until = self._state.now() + wait_s - WAIT_MARGIN_S
         await self._refresh(key, log, after)
         while after >= len(log.results) and not log.complete:
-            left_s = until - self._state.now()
+            left_s = min(until, self._state.stop.ends_at) - self._state.now()
             if left_s <= 0:
                 break
             await curio.sleep(min(POLL_INTERVAL_S, left_s))
