--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -188,6 +188,7 @@
     async def _leave(self) -> None:
         log_event('leaving', host=self._node.host)
         self._node.ready = False
+        self._front_server.close_after_answers()
         await curio.sleep(self._node.settings.drain_delay_s)
         drain = await curio.spawn(self._front_server.drain)
         await self._batch.leave()
