Log each request that ends without a complete answer

A connection that was closed after a whole request had been read left no line in several cases: an error of a handler that is taken for the loss of its caller, a handler that was cancelled, an answer that was cut.

The server now writes one line, unanswered, with the request's id, its path, the status that was begun and the reason. The fronts of both interfaces name the id. No logic changes: what was answered before is answered the same.

--- a/packages/jacinthmount-node/jacinthmount_node/callers/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -180,6 +180,7 @@
         arrived_at = self._node.now()
         body = await request.read_body()
         call, profile = self._parse_completion(request, key, body, arrived_at)
+        request.request_id = call.request_id
         await self._admission.admit(key.account)
         await self._online.answer(call, profile, responder)
 
@@ -264,6 +265,7 @@
             idempotency_key=read_idempotency_key(request),
             deadline=arrived_at + profile.deadline_s,
         )
+        request.request_id = call.request_id
         if key is not None:
             await self._admission.admit(key.account)
         answer = await self._plain.run(call, profile)
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -16,9 +16,10 @@
     JacinthmountError,
     MalformedRequest,
     RequestTimeout,
+    shorten,
 )
 
-from jacinthmount_node.logs import log_failure
+from jacinthmount_node.logs import log_event, log_failure
 from jacinthmount_node.net.sockets import abort_socket, with_timeout
 from jacinthmount_node.net.wire_reader import WireReader
 from jacinthmount_node.net.yield_budget import READ_BYTES
@@ -78,7 +79,10 @@
 
 
 class HttpRequest:
-    """A request whose body is read on demand."""
+    """A request whose body is read on demand.
+
+    ``request_id`` is for logs; handlers that know an id set it.
+    """
 
     __slots__ = (
         '_conn',
@@ -87,6 +91,7 @@
         'method',
         'path',
         'query',
+        'request_id',
         'target',
     )
 
@@ -111,6 +116,7 @@
         }
         self.header_rows = header_rows
         self.headers = dict(header_rows)
+        self.request_id = ''
         self._conn = conn
 
     async def iter_body(self, limit: int | None = None):
@@ -233,9 +239,12 @@
         """Whether the connection to the caller is lost or unusable."""
         return self._conn.broken
 
-    def abort(self) -> None:
-        """Lets the connection be closed without completing the answer."""
-        self._conn.broken = True
+    def abort(self, reason: str = 'aborted') -> None:
+        """Lets the connection be closed without completing the answer.
+
+        :param reason: why, for the log.
+        """
+        self._conn.fail(reason)
 
 
 def parse_json_object(packed: bytes) -> dict[str, Any]:
@@ -376,6 +385,8 @@
         '_reader',
         '_server',
         '_sock',
+        '_end_reason',
+        '_is_answered',
         '_wire',
         'broken',
         'busy',
@@ -392,6 +403,8 @@
             max_incomplete_event_size=self.limits.header_bytes,
         )
         self._reader = WireReader(sock=sock, wire=self._wire)
+        self._end_reason = ''
+        self._is_answered = False
         self.broken = False
         self.busy = False
 
@@ -411,6 +424,10 @@
     def abort(self) -> None:
         abort_socket(self._sock)
 
+    def fail(self, reason: str) -> None:
+        self._end_reason = reason
+        self.broken = True
+
     async def close(self) -> None:
         await self._sock.close()
 
@@ -427,9 +444,10 @@
                 self._sock.sendall,
                 packed,
             )
-        except (curio.TaskTimeout, OSError):
-            self.broken = True
+        except (curio.TaskTimeout, OSError) as exc:
+            self.fail(f'not sent: {type(exc).__name__}: {exc}')
             raise
+        self._is_answered = isinstance(events[-1], h11.EndOfMessage)
 
     async def next_body_event(self) -> h11.Data | h11.EndOfMessage:
         if self._wire.their_state in BODY_ENDED:
@@ -442,7 +460,7 @@
         except TimeoutError:
             raise RequestTimeout(detail='body too slow') from None
         except h11.RemoteProtocolError as exc:
-            self.broken = True
+            self.fail(str(exc))
             raise MalformedRequest(detail=str(exc)) from exc
 
     async def _next_request(self) -> HttpRequest | None:
@@ -508,15 +526,33 @@
 
     async def _answer(self, request: HttpRequest) -> None:
         responder = Responder(conn=self)
+        self._is_answered = False
         task = await curio.spawn(self._handle, request, responder)
         watcher = await curio.spawn(self._cancel_on_close, task)
         try:
             await task.join()
-        except curio.TaskError:
-            self.broken = True
+        except curio.TaskError as exc:
+            if not self.broken:
+                self.fail(repr(exc.__cause__))
         finally:
+            self._log_if_unanswered(request, responder)
             await watcher.cancel()
 
+    def _log_if_unanswered(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        if self._is_answered or self._wire.their_state not in BODY_ENDED:
+            return
+        log_event(
+            'unanswered',
+            request=request.request_id,
+            path=shorten(request.path),
+            status=responder.status,
+            reason=self._end_reason or 'connection ended',
+        )
+
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         if self._wire.they_are_waiting_for_100_continue:
             await self.send(
@@ -529,14 +565,15 @@
             await self._handler(request, responder)
         except JacinthmountError as exc:
             if responder.started:
-                self.broken = True
+                self.fail(str(exc))
                 return
             await responder.send_error(exc)
-        except (OSError, curio.TaskTimeout, h11.ProtocolError):
-            self.broken = True
+        except (OSError, curio.TaskTimeout, h11.ProtocolError) as exc:
+            if not self.broken:
+                self.fail(f'{type(exc).__name__}: {exc}')
         except Exception as exc:
             log_failure('request', exc)
-            self.broken = True
+            self.fail(f'{type(exc).__name__}: {exc}')
             if not responder.started:
                 await responder.send_error(
                     JacinthmountError(detail='internal error'),
@@ -554,7 +591,7 @@
         if received:
             self._reader.take(received)
             return
-        self.broken = True
+        self.fail('caller closed')
         await task.cancel(blocking=False)
 
     def _reusable(self) -> bool:
@@ -564,7 +601,7 @@
         return self._wire.our_state is done and self._wire.their_state is done
 
     async def _reject(self, exc: JacinthmountError) -> None:
-        self.broken = True
+        self.fail(str(exc))
         if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await Responder(conn=self).send_error(exc)
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -67,13 +67,14 @@
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Handles one request."""
         call = None
+        request.request_id = self.protocol.read_id(request)
         try:
             call = self.protocol.parse_call(request)
             await _answer(call, self, request, responder)
         except JacinthmountError as exc:
             self._record_refusal(call, request, exc)
             if responder.started:
-                responder.abort()
+                responder.abort(str(exc))
                 return
             await responder.send_json(
                 exc.http_status,
@@ -111,7 +112,7 @@
             code=exc.code,
             status=exc.http_status,
             detail=exc.detail,
-            request=self.protocol.read_id(request),
+            request=request.request_id,
             account=name,
         )
 
