Failing test: an error of accept ends all connections of its listener

A listener out of file descriptors (EMFILE), or a connection that its peer took back before it was accepted (ECONNABORTED): the caller of a request in flight on another connection, and the next caller, are both cut without an answer. The test fails for both errors.

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -1,5 +1,7 @@
 """Connections that end after a request was read, on the HTTP server."""
 
+import errno
+
 import curio
 import eliot
 import pytest
@@ -125,3 +127,58 @@
     received = curio.run(serve, make_server(address, handler), talk, address)
     assert b' 502 ' in received
     assert not ends(lines)
+
+
+class FailingListener:
+    """A listening socket of which one ``accept`` fails."""
+
+    def __init__(self, *, sock, fails_at, error):
+        """Wraps a socket.
+
+        :param fails_at: number of the call that fails, from 1 on.
+        """
+        self._sock = sock
+        self._fails_at = fails_at
+        self._error = error
+        self._calls = 0
+
+    async def accept(self):
+        """Accepts a connection, or fails."""
+        self._calls += 1
+        if self._calls == self._fails_at:
+            raise self._error
+        return await self._sock.accept()
+
+    async def close(self):
+        """Closes the socket."""
+        await self._sock.close()
+
+
+async def answer_late(request, responder):
+    """Answers after 0.3 s."""
+    await curio.sleep(0.3)
+    await responder.send(200, b'whole', [])
+
+
+@pytest.mark.parametrize('number', [errno.ECONNABORTED, errno.EMFILE])
+def test_error_of_accept_ends_other_connections(address, number):
+    """Requests in flight are answered, and new connections are accepted."""
+    server = HttpServer(
+        sock=FailingListener(
+            sock=listen(f'{address[0]}:{address[1]}'),
+            fails_at=2,
+            error=OSError(number, 'accept'),
+        ),
+        handler=answer_late,
+    )
+
+    async def talk(conn):
+        await conn.sendall(REQUEST)
+        other = await curio_socket.create_connection(address)
+        await other.sendall(REQUEST)
+        answers = [await conn.recv(1000), await other.recv(1000)]
+        await other.close()
+        return answers
+
+    answers = curio.run(serve, server, talk, address)
+    assert [one.endswith(b'whole') for one in answers] == [True, True]
