--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -20,7 +20,11 @@
 )
 
 from jacinthmount_node.logs import log_event, log_failure
-from jacinthmount_node.net.sockets import abort_socket, with_timeout
+from jacinthmount_node.net.sockets import (
+    abort_socket,
+    accept,
+    with_timeout,
+)
 from jacinthmount_node.net.wire_reader import WireReader
 from jacinthmount_node.net.yield_budget import READ_BYTES
 
@@ -360,7 +364,7 @@
 
     async def _accept(self, group: curio.TaskGroup) -> None:
         while True:
-            sock, _ = await self._sock.accept()
+            sock = await accept(self._sock, 'HTTP listener')
             conn = _Connection(
                 sock=sock,
                 handler=self._handler,
--- a/packages/jacinthmount-node/jacinthmount_node/net/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/peers.py
@@ -20,7 +20,12 @@
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.messages import Envelope, Hello
 from jacinthmount_node.metrics import Metrics
-from jacinthmount_node.net.sockets import abort_socket, connect, with_timeout
+from jacinthmount_node.net.sockets import (
+    abort_socket,
+    accept,
+    connect,
+    with_timeout,
+)
 from jacinthmount_node.net.yield_budget import READ_BYTES, YieldBudget
 
 __all__ = ('PeerLink', 'PeerLinks', 'PeerServer', 'make_contexts')
@@ -115,7 +120,7 @@
         """Accepts connections until cancelled."""
         async with curio.TaskGroup(wait=None) as group:
             while True:
-                sock, _ = await self._sock.accept()
+                sock = await accept(self._sock, 'peer listener')
                 await group.spawn(self._serve, sock, daemon=True)
 
     async def _serve(self, raw) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -10,9 +10,12 @@
 from curio import socket as curio_socket
 from jacinthmount.ports import Clock
 
+from jacinthmount_node.logs import log_failure
+
 __all__ = (
     'SystemClock',
     'abort_socket',
+    'accept',
     'connect',
     'listen',
     'parse_address',
@@ -26,6 +29,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Pause after a failed accept; without file descriptors it would fail at once.
+ACCEPT_PAUSE_S = 0.05
 
 
 class SystemClock(Clock):
@@ -113,6 +118,24 @@
     return sock
 
 
+async def accept(sock, listener: str):
+    """Accepts the next connection.
+
+    An error is logged and does not end the listener: it concerns one
+    connection, or a resource that others will free.
+
+    :param listener: name of the listener, for the log.
+    """
+    while True:
+        try:
+            conn, _ = await sock.accept()
+        except OSError as exc:
+            log_failure(listener, exc)
+            await curio.sleep(ACCEPT_PAUSE_S)
+        else:
+            return conn
+
+
 def _detect_dead_peer(sock) -> None:
     tcp = std_socket.IPPROTO_TCP
     sock.setsockopt(tcp, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
