Failing test: an error of another connection closes the caller's

A handler that raises OSError, a time-out or a protocol error ends the caller's connection without an answer, though that connection is sound; four of five cases fail, the fifth (KeyError) gets its coded 500.

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -4,6 +4,7 @@
 
 import curio
 import eliot
+import h11
 import pytest
 from curio import socket as curio_socket
 from jacinthmount.errors import EndpointFailed
@@ -182,3 +183,28 @@
 
     answers = curio.run(serve, server, talk, address)
     assert [one.endswith(b'whole') for one in answers] == [True, True]
+
+
+@pytest.mark.parametrize(
+    'error',
+    [
+        ConnectionResetError('another connection'),
+        TimeoutError('another connection'),
+        curio.TaskTimeout('another connection'),
+        h11.RemoteProtocolError('another connection'),
+        KeyError('unexpected'),
+    ],
+)
+def test_error_of_another_connection_closes_the_one_of_the_caller(
+    address, error
+):
+    """The caller gets a coded error, since its own connection is sound."""
+
+    async def handler(request, responder):
+        raise error
+
+    received = curio.run(
+        serve, make_server(address, handler), ask_once, address
+    )
+    assert received.startswith(b'HTTP/1.1 500 ')
+    assert b'"code":"1000"' in received
