Answer requests that an error of another connection ends (LOST)

Seen by callers: a whole request was read and its connection closed, without an answer and without a log line.

Cause: the server took each OSError, time-out and protocol error of a handler for the loss of the caller. An error of an endpoint, a peer or the store that is not translated on its way looks the same. A TaskTimeout of curio is no Exception, so the general handler would have missed it as well.

Why it works: the connection itself records when it fails (reading a body, sending), and only then is an error the caller's own. Each other error is logged and answered 500, code 1000, unless an answer has begun.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -50,6 +50,7 @@
 # After the body h11 reports MUST_CLOSE instead of DONE if the caller closes
 # the connection after this request.
 BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
+CONNECTION_ERRORS = (OSError, curio.TaskTimeout, h11.ProtocolError)
 
 
 class ServerLimits:
@@ -376,7 +377,7 @@
     async def _serve(self, conn: '_Connection') -> None:
         try:
             await conn.run()
-        except (OSError, curio.TaskTimeout, h11.ProtocolError):
+        except CONNECTION_ERRORS:
             return
         finally:
             self._connections.discard(conn)
@@ -463,6 +464,9 @@
             )
         except TimeoutError:
             raise RequestTimeout(detail='body too slow') from None
+        except OSError as exc:
+            self.fail(f'body not read: {type(exc).__name__}: {exc}')
+            raise
         except h11.RemoteProtocolError as exc:
             self.fail(str(exc))
             raise MalformedRequest(detail=str(exc)) from exc
@@ -572,10 +576,10 @@
                 self.fail(str(exc))
                 return
             await responder.send_error(exc)
-        except (OSError, curio.TaskTimeout, h11.ProtocolError) as exc:
-            if not self.broken:
-                self.fail(f'{type(exc).__name__}: {exc}')
-        except Exception as exc:
+        except (Exception, curio.TaskTimeout) as exc:
+            if self.broken and isinstance(exc, CONNECTION_ERRORS):
+                # The caller's own connection failed.
+                return
             log_failure('request', exc)
             self.fail(f'{type(exc).__name__}: {exc}')
             if not responder.started:
