Failing test: an older idle limit closes a connection

A caller that reuses a connection within the idle limit in force finds it closed if the connection was idle already when the limit was raised.

--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -8,7 +8,7 @@
 import pytest
 from curio import socket as curio_socket
 from jacinthmount.errors import EndpointFailed
-from jacinthmount_node.net.http_server import HttpServer
+from jacinthmount_node.net.http_server import HttpServer, ServerLimits
 from jacinthmount_node.net.sockets import listen
 from jacinthmount_standin.addresses import LOOPBACK, PortReserve
 
@@ -208,3 +208,29 @@
     )
     assert received.startswith(b'HTTP/1.1 500 ')
     assert b'"code":"1000"' in received
+
+
+def test_idle_limit_of_an_older_configuration_closes_a_connection(address):
+    """A limit that is raised holds for connections that are idle already."""
+    limits = ServerLimits(idle_s=0.6)
+    server = make_server(address, answer_late, limits=limits)
+
+    async def talk(conn):
+        await conn.sendall(REQUEST)
+        answers = [await conn.recv(1000)]
+        await curio.sleep(0.2)
+        limits.idle_s = ENOUGH_S
+        await curio.sleep(0.8)
+        await conn.sendall(REQUEST)
+        answers.append(await conn.recv(1000))
+        return answers
+
+    answers = curio.run(serve, server, talk, address)
+    assert [one.endswith(b'whole') for one in answers] == [True, True]
+
+
+def test_idle_connection_is_closed_at_the_limit(address):
+    """Also if the configuration did not change."""
+    limits = ServerLimits(idle_s=0.3)
+    server = make_server(address, answer_late, limits=limits)
+    assert not curio.run(serve, server, receive_all, address)
