--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -493,11 +493,17 @@
         return None
 
     async def _wait_first_byte(self) -> bool:
-        async with curio.ignore_after(self.limits.idle_s):
-            received = await self._sock.recv(READ_BYTES)
-            self._reader.take(received)
-            return bool(received)
-        return False
+        # The limit may change while the connection is idle.
+        idle_since = await curio.clock()
+        left_s = self.limits.idle_s
+        while True:
+            async with curio.ignore_after(left_s):
+                received = await self._sock.recv(READ_BYTES)
+                self._reader.take(received)
+                return bool(received)
+            left_s = idle_since + self.limits.idle_s - await curio.clock()
+            if left_s <= 0:
+                return False
 
     def _check_head(self, event: h11.Event) -> HttpRequest | None:
         if not isinstance(event, h11.Request):
