--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -7,7 +7,7 @@
 import h11
 import pytest
 from curio import socket as curio_socket
-from jacinthmount.errors import EndpointFailed
+from jacinthmount.errors import BodyTooLarge, EndpointFailed, NotFound
 from jacinthmount_node.net.http_server import HttpServer, ServerLimits
 from jacinthmount_node.net.sockets import listen
 from jacinthmount_standin.addresses import LOOPBACK, PortReserve
@@ -234,3 +234,42 @@
     limits = ServerLimits(idle_s=0.3)
     server = make_server(address, answer_late, limits=limits)
     assert not curio.run(serve, server, receive_all, address)
+
+
+LONG_BODY = b'x' * 3_000_000
+LONG_HEAD = b'POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    'error', [NotFound(detail='no route'), BodyTooLarge(detail='too large')]
+)
+def test_refusal_before_the_body_resets_the_connection(address, error):
+    """A caller that first sends its whole request reads the refusal then."""
+
+    async def handler(request, responder):
+        raise error
+
+    async def talk(conn):
+        await conn.sendall(LONG_HEAD % len(LONG_BODY))
+        await curio.sleep(0.1)
+        await conn.sendall(LONG_BODY)
+        return await receive_all(conn)
+
+    received = curio.run(serve, make_server(address, handler), talk, address)
+    assert received.startswith(b'HTTP/1.1 %d ' % error.http_status)
+
+
+def test_caller_that_never_ends_its_body_is_cut(address):
+    """Reading on after a refusal is bounded in time."""
+
+    async def handler(request, responder):
+        raise NotFound(detail='no route')
+
+    async def talk(conn):
+        await conn.sendall(LONG_HEAD % len(LONG_BODY))
+        with pytest.raises(OSError):
+            while True:
+                await conn.sendall(b'x')
+                await curio.sleep(0.05)
+
+    curio.run(serve, make_server(address, handler), talk, address)
