--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -25,6 +25,7 @@
 from jacinthmount_node.logs import log_event, log_failure
 from jacinthmount_node.net.sockets import (
     abort_socket,
+    accept,
     has_unread,
     with_timeout,
 )
@@ -54,6 +55,7 @@
 # After the body h11 reports MUST_CLOSE instead of DONE if the caller closes
 # the connection after this request.
 BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
+CONNECTION_ERRORS = (OSError, curio.TaskTimeout, h11.ProtocolError)
 
 
 class AnswerCut(curio.TaskCancelled):
@@ -94,7 +96,10 @@
 
 
 class HttpRequest:
-    """A request whose body is read on demand."""
+    """A request whose body is read on demand.
+
+    ``request_id`` is for logs; handlers that know an id set it.
+    """
 
     __slots__ = (
         '_conn',
@@ -103,6 +108,7 @@
         'method',
         'path',
         'query',
+        'request_id',
         'target',
     )
 
@@ -127,6 +133,7 @@
         }
         self.header_rows = header_rows
         self.headers = dict(header_rows)
+        self.request_id = ''
         self._conn = conn
 
     async def iter_body(self, limit: int | None = None):
@@ -249,9 +256,12 @@
         """Whether the connection to the caller is lost or unusable."""
         return self._conn.broken
 
-    def abort(self) -> None:
-        """Lets the connection be closed without completing the answer."""
-        self._conn.broken = True
+    def abort(self, reason: str = 'aborted') -> None:
+        """Lets the connection be closed without completing the answer.
+
+        :param reason: why, for the log.
+        """
+        self._conn.fail(reason)
 
 
 def parse_json_object(packed: bytes) -> dict[str, Any]:
@@ -378,7 +388,7 @@
 
     async def _accept(self, group: curio.TaskGroup) -> None:
         while True:
-            sock, _ = await self._sock.accept()
+            sock = await accept(self._sock, 'HTTP listener')
             await self._begin(sock, group)
 
     async def _begin(self, sock, group: curio.TaskGroup) -> None:
@@ -414,7 +424,7 @@
     async def _serve(self, conn: '_Connection') -> None:
         try:
             await conn.run()
-        except (OSError, curio.TaskTimeout, h11.ProtocolError):
+        except CONNECTION_ERRORS:
             return
         finally:
             self._connections.discard(conn)
@@ -430,6 +440,8 @@
         '_reader',
         '_server',
         '_sock',
+        '_end_reason',
+        '_is_answered',
         '_wire',
         'broken',
         'busy',
@@ -446,6 +458,8 @@
             max_incomplete_event_size=self.limits.header_bytes,
         )
         self._reader = WireReader(sock=sock, wire=self._wire)
+        self._end_reason = ''
+        self._is_answered = False
         self.broken = False
         self.busy = False
         self._answering: curio.Task | None = None
@@ -491,6 +505,10 @@
             return
         await self._answering.cancel(exc=AnswerCut, blocking=False)
 
+    def fail(self, reason: str) -> None:
+        self._end_reason = reason
+        self.broken = True
+
     async def close(self) -> None:
         await self._sock.close()
 
@@ -507,9 +525,10 @@
                 self._sock.sendall,
                 packed,
             )
-        except (curio.TaskTimeout, OSError):
-            self.broken = True
+        except (curio.TaskTimeout, OSError) as exc:
+            self.fail(f'not sent: {type(exc).__name__}: {exc}')
             raise
+        self._is_answered = isinstance(events[-1], h11.EndOfMessage)
 
     async def next_body_event(self) -> h11.Data | h11.EndOfMessage:
         if self._wire.their_state in BODY_ENDED:
@@ -521,8 +540,11 @@
             )
         except TimeoutError:
             raise RequestTimeout(detail='body too slow') from None
+        except OSError as exc:
+            self.fail(f'body not read: {type(exc).__name__}: {exc}')
+            raise
         except h11.RemoteProtocolError as exc:
-            self.broken = True
+            self.fail(str(exc))
             raise MalformedRequest(detail=str(exc)) from exc
 
     async def _next_request(self) -> HttpRequest | None:
@@ -547,11 +569,17 @@
         return None
 
     async def _wait_first_byte(self) -> bool:
-        async with curio.ignore_after(self.limits.idle_s):
-            received = await self._sock.recv(READ_BYTES)
-            self._reader.take(received)
-            return bool(received) and not self._ended
-        return False
+        # The limit may change while the connection is idle.
+        idle_since = await curio.clock()
+        left_s = self.limits.idle_s
+        while True:
+            async with curio.ignore_after(left_s):
+                received = await self._sock.recv(READ_BYTES)
+                self._reader.take(received)
+                return bool(received) and not self._ended
+            left_s = idle_since + self.limits.idle_s - await curio.clock()
+            if left_s <= 0:
+                return False
 
     def _check_head(self, event: h11.Event) -> HttpRequest | None:
         if not isinstance(event, h11.Request):
@@ -594,16 +622,42 @@
 
     async def _answer(self, request: HttpRequest) -> None:
         responder = Responder(conn=self)
+        self._is_answered = False
         task = await curio.spawn(self._handle_until_cut, request, responder)
         self._answering = task
         watcher = await curio.spawn(self._cancel_on_close, task)
         try:
             await task.join()
-        except curio.TaskError:
-            self.broken = True
+        except curio.TaskError as exc:
+            if not self.broken:
+                self.fail(repr(exc.__cause__))
         finally:
-            self._answering = None
-            await watcher.cancel()
+            await self._end_answer(request, responder, watcher)
+
+    async def _end_answer(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        watcher: curio.Task,
+    ) -> None:
+        self._answering = None
+        self._log_if_unanswered(request, responder)
+        await watcher.cancel()
+
+    def _log_if_unanswered(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        if self._is_answered or self._wire.their_state not in BODY_ENDED:
+            return
+        log_event(
+            'unanswered',
+            request=request.request_id,
+            path=shorten(request.path),
+            status=responder.status,
+            reason=self._end_reason or 'connection ended',
+        )
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         if self._wire.they_are_waiting_for_100_continue:
@@ -617,14 +671,15 @@
             await self._handler(request, responder)
         except JacinthmountError as exc:
             if responder.started:
-                self.broken = True
+                self.fail(str(exc))
                 return
             await responder.send_error(exc)
-        except (OSError, curio.TaskTimeout, h11.ProtocolError):
-            self.broken = True
-        except Exception as exc:
+        except (Exception, curio.TaskTimeout) as exc:
+            if self.broken and isinstance(exc, CONNECTION_ERRORS):
+                # The caller's own connection failed.
+                return
             log_failure('request', exc)
-            self.broken = True
+            self.fail(f'{type(exc).__name__}: {exc}')
             if not responder.started:
                 await responder.send_error(
                     JacinthmountError(detail='internal error'),
@@ -672,7 +727,7 @@
         if received:
             self._reader.take(received)
             return
-        self.broken = True
+        self.fail('caller closed')
         await task.cancel(blocking=False)
 
     def _reusable(self) -> bool:
@@ -683,7 +738,7 @@
         return self._wire.our_state is done and self._wire.their_state is done
 
     async def _reject(self, exc: JacinthmountError) -> None:
-        self.broken = True
+        self.fail(str(exc))
         if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await Responder(conn=self).send_error(exc)
 
