--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -232,3 +232,39 @@
 
     curio.run(run_for, watch, 0.6, check)
     assert store.calls == ['list', 'watch']
+
+
+@pytest.mark.parametrize('ends', ['watch', 'list', 'snapshot'])
+def test_entry_that_cannot_be_handled_ends_the_following(store, ends):
+    """Guards against a callback whose error loses the changes after it."""
+    handled = []
+
+    async def handle(watch, changed):
+        for stored in changed:
+            if stored.body == 'odd':
+                raise OverflowError(stored.name)
+            handled.append(stored.name)
+
+    watch = ObjectWatch(
+        store=store,
+        prefix='things/',
+        on_change=handle,
+        rng=random.Random(1),
+    )
+
+    async def change():
+        handled.clear()
+        for name, body in (('0', 'odd'), ('b', 'new'), ('c', 'odd')):
+            await store.write(f'things/{name}', body, ABSENT)
+        listing = await store.list_names('things/')
+        if ends == 'watch':
+            await watch._apply_changes(listing)
+        elif ends == 'list':
+            await watch.refresh()
+        else:
+            other = make_watch(store, [])
+            await other.refresh()
+            await watch.apply_snapshot(other.snapshot(0))
+
+    curio.run(run_for, watch, 0.05, change)
+    assert 'things/b' in handled
