--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -9,7 +9,7 @@
 from jacinthmount.ports import Listing, ObjectStore, Stored
 from jacinthmount.records import Record
 
-from jacinthmount_node.logs import log_event
+from jacinthmount_node.logs import log_event, log_failure
 from jacinthmount_node.net.sockets import with_timeout
 
 __all__ = ('ObjectWatch', 'PrefixSnapshot', 'WatchDelays')
@@ -63,10 +63,12 @@
 class ObjectWatch:
     """Holds the objects under one prefix and never reverts to an older state.
 
-    The callback gets the changed objects; a removed object has no body. While
-    another host is the update source of this one, the watch makes no calls. A
-    watch with ``is_probed`` relies on its owner to detect the end of an outage.
-    ``last_reply_at`` is when the last listing that succeeded was requested.
+    The callback gets the changed objects; a removed object has no body. If it
+    fails, it gets each of them once more alone, so that an object that can't be
+    handled does not cost the others. While another host is the update source
+    of this one, the watch makes no calls. A watch with ``is_probed`` relies on
+    its owner to detect the end of an outage. ``last_reply_at`` is when the last
+    listing that succeeded was requested.
     """
 
     __slots__ = (
@@ -272,7 +274,23 @@
             else:
                 self._objects[stored.name] = stored
         if changed:
+            await self._report(changed)
+
+    async def _report(self, changed: list[Stored]) -> None:
+        try:
             await self._on_change(self, changed)
+        except Exception as exc:
+            log_failure(f'watch of {self.prefix}', exc)
+            if len(changed) > 1:
+                await self._report_singly(changed)
+
+    async def _report_singly(self, changed: list[Stored]) -> None:
+        # The objects are stored, so no later listing would report them.
+        for stored in changed:
+            try:
+                await self._on_change(self, [stored])
+            except Exception as exc:
+                log_failure(f'object {stored.name}', exc)
 
     def _note_outage(self, exc: StoreUnavailable) -> None:
         if not self.in_outage:
