--- /dev/null
+++ b/tests/test_odd_entry_sites.py
@@ -0,0 +1,108 @@
+"""Odd entries of another writer among those of the engines, on processes."""
+
+import itertools
+import json
+import time
+from http import HTTPStatus
+from urllib.parse import quote
+
+import pytest
+from jacinthmount_platform_standin.site import SERVICE, PlatformSite
+from jacinthmount_standin.callers import call_http
+
+REQUESTS = 24
+WAIT_S = 10.0
+POLL_S = 0.1
+# Time in which hosts learn of a change.
+NEWS_S = 0.6
+
+
+@pytest.fixture
+def site(tmp_path):
+    """A site of two fronts, one runner and one engine."""
+    found = PlatformSite(folder=tmp_path, fronts=2, runners=1)
+    try:
+        found.start(engines=1)
+        yield found
+    finally:
+        found.stop()
+
+
+@pytest.fixture
+def ask(site):
+    """A function that sends requests to both fronts in turn."""
+    numbers = itertools.count(1)
+
+    def send(count):
+        return {
+            site.call(
+                f'front-{number % 2 + 1}',
+                'POST',
+                '/scan/1',
+                {},
+                attempt_id=f'a{number:x}',
+                token_usage='10,5',
+                deadline_remaining='5000',
+            )[0]
+            for number in itertools.islice(numbers, count)
+        }
+
+    return send
+
+
+def write_raw(site, name, spec, kind='servers'):
+    """Stores an entry whose spec may be any bytes, as another writer."""
+    target = f'/raw/{kind}/{quote(name, safe="")}'
+    status, _ = call_http(site.store, 'PUT', target, spec)
+    assert status == HTTPStatus.OK
+
+
+def make_spec(**changes):
+    """Builds the spec of an entry that is like that of an engine."""
+    fields = {
+        'service': SERVICE,
+        'address': '127.0.0.1:9',
+        'zone': 'east',
+        'slots': 4,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'born': 1,
+    }
+    return json.dumps({**fields, **changes}).encode()
+
+
+def list_failures(site):
+    """Lists the parts of the hosts that failed, from their logs."""
+    return [
+        line['component']
+        for name in site.controls
+        for line in site.read_lines(name)
+        if line['message_type'] == 'jacinthmount:failure'
+    ]
+
+
+def assert_next_engine_is_used(site, ask):
+    """An engine that is added later serves when the first one is gone."""
+    site.start_engine('later')
+    site.kill('engine-1')
+    call_http(site.store, 'DELETE', '/api/objects/servers/engine-1')
+    until = time.monotonic() + WAIT_S
+    while ask(2) != {200}:
+        assert time.monotonic() < until, 'the next engine is not used'
+        time.sleep(POLL_S)
+    assert ask(REQUESTS) == {200}
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        pytest.param({'cold_left_ms': 10**400}, id='cold time'),
+        pytest.param({'slots': 10**400}, id='slots'),
+        pytest.param({'born': 10**400}, id='start'),
+    ],
+)
+def test_entry_with_number_too_large_ends_the_following(site, ask, change):
+    """Guards against hosts that follow the list no longer."""
+    write_raw(site, 'a-odd', make_spec(**change))
+    assert_next_engine_is_used(site, ask)
+    assert not list_failures(site)
