--- a/tests/test_odd_entry_sites.py
+++ b/tests/test_odd_entry_sites.py
@@ -106,3 +106,25 @@
     write_raw(site, 'a-odd', make_spec(**change))
     assert_next_engine_is_used(site, ask)
     assert not list_failures(site)
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        pytest.param('127.0.0.1:99999', id='port too large'),
+        pytest.param('127.0.0.1:²', id='digit that is not ASCII'),
+        pytest.param('127.0.0.1:٣٣٣٣', id='digits of another script'),
+        pytest.param('localhost:80', id='name'),
+        pytest.param('127.1:80', id='short'),
+        pytest.param('a\0b:80', id='zero byte'),
+        pytest.param('[::1]:80', id='other family'),
+        pytest.param(f'{"1" * 70}.example:80', id='long label'),
+    ],
+)
+def test_entry_with_odd_address_costs_requests(site, ask, address):
+    """Guards against 500 for a part of the requests beside a sound engine."""
+    for number in range(4):
+        write_raw(site, f'odd-{number}', make_spec(address=address))
+    time.sleep(NEWS_S)
+    assert ask(REQUESTS) == {200}
+    assert not list_failures(site)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 import subprocess
 import sys
 from typing import Any
@@ -287,6 +288,25 @@
         {'born': 1.5},
         {'cold_left_ms': 'long'},
         {'cold_left_ms': -1},
+        {'cold_left_ms': math.nan},
+        {'cold_left_ms': math.inf},
+        {'cold_left_ms': 10**400},
+        {'slots': 10**400},
+        {'born': 10**400},
+        {'address': '10.1.64.3:0'},
+        {'address': '10.1.64.3:65536'},
+        {'address': '10.1.64.3:+80'},
+        {'address': '10.1.64.3: 80'},
+        {'address': '10.1.64.3:²'},
+        {'address': '10.1.64.3:٣'},
+        {'address': f'10.1.64.3:{"9" * 5000}'},
+        {'address': '10.1.64:80'},
+        {'address': '010.1.64.3:80'},
+        {'address': '10.1.64.256:80'},
+        {'address': 'engine.example:80'},
+        {'address': '[::1]:80'},
+        {'address': ' 10.1.64.3:80'},
+        {'address': '0.0.0.0:80'},
     ],
 )
 def test_invalid_registration_is_no_endpoint(decoder, change):
