--- a/tests/test_odd_entry_sites.py
+++ b/tests/test_odd_entry_sites.py
@@ -15,6 +15,8 @@
 POLL_S = 0.1
 # Time in which hosts learn of a change.
 NEWS_S = 0.6
+NESTED = b'%b%b' % (b'[' * 100_000, b']' * 100_000)
+NESTED_MAPS = b'%b1%b' % (b'{"a":' * 2000, b'}' * 2000)
 
 
 @pytest.fixture
@@ -128,3 +130,43 @@
     time.sleep(NEWS_S)
     assert ask(REQUESTS) == {200}
     assert not list_failures(site)
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        pytest.param(NESTED, id='deeply nested'),
+        pytest.param(NESTED_MAPS, id='nested maps'),
+        pytest.param(b'1' * 5000, id='thousands of digits'),
+        pytest.param(b'"\xff\xfe"', id='not UTF-8'),
+        pytest.param(b'nothing', id='not JSON'),
+        pytest.param(b'"a\nb"', id='line feed in a text'),
+        pytest.param(b'', id='missing'),
+    ],
+)
+def test_unreadable_entry_costs_the_whole_list(site, ask, spec):
+    """Guards against hosts that can read no list with such an entry."""
+    write_raw(site, 'a-odd', spec)
+    time.sleep(NEWS_S)
+    assert_next_engine_is_used(site, ask)
+    assert not list_failures(site)
+
+
+def test_host_that_starts_beside_an_unreadable_entry(site, ask):
+    """Guards against a front that never becomes ready."""
+    write_raw(site, 'a-odd', NESTED)
+    site.kill('front-1')
+    site.kill('runner-1')
+    site.start_host('front-1')
+    site.wait_ready('front-1')
+    assert ask(REQUESTS) == {200}
+
+
+def test_entry_with_lone_surrogates_ends_the_following(site, ask):
+    """Guards against a text that no log line and no message can hold."""
+    write_raw(site, 'a-odd', make_spec(service='\ud800', zone='\ud800'))
+    write_raw(site, 'b-odd', json.dumps('\ud800').encode())
+    write_raw(site, 'c-odd', json.dumps('\ud800').encode(), kind='evacuations')
+    time.sleep(NEWS_S)
+    assert_next_engine_is_used(site, ask)
+    assert not list_failures(site)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -114,6 +114,9 @@
     ],
 }
 MANY_DIGITS = '9' * 5000
+NESTED = b'%b%b' % (b'[' * 100_000, b']' * 100_000)
+# Brackets and a quotation mark inside a text.
+QUOTED_BODY = json.dumps({'x': ']}"'})
 
 
 @pytest.fixture
@@ -558,14 +561,19 @@
     assert 'server-leaving' not in dict(answer.headers)
 
 
-def with_store(func):
-    """Runs a coroutine function with a store on a stand-in."""
+def with_store(func, handler=None):
+    """Runs a coroutine function with a store on a stand-in.
+
+    :param handler: answers the calls in place of the stand-in.
+    """
 
     async def serve():
         reserve = PortReserve()
         address = f'127.0.0.1:{reserve.take(1)[0]}'
-        standin = ObjectStandin()
-        server = HttpServer(sock=listen(address), handler=standin.handle)
+        server = HttpServer(
+            sock=listen(address),
+            handler=handler or ObjectStandin().handle,
+        )
         task = await curio.spawn(server.run, daemon=True)
         pool = ClientPool()
         try:
@@ -642,6 +650,72 @@
     with_store(check)
 
 
+@pytest.mark.parametrize(
+    'spec',
+    [
+        NESTED,
+        b'1' * 5000,
+        b'"\xff"',
+        b'nothing',
+        b'"a\nb"',
+        b'',
+    ],
+)
+def test_unreadable_row_costs_the_others(spec):
+    """Guards against one entry that makes a list answer unreadable."""
+
+    async def check(store, pool, address):
+        await store.write('things/a', 'one', ABSENT)
+        await pool.fetch(address, 'PUT', '/raw/things/b', [], spec, 2)
+        last = await store.write('things/c', QUOTED_BODY, ABSENT)
+        listing = await store.list_names('things/')
+        page = await store.watch_page('things/', 1, 1)
+        for found in (listing.objects, page.objects):
+            bodies = {one.name: one.body for one in found}
+            assert sorted(bodies) == ['things/a', 'things/b', 'things/c']
+            assert bodies['things/a'] == 'one'
+            assert bodies['things/c'] == QUOTED_BODY
+        assert listing.revision == page.revision == last
+        assert (await store.read('things/b')).version == last - 1
+
+    with_store(check)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        NESTED,
+        b'{"items":[],"as_of":"x"}',
+        b'{"items":3,"as_of":1}',
+        b'{"items":[]}',
+        b'{"items":[],"as_of":%b}' % MANY_DIGITS.encode(),
+        b'[]',
+        b'null',
+        b'"\xff"',
+        b'{',
+        b'',
+    ],
+)
+def test_answer_that_is_no_list_is_an_outage(answer):
+    """Guards against unexpected errors out of the store's client."""
+
+    async def reply(request, responder):
+        await request.read_body(1000)
+        await responder.send(200, answer, [])
+
+    async def check(store, pool, address):
+        for call in (
+            lambda: store.list_names('things/'),
+            lambda: store.watch_page('things/', 1, 1),
+            lambda: store.read('things/a'),
+            lambda: store.write('things/a', 'x', ABSENT),
+        ):
+            with pytest.raises(StoreUnavailable):
+                await call()
+
+    with_store(check, reply)
+
+
 def test_store_that_refuses_is_unavailable():
     """A refused call raises an error after which it may be repeated."""
 
