--- a/tests/test_odd_entry_sites.py
+++ b/tests/test_odd_entry_sites.py
@@ -170,3 +170,27 @@
     time.sleep(NEWS_S)
     assert_next_engine_is_used(site, ask)
     assert not list_failures(site)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        pytest.param({'routes': 10**400}, id='routes'),
+        pytest.param({'limits': {'max_body_bytes': 10**400}}, id='limits'),
+        pytest.param(
+            {'services': [{'name': 'a', 'cold_start_s': 10**400}]}, id='cold'
+        ),
+        pytest.param(
+            {'tenants': [{'name': 3, 'api_keys': [5]}]}, id='accounts'
+        ),
+        pytest.param({'version': None}, id='version'),
+    ],
+)
+def test_odd_configuration_replaces_a_sound_one(site, ask, change):
+    """Guards against a configuration that is in force in part."""
+    body = json.dumps({**site.config, **change}).encode()
+    write_raw(site, 'main', body, kind='config')
+    time.sleep(NEWS_S)
+    assert ask(REQUESTS) == {200}
+    assert not list_failures(site)
+    site.write_config(tenants=[])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,8 @@
 """Translation of the platform's formats, without separate processes."""
 
 import base64
+import contextlib
+import copy
 import json
 import math
 import subprocess
@@ -248,6 +250,92 @@
         decoder.parse_config(body)
 
 
+# Paths of numbers and of texts in a configuration.
+CONFIG_NUMBERS = (
+    ('version',),
+    ('limits', 'max_header_bytes'),
+    ('limits', 'max_body_bytes'),
+    ('limits', 'header_timeout_ms'),
+    ('limits', 'idle_timeout_ms'),
+    ('routes', 0, 'timeout_ms'),
+    ('routes', 0, 'target_latency_ms'),
+    ('routes', 0, 'max_attempts'),
+    ('routes', 0, 'traffic_split', 0, 'weight'),
+    ('routes', 1, 'completion_target_ms'),
+    ('routes', 1, 'retention_s'),
+    ('routes', 1, 'cap'),
+    ('services', 0, 'max_connections'),
+    ('services', 0, 'cold_start_s'),
+    ('services', 0, 'cold_per_s'),
+    ('services', 0, 'engine', 'slots'),
+    ('tenants', 0, 'rate_per_s'),
+    ('tenants', 0, 'burst'),
+)
+CONFIG_TEXTS = (
+    ('routes', 0, 'name'),
+    ('routes', 0, 'host'),
+    ('routes', 0, 'path_prefix'),
+    ('routes', 0, 'traffic_split', 0, 'service'),
+    ('routes', 1, 'service'),
+    ('services', 0, 'name'),
+    ('tenants', 0, 'name'),
+    ('tenants', 0, 'api_keys', 0),
+)
+
+
+def list_accepted(decoder, paths, odd):
+    """Lists the paths at which a configuration may hold an odd value."""
+    accepted = []
+    for path in paths:
+        changed = copy.deepcopy(CONFIG)
+        changed['services'][0]['engine'] = {'slots': 4}
+        inner = changed
+        for step in path[:-1]:
+            inner = inner[step]
+        inner[path[-1]] = odd
+        with contextlib.suppress(MalformedRecord):
+            decoder.parse_config(json.dumps(changed))
+            accepted.append(path)
+    return accepted
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        pytest.param(10**400, id='number too large'),
+        pytest.param(-1, id='negative'),
+        pytest.param(math.nan, id='no number'),
+        pytest.param(math.inf, id='infinite'),
+        pytest.param([[]], id='list'),
+        pytest.param(True, id='bool'),
+        pytest.param('7', id='text'),
+    ],
+)
+def test_odd_number_in_a_configuration_comes_into_force(decoder, odd):
+    """Guards against values that reach arithmetic or a socket."""
+    assert not list_accepted(decoder, CONFIG_NUMBERS, odd)
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        pytest.param('\ud800', id='lone surrogate'),
+        pytest.param('a\r\nb: c', id='line feed'),
+        pytest.param(7, id='number'),
+        pytest.param([[]], id='list'),
+    ],
+)
+def test_odd_text_in_a_configuration_comes_into_force(decoder, odd):
+    """Guards against values that reach a header, a log line or a digest."""
+    assert not list_accepted(decoder, CONFIG_TEXTS, odd)
+
+
+def test_nested_configuration_ends_the_following(decoder):
+    """Guards against RecursionError out of the decoder."""
+    with pytest.raises(MalformedRecord):
+        decoder.parse_config(NESTED.decode())
+
+
 def test_registration_is_decoded(decoder):
     """A registration becomes an endpoint; a draining one is leaving."""
     entry = decoder.parse_endpoint('i-1', json.dumps(ENTRY))
