--- a/tests/test_odd_entry_sites.py
+++ b/tests/test_odd_entry_sites.py
@@ -193,4 +193,6 @@
     time.sleep(NEWS_S)
     assert ask(REQUESTS) == {200}
     assert not list_failures(site)
-    site.write_config(tenants=[])
+    site.write_config(routes=[])
+    time.sleep(NEWS_S)
+    assert ask(2) == {404}
