--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -23,6 +23,7 @@
 )
 from jacinthmount.item_batches import ItemResult
 from jacinthmount.ports import ABSENT
+from jacinthmount.records import serialize_msgpack
 from jacinthmount_node.net.http_client import ClientPool
 from jacinthmount_node.net.http_server import HttpRequest, HttpServer
 from jacinthmount_node.net.sockets import listen
@@ -769,6 +770,24 @@
     with_store(check)
 
 
+def test_lone_surrogate_in_a_row_costs_all_snapshots():
+    """Guards against objects that can't be sent to other hosts."""
+
+    async def check(store, pool, address):
+        lone = json.dumps('\ud800').encode()
+        await pool.fetch(address, 'PUT', '/raw/things/a', [], lone, 2)
+        await store.write('things/\ud800', 'x', ABSENT)
+        listing = await store.list_names('things/')
+        page = await store.watch_page('things/', 1, 1)
+        stored = await store.read('things/a')
+        assert len(listing.objects) == 2
+        assert len(page.objects) == 2
+        for record in (listing, page, stored):
+            assert serialize_msgpack(record)
+
+    with_store(check)
+
+
 @pytest.mark.parametrize(
     'answer',
     [
