--- a/packages/jacinthmount/jacinthmount/json_rows.py
+++ b/packages/jacinthmount/jacinthmount/json_rows.py
@@ -11,7 +11,7 @@
 
 from jacinthmount.errors import MalformedRecord
 
-__all__ = ('Unreadable', 'parse_rows')
+__all__ = ('Unreadable', 'parse_rows', 'replace_unencodable')
 
 PARSE_ERRORS = (ValueError, RecursionError)
 # Runs of brackets, texts and separators; the last is a text without an end.
@@ -50,6 +50,13 @@
     return parsed
 
 
+def replace_unencodable(text: str) -> str:
+    """Replaces lone surrogates, which JSON can hold and a message can't."""
+    if text.isascii():
+        return text
+    return text.encode(errors='replace').decode()
+
+
 def _parse(text: str, levels: int) -> Any:
     try:
         return json.loads(text)
