--- a/tests/test_odd_entry_sites.py
+++ b/tests/test_odd_entry_sites.py
@@ -196,3 +196,21 @@
     site.write_config(routes=[])
     time.sleep(NEWS_S)
     assert ask(2) == {404}
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        pytest.param('a\r\nb: c', id='line feed'),
+        pytest.param('ü¿', id='not ASCII'),
+        pytest.param('a b', id='space'),
+        pytest.param('x' * 40_000, id='long'),
+    ],
+)
+def test_entry_name_that_fits_no_header_costs_requests(site, ask, name):
+    """Guards against ids that can't be sent to the engine they name."""
+    address = f'127.0.0.1:{site.engines["engine-1"]}'
+    write_raw(site, name, make_spec(address=address))
+    time.sleep(NEWS_S)
+    assert ask(REQUESTS) == {200}
+    assert not list_failures(site)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -399,6 +399,12 @@
         {'address': '[::1]:80'},
         {'address': ' 10.1.64.3:80'},
         {'address': '0.0.0.0:80'},
+        {'service': '\ud800'},
+        {'service': 'a\r\nb'},
+        {'service': 's' * 300},
+        {'zone': '\ud800'},
+        {'zone': 'a\r\nb'},
+        {'zone': 's' * 300},
     ],
 )
 def test_invalid_registration_is_no_endpoint(decoder, change):
@@ -408,6 +414,14 @@
     )
 
 
+@pytest.mark.parametrize(
+    'name', ['', ' ', 'a b', 'ü', 'a\r\nb', '\0', '\ud800', 'x' * 300]
+)
+def test_name_that_fits_no_header_is_no_endpoint(decoder, name):
+    """Guards against a request that can't name its endpoint."""
+    assert decoder.parse_endpoint(name, json.dumps(ENTRY)) is None
+
+
 @pytest.mark.parametrize('body', ['', 'null', '3', '[1]', '"x"', '{', '{}'])
 def test_registration_that_cannot_be_read_is_ignored(decoder, body):
     """A body that is not a valid JSON object is not an endpoint."""
