--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
@@ -12,18 +13,27 @@
 from jacinthmount.errors import (
     AmbiguousFraming,
     BodyTooLarge,
+    DeadlineExceeded,
     HeadersTooLarge,
     JacinthmountError,
     MalformedRequest,
     RequestTimeout,
+    ShuttingDown,
+    shorten,
 )
 
-from jacinthmount_node.logs import log_failure
-from jacinthmount_node.net.sockets import abort_socket, with_timeout
+from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.net.sockets import (
+    abort_socket,
+    accept,
+    has_unread,
+    with_timeout,
+)
 from jacinthmount_node.net.wire_reader import WireReader
 from jacinthmount_node.net.yield_budget import READ_BYTES
 
 __all__ = (
+    'AnswerCut',
     'HttpRequest',
     'HttpServer',
     'Responder',
@@ -45,6 +55,14 @@
 # After the body h11 reports MUST_CLOSE instead of DONE if the caller closes
 # the connection after this request.
 BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
+CONNECTION_ERRORS = (OSError, curio.TaskTimeout, h11.ProtocolError)
+
+
+class AnswerCut(curio.TaskCancelled):
+    """Cancels the handler of a request that outlasts a planned stop.
+
+    The server answers the request unless its answer has begun.
+    """
 
 
 class ServerLimits:
@@ -78,7 +96,10 @@
 
 
 class HttpRequest:
-    """A request whose body is read on demand."""
+    """A request whose body is read on demand.
+
+    ``request_id`` is for logs; handlers that know an id set it.
+    """
 
     __slots__ = (
         '_conn',
@@ -87,6 +108,7 @@
         'method',
         'path',
         'query',
+        'request_id',
         'target',
     )
 
@@ -111,6 +133,7 @@
         }
         self.header_rows = header_rows
         self.headers = dict(header_rows)
+        self.request_id = ''
         self._conn = conn
 
     async def iter_body(self, limit: int | None = None):
@@ -233,9 +256,12 @@
         """Whether the connection to the caller is lost or unusable."""
         return self._conn.broken
 
-    def abort(self) -> None:
-        """Lets the connection be closed without completing the answer."""
-        self._conn.broken = True
+    def abort(self, reason: str = 'aborted') -> None:
+        """Lets the connection be closed without completing the answer.
+
+        :param reason: why, for the log.
+        """
+        self._conn.fail(reason)
 
 
 def parse_json_object(packed: bytes) -> dict[str, Any]:
@@ -286,6 +312,7 @@
         '_accepting',
         '_closing',
         '_connections',
+        '_group',
         '_handler',
         '_sock',
         'limits',
@@ -307,11 +334,13 @@
         self.limits = limits or ServerLimits()
         self._closing = False
         self._accepting: curio.Task | None = None
+        self._group: curio.TaskGroup | None = None
         self._connections: set[_Connection] = set()
 
     async def run(self) -> None:
         """Accepts connections until drained or cancelled."""
         async with curio.TaskGroup(wait=None) as group:
+            self._group = group
             self._accepting = await curio.spawn(self._accept, group)
             try:
                 await self._accepting.wait()
@@ -329,19 +358,27 @@
     async def drain(self) -> None:
         """Closes the listener and waits for the requests in flight.
 
-        Accepted connections have ``DRAIN_GRACE_S`` for a request in transit;
-        those that are still idle then are closed.
+        Connections have ``DRAIN_GRACE_S`` for a request in transit, from the
+        close of the listener or their last answer on; those that are still
+        idle then are closed.
         """
         self._closing = True
-        if self._accepting is not None:
-            # A socket must not be closed while a task waits for it.
-            await self._accepting.cancel()
-        await self._sock.close()
+        await self._close_listener()
         await curio.sleep(DRAIN_GRACE_S)
-        for waiting in self._connections:
-            if not waiting.busy:
-                waiting.abort()
-        while any(conn.busy for conn in self._connections):
+        while self._connections:
+            idle_since = time.monotonic() - DRAIN_GRACE_S
+            for conn in list(self._connections):
+                conn.close_if_idle(idle_since)
+            await curio.sleep(POLL_S)
+
+    async def cut_answers(self) -> None:
+        """Ends the requests in flight, and returns when they have ended.
+
+        Each gets an error unless its answer has begun.
+        """
+        while self._connections:
+            for conn in list(self._connections):
+                await conn.cut()
             await curio.sleep(POLL_S)
 
     @property
@@ -351,19 +388,43 @@
 
     async def _accept(self, group: curio.TaskGroup) -> None:
         while True:
-            sock, _ = await self._sock.accept()
-            conn = _Connection(
-                sock=sock,
-                handler=self._handler,
-                server=self,
-            )
-            self._connections.add(conn)
-            await group.spawn(self._serve, conn, daemon=True)
+            sock = await accept(self._sock, 'HTTP listener')
+            await self._begin(sock, group)
+
+    async def _begin(self, sock, group: curio.TaskGroup) -> None:
+        conn = _Connection(
+            sock=sock,
+            handler=self._handler,
+            server=self,
+        )
+        self._connections.add(conn)
+        await group.spawn(self._serve, conn, daemon=True)
+
+    async def _close_listener(self) -> None:
+        if self._accepting is not None:
+            # A socket must not be closed while a task waits for it.
+            await self._accepting.cancel()
+        if self._group is not None:
+            await self._accept_queued(self._group)
+        await self._sock.close()
+
+    async def _accept_queued(self, group: curio.TaskGroup) -> None:
+        # Closing a listener resets the connections in its queue.
+        while True:
+            sock = None
+            try:
+                async with curio.ignore_after(0):
+                    sock, _ = await self._sock.accept()
+            except OSError as exc:
+                log_failure('accept', exc)
+            if sock is None:
+                return
+            await self._begin(sock, group)
 
     async def _serve(self, conn: '_Connection') -> None:
         try:
             await conn.run()
-        except (OSError, curio.TaskTimeout, h11.ProtocolError):
+        except CONNECTION_ERRORS:
             return
         finally:
             self._connections.discard(conn)
@@ -372,10 +433,15 @@
 
 class _Connection:
     __slots__ = (
+        '_answering',
+        '_ended',
         '_handler',
+        '_idle_since',
         '_reader',
         '_server',
         '_sock',
+        '_end_reason',
+        '_is_answered',
         '_wire',
         'broken',
         'busy',
@@ -392,11 +458,17 @@
             max_incomplete_event_size=self.limits.header_bytes,
         )
         self._reader = WireReader(sock=sock, wire=self._wire)
+        self._end_reason = ''
+        self._is_answered = False
         self.broken = False
         self.busy = False
+        self._answering: curio.Task | None = None
+        # Idle connections that were closed here take no more requests.
+        self._ended = False
+        self._idle_since = time.monotonic()
 
     async def run(self) -> None:
-        while not self._server.closing:
+        while True:
             try:
                 request = await self._next_request()
                 if request is None:
@@ -404,18 +476,44 @@
                 await self._answer(request)
             finally:
                 self.busy = False
+                self._idle_since = time.monotonic()
             if not self._reusable():
                 return
             self._wire.start_next_cycle()
 
-    def abort(self) -> None:
+    def close_if_idle(self, idle_since: float) -> None:
+        """Closes the connection unless a request has come.
+
+        :param idle_since: monotonic time at which it was idle already.
+        """
+        if self.busy or self._ended or self._idle_since > idle_since:
+            return
+        if has_unread(self._sock):
+            return
+        self._ended = True
         abort_socket(self._sock)
 
+    async def cut(self) -> None:
+        """Ends the request in flight, or the connection if there is none."""
+        if self._ended:
+            return
+        self._ended = True
+        if self._answering is None:
+            if self.busy:
+                log_event('cut_in_stop', path='', answered=False)
+            abort_socket(self._sock)
+            return
+        await self._answering.cancel(exc=AnswerCut, blocking=False)
+
+    def fail(self, reason: str) -> None:
+        self._end_reason = reason
+        self.broken = True
+
     async def close(self) -> None:
         await self._sock.close()
 
     def connection_headers(self) -> list[tuple[str, str]]:
-        if self._server.closing:
+        if self._server.closing and not self._has_pipelined():
             return [('connection', 'close')]
         return []
 
@@ -427,9 +525,10 @@
                 self._sock.sendall,
                 packed,
             )
-        except (curio.TaskTimeout, OSError):
-            self.broken = True
+        except (curio.TaskTimeout, OSError) as exc:
+            self.fail(f'not sent: {type(exc).__name__}: {exc}')
             raise
+        self._is_answered = isinstance(events[-1], h11.EndOfMessage)
 
     async def next_body_event(self) -> h11.Data | h11.EndOfMessage:
         if self._wire.their_state in BODY_ENDED:
@@ -441,8 +540,11 @@
             )
         except TimeoutError:
             raise RequestTimeout(detail='body too slow') from None
+        except OSError as exc:
+            self.fail(f'body not read: {type(exc).__name__}: {exc}')
+            raise
         except h11.RemoteProtocolError as exc:
-            self.broken = True
+            self.fail(str(exc))
             raise MalformedRequest(detail=str(exc)) from exc
 
     async def _next_request(self) -> HttpRequest | None:
@@ -467,11 +569,17 @@
         return None
 
     async def _wait_first_byte(self) -> bool:
-        async with curio.ignore_after(self.limits.idle_s):
-            received = await self._sock.recv(READ_BYTES)
-            self._reader.take(received)
-            return bool(received)
-        return False
+        # The limit may change while the connection is idle.
+        idle_since = await curio.clock()
+        left_s = self.limits.idle_s
+        while True:
+            async with curio.ignore_after(left_s):
+                received = await self._sock.recv(READ_BYTES)
+                self._reader.take(received)
+                return bool(received) and not self._ended
+            left_s = idle_since + self.limits.idle_s - await curio.clock()
+            if left_s <= 0:
+                return False
 
     def _check_head(self, event: h11.Event) -> HttpRequest | None:
         if not isinstance(event, h11.Request):
@@ -506,16 +614,50 @@
             conn=self,
         )
 
+    def _has_pipelined(self) -> bool:
+        # Bytes before the end of the body belong to this request.
+        if self._wire.their_state is not h11.DONE:
+            return False
+        return bool(self._wire.trailing_data[0])
+
     async def _answer(self, request: HttpRequest) -> None:
         responder = Responder(conn=self)
-        task = await curio.spawn(self._handle, request, responder)
+        self._is_answered = False
+        task = await curio.spawn(self._handle_until_cut, request, responder)
+        self._answering = task
         watcher = await curio.spawn(self._cancel_on_close, task)
         try:
             await task.join()
-        except curio.TaskError:
-            self.broken = True
+        except curio.TaskError as exc:
+            if not self.broken:
+                self.fail(repr(exc.__cause__))
         finally:
-            await watcher.cancel()
+            await self._end_answer(request, responder, watcher)
+
+    async def _end_answer(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        watcher: curio.Task,
+    ) -> None:
+        self._answering = None
+        self._log_if_unanswered(request, responder)
+        await watcher.cancel()
+
+    def _log_if_unanswered(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        if self._is_answered or self._wire.their_state not in BODY_ENDED:
+            return
+        log_event(
+            'unanswered',
+            request=request.request_id,
+            path=shorten(request.path),
+            status=responder.status,
+            reason=self._end_reason or 'connection ended',
+        )
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         if self._wire.they_are_waiting_for_100_continue:
@@ -529,19 +671,50 @@
             await self._handler(request, responder)
         except JacinthmountError as exc:
             if responder.started:
-                self.broken = True
+                self.fail(str(exc))
                 return
             await responder.send_error(exc)
-        except (OSError, curio.TaskTimeout, h11.ProtocolError):
-            self.broken = True
-        except Exception as exc:
+        except (Exception, curio.TaskTimeout) as exc:
+            if self.broken and isinstance(exc, CONNECTION_ERRORS):
+                # The caller's own connection failed.
+                return
             log_failure('request', exc)
-            self.broken = True
+            self.fail(f'{type(exc).__name__}: {exc}')
             if not responder.started:
                 await responder.send_error(
                     JacinthmountError(detail='internal error'),
                 )
 
+    async def _handle_until_cut(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        try:
+            await self._handle(request, responder)
+        except AnswerCut:
+            await self._answer_cut(request, responder)
+
+    async def _answer_cut(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        log_event(
+            'cut_in_stop',
+            path=shorten(request.path),
+            answered=not responder.started,
+        )
+        whole = self._wire.their_state in BODY_ENDED
+        self.broken = True
+        if responder.started:
+            return
+        # No handler lets a request run before its body is complete.
+        exc: JacinthmountError = ShuttingDown(detail='the host stops')
+        if whole:
+            exc = DeadlineExceeded(detail='the host stops before the answer')
+        await responder.send_error(exc)
+
     async def _cancel_on_close(self, task: curio.Task) -> None:
         # Cancels the request when the caller closes the connection. Reads only
         # after the end of the body, which the handler reads.
@@ -554,17 +727,18 @@
         if received:
             self._reader.take(received)
             return
-        self.broken = True
+        self.fail('caller closed')
         await task.cancel(blocking=False)
 
     def _reusable(self) -> bool:
-        if self.broken or self._server.closing:
+        # An answer that announces the close leaves the states otherwise.
+        if self.broken:
             return False
         done = h11.DONE
         return self._wire.our_state is done and self._wire.their_state is done
 
     async def _reject(self, exc: JacinthmountError) -> None:
-        self.broken = True
+        self.fail(str(exc))
         if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await Responder(conn=self).send_error(exc)
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
@@ -99,11 +99,13 @@
         """Accepts a batch; it is durable when this returns.
 
         :raises QuotaExceeded: too many tokens of the account wait already.
+        :raises ShuttingDown: the process may end before the answer.
         :raises StoreUnavailable: the batch was not accepted.
         :raises OutcomeUnknown: the batch may have been accepted; the caller
             has to repeat the submission.
         """
         self._raise_if_isolated()
+        self._state.stop.raise_if_too_late(self._state.now(), SUBMIT_TIMEOUT_S)
         try:
             await with_timeout(
                 SUBMIT_TIMEOUT_S,
@@ -138,7 +140,7 @@
         until = self._state.now() + wait_s - WAIT_MARGIN_S
         await self._refresh(key, log, after)
         while after >= len(log.results) and not log.complete:
-            left_s = until - self._state.now()
+            left_s = min(until, self._state.stop.ends_at) - self._state.now()
             if left_s <= 0:
                 break
             await curio.sleep(min(POLL_INTERVAL_S, left_s))
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -15,7 +15,12 @@
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import NO_ACCOUNT
-from jacinthmount_node.net.http_server import HttpRequest, Responder, error_body
+from jacinthmount_node.net.http_server import (
+    AnswerCut,
+    HttpRequest,
+    Responder,
+    error_body,
+)
 from jacinthmount_node.relay.batch_api import BatchApi
 from jacinthmount_node.relay.blocked_records import begin_trial
 from jacinthmount_node.relay.crash_evidence import find_blocked_error
@@ -68,13 +73,21 @@
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Handles one request."""
         call = None
+        request.request_id = self.protocol.read_id(request)
         try:
             call = self.protocol.parse_call(request)
             await _answer(call, self, request, responder)
+        except AnswerCut:
+            log_event(
+                'request_cut',
+                request=self.protocol.read_id(request),
+                events_sent=responder.started,
+            )
+            raise
         except JacinthmountError as exc:
             self._record_refusal(call, request, exc)
             if responder.started:
-                responder.abort()
+                responder.abort(str(exc))
                 return
             await responder.send_json(
                 exc.http_status,
@@ -112,7 +125,7 @@
             code=exc.code,
             status=exc.http_status,
             detail=exc.detail,
-            request=self.protocol.read_id(request),
+            request=request.request_id,
             account=name,
         )
 
@@ -145,16 +158,13 @@
     if route.takes_batches:
         await _submit(call, front, route, account, body, responder)
         return
-    left_s = DEFAULT_TIMEOUT_S if call.left_s is None else call.left_s
-    if route.timeout_s:
-        left_s = min(left_s, route.timeout_s)
     online = OnlineCall(
         request=call,
         route=route,
         account=account.name if account else '',
         body=body,
         arrived_at=arrived_at,
-        deadline=arrived_at + left_s,
+        deadline=_find_deadline(call, route, front, arrived_at),
         service=route.pick_service(front.state.rng),
     )
     await _refuse_if_blocked(front.state, online)
@@ -183,6 +193,26 @@
         raise exc
 
 
+def _find_deadline(
+    call: RelayedRequest,
+    route: RouteRule,
+    front: RelayFront,
+    arrived_at: float,
+) -> float:
+    """Returns the monotonic time by which a request has to be answered.
+
+    :raises ShuttingDown: this process may end before that answer.
+    """
+    left_s = DEFAULT_TIMEOUT_S if call.left_s is None else call.left_s
+    if route.timeout_s:
+        left_s = min(left_s, route.timeout_s)
+    now = front.state.now()
+    front.state.stop.raise_if_too_late(
+        now, arrived_at + left_s - now, route.name
+    )
+    return arrived_at + left_s
+
+
 def _log_served(
     front: RelayFront,
     online: OnlineCall,
--- a/spec/crash_budget.py
+++ b/spec/crash_budget.py
@@ -11,7 +11,6 @@
 """
 
 from jacinthmount.crash_breaker import (
-    MAX_TRIALS,
     MIN_CRASHES,
     TRIAL_PAUSE_S,
     BlockedRequest,
@@ -258,13 +257,10 @@
     if not behind:
         return []
     breakers = [_thaw(host, rules) for host in hosts]
-    for host in (0, 1, 0):
-        strikes = breakers[host].strikes(CRASH_AT)
-        breakers[1 - host].merge(strikes, CRASH_AT)
-    merged = tuple(
-        _freeze(breaker, host)
-        for breaker, host in zip(breakers, hosts, strict=True)
-    )
+    for sender in (0, 1, 0):
+        strikes = breakers[sender].strikes(CRASH_AT)
+        breakers[1 - sender].merge(strikes, CRASH_AT)
+    merged = tuple(map(_freeze, breakers, hosts))
     return [('hosts exchange', (merged, news, frozenset(), *rest))]
 
 
@@ -274,7 +270,7 @@
         # The strikes that the other host lacks would be lost.
         return []
     known = _with(hosts, 1, NEW_HOST)
-    after = (known, news, frozenset({1}), record, _with(seen, 1, 0), *rest)
+    after = (known, news, frozenset((1,)), record, _with(seen, 1, 0), *rest)
     return [('h1 restarts', after)]
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,7 +1,10 @@
 """Translation of the platform's formats, without separate processes."""
 
 import base64
+import contextlib
+import copy
 import json
+import math
 import subprocess
 import sys
 from typing import Any
@@ -20,6 +23,7 @@
 )
 from jacinthmount.item_batches import ItemResult
 from jacinthmount.ports import ABSENT
+from jacinthmount.records import serialize_msgpack
 from jacinthmount_node.net.http_client import ClientPool
 from jacinthmount_node.net.http_server import HttpRequest, HttpServer
 from jacinthmount_node.net.sockets import listen
@@ -113,6 +117,9 @@
     ],
 }
 MANY_DIGITS = '9' * 5000
+NESTED = b'%b%b' % (b'[' * 100_000, b']' * 100_000)
+# Brackets and a quotation mark inside a text.
+QUOTED_BODY = json.dumps({'x': ']}"'})
 
 
 @pytest.fixture
@@ -244,6 +251,92 @@
         decoder.parse_config(body)
 
 
+# Paths of numbers and of texts in a configuration.
+CONFIG_NUMBERS = (
+    ('version',),
+    ('limits', 'max_header_bytes'),
+    ('limits', 'max_body_bytes'),
+    ('limits', 'header_timeout_ms'),
+    ('limits', 'idle_timeout_ms'),
+    ('routes', 0, 'timeout_ms'),
+    ('routes', 0, 'target_latency_ms'),
+    ('routes', 0, 'max_attempts'),
+    ('routes', 0, 'traffic_split', 0, 'weight'),
+    ('routes', 1, 'completion_target_ms'),
+    ('routes', 1, 'retention_s'),
+    ('routes', 1, 'cap'),
+    ('services', 0, 'max_connections'),
+    ('services', 0, 'cold_start_s'),
+    ('services', 0, 'cold_per_s'),
+    ('services', 0, 'engine', 'slots'),
+    ('tenants', 0, 'rate_per_s'),
+    ('tenants', 0, 'burst'),
+)
+CONFIG_TEXTS = (
+    ('routes', 0, 'name'),
+    ('routes', 0, 'host'),
+    ('routes', 0, 'path_prefix'),
+    ('routes', 0, 'traffic_split', 0, 'service'),
+    ('routes', 1, 'service'),
+    ('services', 0, 'name'),
+    ('tenants', 0, 'name'),
+    ('tenants', 0, 'api_keys', 0),
+)
+
+
+def list_accepted(decoder, paths, odd):
+    """Lists the paths at which a configuration may hold an odd value."""
+    accepted = []
+    for path in paths:
+        changed = copy.deepcopy(CONFIG)
+        changed['services'][0]['engine'] = {'slots': 4}
+        inner = changed
+        for step in path[:-1]:
+            inner = inner[step]
+        inner[path[-1]] = odd
+        with contextlib.suppress(MalformedRecord):
+            decoder.parse_config(json.dumps(changed))
+            accepted.append(path)
+    return accepted
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        pytest.param(10**400, id='number too large'),
+        pytest.param(-1, id='negative'),
+        pytest.param(math.nan, id='no number'),
+        pytest.param(math.inf, id='infinite'),
+        pytest.param([[]], id='list'),
+        pytest.param(True, id='bool'),
+        pytest.param('7', id='text'),
+    ],
+)
+def test_odd_number_in_a_configuration_comes_into_force(decoder, odd):
+    """Guards against values that reach arithmetic or a socket."""
+    assert not list_accepted(decoder, CONFIG_NUMBERS, odd)
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        pytest.param('\ud800', id='lone surrogate'),
+        pytest.param('a\r\nb: c', id='line feed'),
+        pytest.param(7, id='number'),
+        pytest.param([[]], id='list'),
+    ],
+)
+def test_odd_text_in_a_configuration_comes_into_force(decoder, odd):
+    """Guards against values that reach a header, a log line or a digest."""
+    assert not list_accepted(decoder, CONFIG_TEXTS, odd)
+
+
+def test_nested_configuration_ends_the_following(decoder):
+    """Guards against RecursionError out of the decoder."""
+    with pytest.raises(MalformedRecord):
+        decoder.parse_config(NESTED.decode())
+
+
 def test_registration_is_decoded(decoder):
     """A registration becomes an endpoint; a draining one is leaving."""
     entry = decoder.parse_endpoint('i-1', json.dumps(ENTRY))
@@ -287,6 +380,31 @@
         {'born': 1.5},
         {'cold_left_ms': 'long'},
         {'cold_left_ms': -1},
+        {'cold_left_ms': math.nan},
+        {'cold_left_ms': math.inf},
+        {'cold_left_ms': 10**400},
+        {'slots': 10**400},
+        {'born': 10**400},
+        {'address': '10.1.64.3:0'},
+        {'address': '10.1.64.3:65536'},
+        {'address': '10.1.64.3:+80'},
+        {'address': '10.1.64.3: 80'},
+        {'address': '10.1.64.3:²'},
+        {'address': '10.1.64.3:٣'},
+        {'address': f'10.1.64.3:{"9" * 5000}'},
+        {'address': '10.1.64:80'},
+        {'address': '010.1.64.3:80'},
+        {'address': '10.1.64.256:80'},
+        {'address': 'engine.example:80'},
+        {'address': '[::1]:80'},
+        {'address': ' 10.1.64.3:80'},
+        {'address': '0.0.0.0:80'},
+        {'service': '\ud800'},
+        {'service': 'a\r\nb'},
+        {'service': 's' * 300},
+        {'zone': '\ud800'},
+        {'zone': 'a\r\nb'},
+        {'zone': 's' * 300},
     ],
 )
 def test_invalid_registration_is_no_endpoint(decoder, change):
@@ -296,6 +414,14 @@
     )
 
 
+@pytest.mark.parametrize(
+    'name', ['', ' ', 'a b', 'ü', 'a\r\nb', '\0', '\ud800', 'x' * 300]
+)
+def test_name_that_fits_no_header_is_no_endpoint(decoder, name):
+    """Guards against a request that can't name its endpoint."""
+    assert decoder.parse_endpoint(name, json.dumps(ENTRY)) is None
+
+
 @pytest.mark.parametrize('body', ['', 'null', '3', '[1]', '"x"', '{', '{}'])
 def test_registration_that_cannot_be_read_is_ignored(decoder, body):
     """A body that is not a valid JSON object is not an endpoint."""
@@ -538,14 +664,19 @@
     assert 'server-leaving' not in dict(answer.headers)
 
 
-def with_store(func):
-    """Runs a coroutine function with a store on a stand-in."""
+def with_store(func, handler=None):
+    """Runs a coroutine function with a store on a stand-in.
+
+    :param handler: answers the calls in place of the stand-in.
+    """
 
     async def serve():
         reserve = PortReserve()
         address = f'127.0.0.1:{reserve.take(1)[0]}'
-        standin = ObjectStandin()
-        server = HttpServer(sock=listen(address), handler=standin.handle)
+        server = HttpServer(
+            sock=listen(address),
+            handler=handler or ObjectStandin().handle,
+        )
         task = await curio.spawn(server.run, daemon=True)
         pool = ClientPool()
         try:
@@ -622,6 +753,90 @@
     with_store(check)
 
 
+@pytest.mark.parametrize(
+    'spec',
+    [
+        NESTED,
+        b'1' * 5000,
+        b'"\xff"',
+        b'nothing',
+        b'"a\nb"',
+        b'',
+    ],
+)
+def test_unreadable_row_costs_the_others(spec):
+    """Guards against one entry that makes a list answer unreadable."""
+
+    async def check(store, pool, address):
+        await store.write('things/a', 'one', ABSENT)
+        await pool.fetch(address, 'PUT', '/raw/things/b', [], spec, 2)
+        last = await store.write('things/c', QUOTED_BODY, ABSENT)
+        listing = await store.list_names('things/')
+        page = await store.watch_page('things/', 1, 1)
+        for found in (listing.objects, page.objects):
+            bodies = {one.name: one.body for one in found}
+            assert sorted(bodies) == ['things/a', 'things/b', 'things/c']
+            assert bodies['things/a'] == 'one'
+            assert bodies['things/c'] == QUOTED_BODY
+        assert listing.revision == page.revision == last
+        assert (await store.read('things/b')).version == last - 1
+
+    with_store(check)
+
+
+def test_lone_surrogate_in_a_row_costs_all_snapshots():
+    """Guards against objects that can't be sent to other hosts."""
+
+    async def check(store, pool, address):
+        lone = json.dumps('\ud800').encode()
+        await pool.fetch(address, 'PUT', '/raw/things/a', [], lone, 2)
+        await store.write('things/\ud800', 'x', ABSENT)
+        listing = await store.list_names('things/')
+        page = await store.watch_page('things/', 1, 1)
+        stored = await store.read('things/a')
+        assert len(listing.objects) == 2
+        assert len(page.objects) == 2
+        for record in (listing, page, stored):
+            assert serialize_msgpack(record)
+
+    with_store(check)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        NESTED,
+        b'{"items":[],"as_of":"x"}',
+        b'{"items":3,"as_of":1}',
+        b'{"items":[]}',
+        b'{"items":[],"as_of":%b}' % MANY_DIGITS.encode(),
+        b'[]',
+        b'null',
+        b'"\xff"',
+        b'{',
+        b'',
+    ],
+)
+def test_answer_that_is_no_list_is_an_outage(answer):
+    """Guards against unexpected errors out of the store's client."""
+
+    async def reply(request, responder):
+        await request.read_body(1000)
+        await responder.send(200, answer, [])
+
+    async def check(store, pool, address):
+        for call in (
+            lambda: store.list_names('things/'),
+            lambda: store.watch_page('things/', 1, 1),
+            lambda: store.read('things/a'),
+            lambda: store.write('things/a', 'x', ABSENT),
+        ):
+            with pytest.raises(StoreUnavailable):
+                await call()
+
+    with_store(check, reply)
+
+
 def test_store_that_refuses_is_unavailable():
     """A refused call raises an error after which it may be repeated."""
 
