Setting stop_s of a node, and a failing test of what it has to do (LOST)

A node of the first interface waits for its requests without a bound, so whoever stops it cuts them.

--- a/packages/jacinthmount/jacinthmount/settings.py
+++ b/packages/jacinthmount/jacinthmount/settings.py
@@ -30,6 +30,7 @@
         'tls_key',
         'log_file',
         'drain_delay_s',
+        'stop_s',
         'batch_streams',
         'batch_look_ahead',
     )
@@ -49,6 +50,7 @@
     tls_key: str
     log_file: str
     drain_delay_s: float
+    stop_s: float
     batch_streams: int
     batch_look_ahead: int
 
@@ -77,6 +79,15 @@
             low=0,
             high=300,
         ),
+        make_option(
+            'stop_s',
+            'float',
+            'seconds',
+            'Time from SIGTERM to the end of the process.',
+            default='30',
+            low=1,
+            high=3600,
+        ),
         make_option(
             'batch_streams',
             'int',
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -2,13 +2,14 @@
 
 import json
 import signal
+import threading
 import time
 from http import HTTPStatus
 from http.client import HTTPConnection
 
 import pytest
 
-from tests.site import MODEL, Site
+from tests.site import MODEL, Site, eventually
 
 HOST = 'east-h1'
 # Within the delay from not ready to closed listeners.
@@ -64,3 +65,40 @@
     time.sleep(IN_DELAY_S)
     assert complete(kept, key) == (HTTPStatus.OK, 'close')
     assert complete(connect(site), key) == (HTTPStatus.OK, 'close')
+
+
+def test_request_cut_at_the_end_of_a_stop(site, tmp_path):
+    """It is refused before it runs, or answered before the host ends."""
+    settings = tmp_path / f'{HOST}.ini'
+    text = settings.read_text()
+    settings.write_text(text.replace('[node]', '[node]\nstop_s = 5'))
+    site.fleet.terminate(HOST)
+    site.fleet.start_host(HOST)
+    site.fleet.wait_ready(HOST)
+    key = site.grant('gin')[1]
+    late = connect(site)
+    # The limits of the account return some time after the restart.
+    eventually(lambda: complete(late, key, max_tokens=800)[0] == HTTPStatus.OK)
+    running = in_background(complete, connect(site), key, max_tokens=4000)
+    eventually(lambda: sum(site.engine_runs('engine-1').values()) == 2)
+    stopping = in_background(site.fleet.terminate, HOST, 7)
+    time.sleep(IN_DELAY_S)
+    assert complete(late, key) == (HTTPStatus.SERVICE_UNAVAILABLE, 'close')
+    for thread in (running[0], stopping[0]):
+        thread.join()
+    assert running[1][0][0] == HTTPStatus.GATEWAY_TIMEOUT
+    assert stopping[1] == [0]
+    assert sum(site.engine_runs('engine-1').values()) == 2
+
+
+def in_background(func, *args, **fields):
+    """Runs a call in a thread.
+
+    :returns: the thread, and the list that gets the result.
+    """
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(func(*args, **fields))
+    )
+    thread.start()
+    return thread, results
