Bound the planned stop of a node of the first interface (LOST)

Callers saw: a request that was taken after SIGTERM, or ran long, was cut with no answer when whoever stops the node lost patience.

Cause: the node waited for all requests without a bound, and told nobody what was left; each new one got its whole time limit.

Evidence: test_request_cut_at_the_end_of_a_stop with stop_s = 5, the setting not followed: a request of 4 s was taken 0.3 s after SIGTERM. Now it is refused as not run (503, 1304), one of 20 s that ran at SIGTERM gets 504, the process ends by itself within 7 s, and the engine saw none of the refused. Calls to plain services have the same check, but no test of whole processes.

Why it works: as on the platform path. Four fifths of stop_s are for answers; a request is refused before it is passed on if its time limit, and one and a half times the longest of the latest 32 attempts of its service, end later. Deadlines are cut to that time, and what is in flight then is answered.

Callers that had more than 24 s after SIGTERM until now need a longer stop_s (30 by default, up to an hour).

--- a/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -300,7 +300,10 @@
                 )
                 answer = await self._exchange(call, exchange)
         except ATTEMPT_ERRORS:
-            state.on_failure(node.now())
+            now = node.now()
+            state.on_failure(now)
+            if now >= call.deadline:
+                node.stop.note_run(call.service, now - started_at)
             stage = exchange.stage if exchange else Stage.CONNECTING
             await _close(exchange)
             return stage
@@ -311,6 +314,7 @@
             state.online -= 1
             await self._capacity.update_online(state)
         state.on_success(node.now() - started_at)
+        node.stop.note_run(call.service, node.now() - started_at)
         await node.plain.release(exchange)
         return answer
 
--- a/packages/jacinthmount-node/jacinthmount_node/callers/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -180,6 +180,7 @@
         arrived_at = self._node.now()
         body = await request.read_body()
         call, profile = self._parse_completion(request, key, body, arrived_at)
+        call.deadline = self._fit_deadline(call.service, call.deadline)
         await self._admission.admit(key.account)
         await self._online.answer(call, profile, responder)
 
@@ -264,11 +265,15 @@
             idempotency_key=read_idempotency_key(request),
             deadline=arrived_at + profile.deadline_s,
         )
+        call.deadline = self._fit_deadline(call.service, call.deadline)
         if key is not None:
             await self._admission.admit(key.account)
         answer = await self._plain.run(call, profile)
         await responder.send(answer.status, answer.body, answer.headers)
 
+    def _fit_deadline(self, service: str, deadline: float) -> float:
+        return self._node.stop.fit(self._node.now(), deadline, service)
+
     def _route(self, path: str) -> Route | None:
         if not path.startswith(ROUTE_URL_PREFIX):
             return None
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -103,6 +103,7 @@
                 raise exc
             progress.attempts += 1
             try:
+                self._fit_deadline(call, progress)
                 failed = await self._attempt(
                     call,
                     profile,
@@ -118,6 +119,17 @@
             self._raise_unless_retry(call, profile, failed, responder, progress)
             self._node.metrics.retries.labels(call.service).inc()
 
+    def _fit_deadline(self, call: OnlineCall, progress: _Progress) -> None:
+        stop = self._node.stop
+        if progress.attempts == 1:
+            # The stop may have begun while the request waited for a slot.
+            stop.raise_if_too_late(
+                self._node.now(),
+                call.deadline - self._node.now(),
+                call.service,
+            )
+        call.deadline = min(call.deadline, stop.ends_at)
+
     def _raise_unless_retry(
         self,
         call: OnlineCall,
@@ -185,7 +197,10 @@
         except ATTEMPT_ERRORS:
             if responder.started and responder.broken:
                 raise
-            state.on_failure(self._node.now())
+            now = self._node.now()
+            state.on_failure(now)
+            if now >= call.deadline:
+                self._node.stop.note_run(call.service, now - started_at)
             if exchange is not None:
                 stage = exchange.stage
                 await exchange.close()
@@ -195,6 +210,7 @@
                 await exchange.close()
             raise
         state.on_success(self._node.now() - started_at)
+        self._node.stop.note_run(call.service, self._node.now() - started_at)
         await self._node.engine.release(exchange)
         return None
 
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -41,6 +41,12 @@
 CONFIG_LOAD_RETRY_S = 0.5
 RESTART_PAUSE_S = 1.0
 SIGNAL_POLL_S = 0.1
+# Part of the stop time that is reserved for the steps after the answers.
+STOP_RESERVE_FRACTION = 0.2
+# Requests have their own errors sent for this long before they are cut.
+CUT_DELAY_S = 0.2
+# Time to send the answers to requests that are cut.
+CUT_TIMEOUT_S = 0.3
 
 
 class Daemon:
@@ -187,15 +193,32 @@
 
     async def _leave(self) -> None:
         log_event('leaving', host=self._node.host)
+        settings = self._node.settings
+        started_at = self._node.now()
         self._node.ready = False
+        self._node.stop.begin(
+            started_at + settings.stop_s * (1 - STOP_RESERVE_FRACTION)
+        )
         self._front_server.close_after_answers()
-        await curio.sleep(self._node.settings.drain_delay_s)
-        drain = await curio.spawn(self._front_server.drain)
+        await curio.sleep(
+            min(
+                settings.drain_delay_s,
+                self._node.stop.ends_at - self._node.now(),
+            )
+        )
+        drain = await curio.spawn(self._drain)
         await self._batch.leave()
         await drain.join()
         await self._membership.leave()
         log_event('stopped', host=self._node.host)
 
+    async def _drain(self) -> None:
+        cut_at = self._node.stop.ends_at + CUT_DELAY_S
+        async with curio.ignore_after(max(0, cut_at - self._node.now())):
+            await self._front_server.drain()
+        async with curio.ignore_after(CUT_TIMEOUT_S):
+            await self._front_server.cut_answers()
+
     async def _on_change(self, changed: list[Stored]) -> None:
         if any(stored.name.startswith(HOST_PREFIX) for stored in changed):
             known = {
--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -28,6 +28,7 @@
     ShareTable,
     split_limits,
 )
+from jacinthmount.stop_time import StopTime
 from jacinthmount.table import ConfigTable
 
 from jacinthmount_node.logs import log_event
@@ -58,6 +59,7 @@
         'settings',
         'share_tables',
         'splits',
+        'stop',
         'store',
         'table',
         'waiting',
@@ -99,6 +101,7 @@
         self.share_tables: list[ShareTable] = []
         self.loaded = False
         self.ready = False
+        self.stop = StopTime()
 
     @property
     def host(self) -> str:
--- a/packages/jacinthmount/jacinthmount/stop_time.py
+++ b/packages/jacinthmount/jacinthmount/stop_time.py
@@ -41,6 +41,15 @@
         if len(self._run_times) > KEPT_ROUTES:
             self._run_times.popitem(last=False)
 
+    def fit(self, now: float, deadline: float, route: str) -> float:
+        """Returns the deadline of a request that was not passed on yet.
+
+        :param deadline: monotonic time by which it had to be answered so far.
+        :raises ShuttingDown: it may end after the process.
+        """
+        self.raise_if_too_late(now, deadline - now, route)
+        return min(deadline, self.ends_at)
+
     def raise_if_too_late(
         self,
         now: float,
