--- a/tests/test_odd_entry_sites.py
+++ b/tests/test_odd_entry_sites.py
@@ -214,3 +214,35 @@
     time.sleep(NEWS_S)
     assert ask(REQUESTS) == {200}
     assert not list_failures(site)
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        pytest.param('', id='empty'),
+        pytest.param('127.0.0.1:99999', id='port too large'),
+        pytest.param('127.0.0.1:²', id='digit that is not ASCII'),
+    ],
+)
+def test_host_with_an_odd_address_ends_parts_of_others(site, ask, address):
+    """Guards against peers to which no connection can be opened."""
+    host = {
+        'host': 'a-odd',
+        'incarnation': 'i',
+        'data_centre': 'east',
+        'peer_address': address,
+        'runs_batches': True,
+    }
+    write_raw(site, 'a-odd', json.dumps(host).encode(), kind='hosts')
+    time.sleep(3.0)
+    assert ask(REQUESTS) == {200}
+    assert not list_failures(site)
+    assert_next_engine_is_used(site, ask)
+
+
+def test_record_without_parts_blocks_all_requests(site, ask):
+    """Guards against a record of another writer that names no part."""
+    record = {'service': SERVICE, 'parts': [], 'crashes': ['e1']}
+    write_raw(site, 'a', json.dumps(record).encode(), kind='blocked-parts')
+    time.sleep(NEWS_S)
+    assert ask(REQUESTS) == {200}
