--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -1,9 +1,11 @@
 """TCP sockets, addresses, timeouts and the system clock."""
 
 import contextlib
+import re
 import socket as std_socket
 import time
 from collections.abc import Awaitable, Callable
+from ipaddress import IPv4Address
 from typing import Any
 
 import curio
@@ -14,11 +16,14 @@
     'SystemClock',
     'abort_socket',
     'connect',
+    'is_address',
     'listen',
     'parse_address',
     'with_timeout',
 )
 
+ADDRESS = re.compile('(?P<ip>[0-9.]{7,15}):(?P<port>[0-9]{1,5})')
+MAX_PORT = 65_535
 LISTEN_BACKLOG = 512
 # A connection is closed if sent data stays unacknowledged for this time.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
@@ -71,6 +76,18 @@
         raw.shutdown(std_socket.SHUT_RDWR)
 
 
+def is_address(text: object) -> bool:
+    """Returns whether a text is the IPv4 address and port of one host."""
+    found = ADDRESS.fullmatch(text) if isinstance(text, str) else None
+    if found is None or not 0 < int(found['port']) <= MAX_PORT:
+        return False
+    try:
+        ip = IPv4Address(found['ip'])
+    except ValueError:
+        return False
+    return not ip.is_unspecified and not ip.is_multicast
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Splits ``IP:port`` into its parts."""
     host, _, port = address.rpartition(':')
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -13,7 +13,7 @@
 )
 from jacinthmount.fleet_config import FleetConfig
 from jacinthmount.ports import ABSENT, Stored
-from jacinthmount.records import parse_json, serialize_json
+from jacinthmount.records import serialize_json
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.relay.blocked_parts import (
@@ -21,6 +21,7 @@
     BlockedPartRecords,
 )
 from jacinthmount_node.relay.evacuations import Evacuations
+from jacinthmount_node.relay.host_records import HostRecords
 from jacinthmount_node.relay.messages import RelayHost, Snapshot, SnapshotAsk
 from jacinthmount_node.relay.object_watch import ObjectWatch, WatchDelays
 from jacinthmount_node.relay.state import RelayState
@@ -69,6 +70,7 @@
         '_decoder',
         '_endpoint_watch',
         '_evacuation_watch',
+        '_host_records',
         '_host_watch',
         '_links',
         '_on_config',
@@ -113,6 +115,7 @@
             BLOCKED_PREFIX,
             self._blocked.apply,
         )
+        self._host_records = HostRecords()
         self._host_watch = self._make_watch(
             HOST_PREFIX,
             self._apply_hosts,
@@ -294,14 +297,7 @@
         watch: ObjectWatch,
         changed: list[Stored],
     ) -> None:
-        hosts = []
-        for one in watch.objects():
-            try:
-                record = parse_json(RelayHost, one.body or '')
-            except MalformedRecord:
-                log_event('bad_object', name=one.name)
-                continue
-            hosts.append(record)
+        hosts = self._host_records.read(watch.objects())
         self._state.update_hosts(hosts)
         addresses = {host.peer_address for host in hosts}
         await self._links.keep_only(addresses)
