--- a/packages/jacinthmount-node/jacinthmount_node/relay/blocked_parts.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/blocked_parts.py
@@ -96,9 +96,15 @@
     recorded = []
     for stored in objects:
         try:
-            recorded.append(parse_json(BlockedParts, stored.body or ''))
+            record = parse_json(BlockedParts, stored.body or '')
         except MalformedRecord as exc:
             log_event('bad_object', name=stored.name, detail=exc.detail)
+            continue
+        # Each prompt would have all of no parts.
+        if record.parts:
+            recorded.append(record)
+        else:
+            log_event('bad_object', name=stored.name, detail='no parts')
     return recorded
 
 
