--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
@@ -36,6 +36,7 @@
 from jacinthmount_node.net.sockets import with_timeout
 from jacinthmount_node.relay.batch_jobs import read_items, read_log
 from jacinthmount_node.relay.host_connectivity import HostConnectivity
+from jacinthmount_node.relay.manifests import parse_manifests
 from jacinthmount_node.relay.messages import (
     BatchAdmission,
     BatchAdmissionReply,
@@ -339,10 +340,9 @@
         waiting = 0
         if admission.cap:
             listing = await self._state.store.list_names(BATCH_PREFIX)
-            for stored in listing.objects:
-                manifest = parse_json(ItemBatch, stored.body or '')
-                if stored.name == batch_name(admission.key):
-                    known = True
+            manifests = parse_manifests(listing.objects)
+            known = batch_name(admission.key) in manifests
+            for manifest in manifests.values():
                 same = (manifest.account, manifest.route) == (
                     admission.account,
                     admission.route,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_cleanup.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_cleanup.py
@@ -12,9 +12,9 @@
     result_segment_name,
 )
 from jacinthmount.ports import ObjectStore
-from jacinthmount.records import parse_json
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.relay.manifests import parse_manifests
 from jacinthmount_node.relay.object_watch import ObjectWatch
 from jacinthmount_node.relay.state import RelayState
 
@@ -42,10 +42,9 @@
 
 async def _remove_expired(store: ObjectStore, watch: ObjectWatch) -> None:
     now_ms = time.time() * MS
-    for stored in watch.objects():
-        manifest = parse_json(ItemBatch, stored.body or '')
+    for name, manifest in parse_manifests(watch.objects()).items():
         if is_expired(manifest, now_ms):
-            await remove_batch(store, stored.name, manifest)
+            await remove_batch(store, name, manifest)
 
 
 def is_expired(manifest: ItemBatch, now_ms: float) -> bool:
