--- a/packages/jacinthmount/jacinthmount/records.py
+++ b/packages/jacinthmount/jacinthmount/records.py
@@ -1,6 +1,7 @@
 """Typed records with validating JSON and msgpack codecs."""
 
 import json
+import re
 from types import NoneType, UnionType
 from typing import (
     Any,
@@ -31,6 +32,10 @@
 UNPACK_ERRORS = (ValueError, msgpack.UnpackException)
 RECORD_EXT_CODE = 1
 MAX_RECORD_BYTES = 4 * 1024 * 1024
+# The whole numbers that a peer message can hold.
+MIN_INT = -9_223_372_036_854_775_808
+MAX_INT = 18_446_744_073_709_551_615
+LONE_SURROGATE = re.compile('[\ud800-\udfff]')
 
 _registry: dict[str, type['Record']] = {}
 _hints: dict[type['Record'], dict[str, Any]] = {}
@@ -210,7 +215,7 @@
         ) from exc
     if raw:
         raise MalformedRecord(
-            detail=f'{record_type.__name__}: extra {sorted(raw)}'
+            detail=f'{record_type.__name__}: extra {shorten(sorted(raw))}'
         )
     return record_type(**fields)
 
@@ -225,7 +230,7 @@
     if origin is dict:
         _require(isinstance(raw, dict), hint)
         return {
-            str(name): _validate(get_args(hint)[1], member)
+            _validate(str, str(name)): _validate(get_args(hint)[1], member)
             for name, member in raw.items()
         }
     return _validate_scalar(hint, raw)
@@ -245,14 +250,23 @@
         return raw
     if issubclass(hint, Record):
         return raw if isinstance(raw, hint) else _build(hint, raw)
-    if hint is float and isinstance(raw, int) and not isinstance(raw, bool):
-        return float(raw)
+    if raw.__class__ is int:
+        # Also for a float, which can't hold an int of any size.
+        _require(MIN_INT <= raw <= MAX_INT, hint)
+        raw = float(raw) if hint is float else raw
     # isinstance() would accept a bool as an int, which is another type on the
     # wire.
     _require(raw.__class__ is hint, hint)
+    if hint is str:
+        _require(_is_encodable(raw), hint)
     return raw
 
 
+def _is_encodable(text: str) -> bool:
+    # JSON can hold lone surrogates, which a peer message can't.
+    return text.isascii() or not LONE_SURROGATE.search(text)
+
+
 def _require(is_valid: bool, hint: Any) -> None:
     if not is_valid:
         raise MalformedRecord(detail=f'expected {hint}')
