Leave odd share tables out on the first interface (LOST)

Cause: the node parsed the stored share tables without a guard, unlike all other kinds; one that is not valid raised MalformedRecord (RecursionError comes out as that) while changes were applied. They were merged already, so the rest of the change was lost until each object changes again, and the task that watches the platform ended.

Change: such a table is logged and left out.

--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -223,10 +223,13 @@
         self.host_buckets.apply_limits(limits, self.now())
 
     def _rebuild_share_tables(self) -> None:
-        self.share_tables = [
-            parse_json(ShareTable, stored.body or '')
-            for stored in self.table.iter_prefix(SHARE_PREFIX)
-        ]
+        tables = []
+        for stored in self.table.iter_prefix(SHARE_PREFIX):
+            try:
+                tables.append(parse_json(ShareTable, stored.body or ''))
+            except MalformedRecord:
+                log_event('bad_object', name=stored.name)
+        self.share_tables = tables
 
     def _rebuild_members(self) -> None:
         members = {}
