--- a/packages/jacinthmount-node/jacinthmount_node/net/object_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/object_api.py
@@ -1,8 +1,9 @@
 """HTTP and JSON adapters for the object API, host list and weight store."""
 
 import json
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 from jacinthmount.errors import (
@@ -29,10 +30,13 @@
 
 __all__ = ('HttpHostList', 'HttpStore', 'HttpWeightStore')
 
-CALL_ERRORS = (*TRANSPORT_ERRORS, EndpointFailed, ValueError)
+CALL_ERRORS = (*TRANSPORT_ERRORS, EndpointFailed, RecursionError, ValueError)
+READ_ERRORS = (LookupError, TypeError, ValueError)
 CALL_TIMEOUT_S = 3.0
+MAX_WHOLE = 9_223_372_036_854_775_807
 # Added to the requested wait of a watch to give its timeout.
 WATCH_MARGIN_S = 3.0
+ParsedT = TypeVar('ParsedT')
 
 
 class _PlatformClient:
@@ -110,7 +114,7 @@
         if status == HTTPStatus.NOT_FOUND:
             return None
         _require_status(status, HTTPStatus.OK)
-        return _parse_stored(answer)
+        return _read(_parse_stored, answer)
 
     async def write(self, name: str, body: str, expected: int) -> int:
         """Implements :meth:`~jacinthmount.ports.ObjectStore.write`."""
@@ -133,10 +137,7 @@
             CALL_TIMEOUT_S,
         )
         _require_status(status, HTTPStatus.OK)
-        return Listing(
-            objects=[_parse_stored(row) for row in answer['objects']],
-            revision=answer['revision'],
-        )
+        return _read(_parse_listing, answer)
 
     async def watch(
         self,
@@ -157,7 +158,7 @@
             wait_s + WATCH_MARGIN_S,
         )
         _require_status(status, HTTPStatus.OK)
-        return [_parse_stored(row) for row in answer['objects']]
+        return _read(_parse_objects, answer)
 
     async def _change(
         self,
@@ -177,11 +178,14 @@
             CALL_TIMEOUT_S,
         )
         if status == HTTPStatus.PRECONDITION_FAILED:
-            raise StoreConflict(detail=name, version=answer['version'])
+            raise StoreConflict(
+                detail=name,
+                version=_read(_parse_version, answer),
+            )
         if status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
             raise ValueTooLarge(detail=name)
         _require_status(status, HTTPStatus.OK)
-        return answer['version']
+        return _read(_parse_version, answer)
 
 
 class HttpHostList(HostList):
@@ -206,14 +210,7 @@
             CALL_TIMEOUT_S,
         )
         _require_status(status, HTTPStatus.OK)
-        return [
-            HostState(
-                host=row['host'],
-                data_centre=row['data_centre'],
-                leaving=row['leaving'],
-            )
-            for row in answer['hosts']
-        ]
+        return _read(_parse_hosts, answer)
 
 
 class HttpWeightStore(WeightStore):
@@ -240,15 +237,68 @@
         if status == HTTPStatus.NOT_FOUND:
             raise NotFound(detail=f'weights {weights} {version}')
         _require_status(status, HTTPStatus.OK)
-        return int(answer['bytes'])
+        return _read(_parse_size, answer)
 
 
 def _target(name: str) -> str:
     return f'/objects/{quote(name)}'
 
 
+def _read(parse: Callable[[Any], ParsedT], answer: Any) -> ParsedT:
+    """Reads an answer.
+
+    :raises StoreUnavailable: it is not what the call asks for.
+    """
+    try:
+        return parse(answer)
+    except READ_ERRORS as exc:
+        raise StoreUnavailable(
+            detail=shorten(f'answer: {type(exc).__name__}: {exc}'),
+            retry_after_s=2,
+        ) from exc
+
+
+def _parse_listing(answer: dict[str, Any]) -> Listing:
+    return Listing(
+        objects=_parse_objects(answer),
+        revision=_check_whole(answer['revision']),
+    )
+
+
+def _parse_objects(answer: dict[str, Any]) -> list[Stored]:
+    return [_parse_stored(row) for row in answer['objects']]
+
+
 def _parse_stored(row: dict[str, Any]) -> Stored:
-    return Stored(name=row['name'], version=row['version'], body=row['body'])
+    name, body = row['name'], row['body']
+    if not isinstance(name, str) or not isinstance(body, str | None):
+        raise TypeError('the name or the body is no text')
+    return Stored(name=name, version=_check_whole(row['version']), body=body)
+
+
+def _parse_version(answer: dict[str, Any]) -> int:
+    return _check_whole(answer['version'])
+
+
+def _parse_hosts(answer: dict[str, Any]) -> list[HostState]:
+    return [
+        HostState(
+            host=row['host'],
+            data_centre=row['data_centre'],
+            leaving=row['leaving'],
+        )
+        for row in answer['hosts']
+    ]
+
+
+def _parse_size(answer: dict[str, Any]) -> int:
+    return _check_whole(answer['bytes'])
+
+
+def _check_whole(raw: Any) -> int:
+    if raw.__class__ is not int or not 0 <= raw <= MAX_WHOLE:
+        raise ValueError('not a whole number')
+    return raw
 
 
 def _require_status(status: int, expected_status: int) -> None:
