--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -454,6 +454,14 @@
     assert (call.key, call.left_s, call.received_events) == ('k1', 5.0, 4)
 
 
+@pytest.mark.parametrize('body', ['ü', '²', '\ud800', 'AAA', '\0'])
+def test_item_body_that_is_no_base64_costs_a_500(callers, body):
+    """Guards against an error that is not the caller's."""
+    item = {'id': 'i', 'path': '/audit/1', 'body': body, 'tokens': 1}
+    with pytest.raises(MalformedRequest):
+        callers.parse_items(json.dumps({'items': [item]}).encode())
+
+
 def test_batch_calls_are_distinguished(callers):
     """Paths and methods decide which call a request is."""
     rows = [('authorization', 'Bearer k1'), ('poll-wait', '1000')]
