--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -455,7 +455,7 @@
 
 
 @pytest.mark.parametrize('body', ['ü', '²', '\ud800', 'AAA', '\0'])
-def test_item_body_that_is_no_base64_costs_a_500(callers, body):
+def test_item_body_that_is_no_base64_is_an_internal_error(callers, body):
     """Guards against an error that is not the caller's."""
     item = {'id': 'i', 'path': '/audit/1', 'body': body, 'tokens': 1}
     with pytest.raises(MalformedRequest):
