--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import socket as std_socket
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
@@ -26,7 +27,7 @@
     with_timeout,
 )
 from jacinthmount_node.net.wire_reader import WireReader
-from jacinthmount_node.net.yield_budget import READ_BYTES
+from jacinthmount_node.net.yield_budget import READ_BYTES, YieldBudget
 
 __all__ = (
     'HttpRequest',
@@ -47,6 +48,8 @@
 POLL_S = 0.05
 # Time for which drain() keeps idle connections open for requests in transit.
 DRAIN_GRACE_S = 0.5
+# Time for which the rest of a refused request is read.
+DISCARD_S = 2.0
 # After the body h11 reports MUST_CLOSE instead of DONE if the caller closes
 # the connection after this request.
 BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
@@ -417,14 +420,15 @@
         while not self._server.closing:
             try:
                 request = await self._next_request()
-                if request is None:
-                    return
-                await self._answer(request)
+                if request is not None:
+                    await self._answer(request)
             finally:
                 self.busy = False
-            if not self._reusable():
+            if request is None or not self._reusable():
+                await self._discard_rest()
                 return
             self._wire.start_next_cycle()
+            self._is_answered = False
 
     def abort(self) -> None:
         abort_socket(self._sock)
@@ -614,6 +618,17 @@
         done = h11.DONE
         return self._wire.our_state is done and self._wire.their_state is done
 
+    async def _discard_rest(self) -> None:
+        # Closing with unread bytes would reset the connection, and the caller
+        # could lose the answer while it still sends its request.
+        if not self._is_answered or self._wire.their_state in BODY_ENDED:
+            return
+        await self._sock.shutdown(std_socket.SHUT_WR)
+        yield_budget = YieldBudget()
+        async with curio.ignore_after(DISCARD_S):
+            while received := await self._sock.recv(READ_BYTES):
+                await yield_budget.spend(len(received))
+
     async def _reject(self, exc: JacinthmountError) -> None:
         self.fail(str(exc))
         if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -273,3 +273,23 @@
                 await curio.sleep(0.05)
 
     curio.run(serve, make_server(address, handler), talk, address)
+
+
+def test_idle_connection_is_closed_without_reading_on(address):
+    """A request that crosses the close is reset, so its caller may repeat it.
+
+    Guards against reading it after the idle limit only to discard it.
+    """
+    limits = ServerLimits(idle_s=0.3)
+    server = make_server(address, answer_late, limits=limits)
+
+    async def talk(conn):
+        await conn.sendall(REQUEST)
+        await conn.recv(1000)
+        assert not await conn.recv(1000)
+        await conn.sendall(REQUEST)
+        await curio.sleep(0.2)
+        with pytest.raises(OSError):
+            await conn.sendall(REQUEST)
+
+    curio.run(serve, server, talk, address)
