--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -293,3 +293,15 @@
             await conn.sendall(REQUEST)
 
     curio.run(serve, server, talk, address)
+
+
+def test_answer_that_can_not_be_built_closes_the_connection(address):
+    """The caller gets a coded error, since nothing was sent."""
+
+    async def handler(request, responder):
+        await responder.send(200, b'whole', [('x-name', 'two\r\nlines')])
+
+    received = curio.run(
+        serve, make_server(address, handler), ask_once, address
+    )
+    assert received.startswith(b'HTTP/1.1 500 ')
