Answer requests whose answer can't be built (LOST)

Seen by callers: a whole request was read and its connection closed without an answer, where an endpoint's answer or a handler's had a header that can't be written.

Cause: an answer counted as started before its head was built. The error of building it then found an answer under way, which may only be cut.

Evidence: test_answer_that_can_not_be_built_closes_the_connection got no byte before and gets 500, code 1000, now.

Why it works: the head is built before the answer counts as started; only sending can fail from then on.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -178,13 +178,9 @@
 
         :param first: piece of the body that is sent in the same write.
         """
-        self.started = True
-        self.status = status
-        await self._conn.send(
-            h11.Response(
-                status_code=status,
-                headers=[*headers, *self._conn.connection_headers()],
-            ),
+        await self._send(
+            status,
+            [*headers, *self._conn.connection_headers()],
             h11.Data(data=first),
         )
 
@@ -206,17 +202,13 @@
         headers: list[tuple[str, str]],
     ) -> None:
         """Sends a complete answer in one write."""
-        self.started = True
-        self.status = status
-        await self._conn.send(
-            h11.Response(
-                status_code=status,
-                headers=[
-                    *headers,
-                    *self._conn.connection_headers(),
-                    ('content-length', str(len(body))),
-                ],
-            ),
+        await self._send(
+            status,
+            [
+                *headers,
+                *self._conn.connection_headers(),
+                ('content-length', str(len(body))),
+            ],
             h11.Data(data=body),
             h11.EndOfMessage(),
         )
@@ -254,6 +246,18 @@
         """
         self._conn.fail(reason)
 
+    async def _send(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        *events: h11.Event,
+    ) -> None:
+        # Nothing has started if the head can't be built.
+        head = h11.Response(status_code=status, headers=headers)
+        self.started = True
+        self.status = status
+        await self._conn.send(head, *events)
+
 
 def parse_json_object(packed: bytes) -> dict[str, Any]:
     """Parses a JSON object.
