--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -304,3 +304,30 @@
         )
     )
     assert ask(site, 'u1')[0] == 502
+
+
+def test_header_with_other_characters_ends_the_request(site, start_engine):
+    """Headers beyond ASCII are passed on, to the engine and to the caller."""
+    named = b'x-name: Jos\xe9\r\n'
+    engine = start_engine(
+        lambda request_id, connection, before: (
+            head(request_id, SEAL, named, EMPTY),
+            False,
+        )
+    )
+    with socket.create_connection(('127.0.0.1', site.fronts['front-1'])) as one:
+        one.settimeout(WAIT_S)
+        one.sendall(
+            b''.join([
+                b'POST /scan/1 HTTP/1.1\r\nhost: scans.example\r\n',
+                b'authorization: Bearer key-of-gin-yards\r\n',
+                b'attempt-id: a1\r\nconnection: close\r\n',
+                b'content-length: 0\r\n',
+                named,
+                b'\r\n',
+            ])
+        )
+        answer = one.makefile('rb').read()
+    assert engine.ran == [b'a1']
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    assert named in answer
