--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -11,6 +11,7 @@
 from jacinthmount.dispatch import Stage
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 
+from jacinthmount_node.net.header_rows import pack_rows
 from jacinthmount_node.net.sockets import abort_socket, connect, with_timeout
 from jacinthmount_node.net.wire_reader import FramingTooLong, WireReader
 
@@ -83,7 +84,11 @@
         rows = [('content-length', str(len(body))), *headers]
         if all(name != 'host' for name, _ in headers):
             rows.insert(0, ('host', self.address))
-        request = h11.Request(method=method, target=target, headers=rows)
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=pack_rows(rows),
+        )
         events = [request, h11.Data(data=body), h11.EndOfMessage()]
         packed = b''.join(self._wire.send(event) or b'' for event in events)
         self.stage = Stage.SENT
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -21,6 +21,7 @@
 )
 
 from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.net.header_rows import pack_rows
 from jacinthmount_node.net.sockets import (
     abort_socket,
     accept,
@@ -253,7 +254,10 @@
         *events: h11.Event,
     ) -> None:
         # Nothing has started if the head can't be built.
-        head = h11.Response(status_code=status, headers=headers)
+        head = h11.Response(
+            status_code=status,
+            headers=pack_rows(headers),
+        )
         self.started = True
         self.status = status
         await self._conn.send(head, *events)
