Refuse as not run only what no attempt has sent (LOST)

Seen by callers of the first interface: a request that an engine had begun to run was answered 503 or 401 with the state not_run, when that engine was lost and no other was left for a repeat, as beside the removal of an endpoint or of a key.

Cause: the error of the last attempt was the answer, whatever the attempts before it had done.

Why it works: both runners of the first interface note when an attempt was sent, and an error that says not_run becomes EndpointFailed from then on. Calls that may not be repeated are unchanged: they are never tried again once sent.

--- a/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -2,7 +2,13 @@
 
 import curio
 from jacinthmount.declarations import Profile
-from jacinthmount.dispatch import Attempt, NextAction, Stage, next_action_within
+from jacinthmount.dispatch import (
+    Attempt,
+    NextAction,
+    Stage,
+    correct_refusal,
+    next_action_within,
+)
 from jacinthmount.errors import (
     AnswerNotKept,
     CallInProgress,
@@ -233,20 +239,24 @@
         profile: Profile,
     ) -> PlainAnswer:
         repeatable = self._repeatable(call, profile)
-        limit = profile.max_attempts
         tried: set[str] = set()
         attempts = 0
+        may_have_run = False
         node = self._node
         node.budget.on_request()
         while True:
-            state = self._choose(call, tried)
+            try:
+                state = self._choose(call, tried)
+            except JacinthmountError as exc:
+                raise correct_refusal(exc, may_have_run=may_have_run) from exc
             result = await self._attempt(call, state, no_reuse=not repeatable)
             if isinstance(result, PlainAnswer):
                 return result
             tried.add(state.endpoint.name)
+            may_have_run |= result >= Stage.SENT
             time_left = call.deadline > node.now()
             attempts += 1
-            attempts_left = attempts < limit and node.router(
+            attempts_left = attempts < profile.max_attempts and node.router(
                 call.service,
             ).worth_retry(result, tried, node.now())
             outcome = next_action_within(
@@ -262,7 +272,9 @@
                 self._node.now(),
             )
             if outcome is not NextAction.RETRY:
-                raise _failure(outcome)
+                raise correct_refusal(
+                    _failure(outcome), may_have_run=may_have_run
+                )
 
     def _choose(self, call: PlainCall, tried: set[str]) -> EndpointState:
         node = self._node
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -10,6 +10,7 @@
     Attempt,
     NextAction,
     Stage,
+    correct_refusal,
     make_failure,
     next_action_within,
 )
@@ -51,11 +52,18 @@
     ``offset`` counts the characters relayed, from which a stream resumes.
     """
 
-    __slots__ = ('attempts', 'last_token_at', 'offset', 'tried')
+    __slots__ = (
+        'attempts',
+        'last_token_at',
+        'may_have_run',
+        'offset',
+        'tried',
+    )
 
     def __init__(self, *, now: float) -> None:
         self.offset = 0
         self.attempts = 0
+        self.may_have_run = False
         self.last_token_at = now
         self.tried: set[str] = set()
 
@@ -100,7 +108,9 @@
                 state = await gate.acquire(call, profile, progress.tried)
             except JacinthmountError as exc:
                 self._abort_if_started(responder)
-                raise exc
+                raise correct_refusal(
+                    exc, may_have_run=progress.may_have_run
+                ) from exc
             progress.attempts += 1
             try:
                 failed = await self._attempt(
@@ -115,6 +125,7 @@
             if failed is None:
                 return
             progress.tried.add(state.endpoint.name)
+            progress.may_have_run |= failed >= Stage.SENT
             self._raise_unless_retry(call, profile, failed, responder, progress)
             self._node.metrics.retries.labels(call.service).inc()
 
@@ -147,7 +158,7 @@
         if outcome in {NextAction.RETRY, NextAction.RESUME}:
             return
         self._abort_if_started(responder)
-        raise make_failure(
+        exc = make_failure(
             outcome,
             time_left=time_left,
             not_run=DeadlineUnreachable(
@@ -156,6 +167,7 @@
             ),
             retry_after_s=1,
         )
+        raise correct_refusal(exc, may_have_run=progress.may_have_run)
 
     async def _attempt(
         self,
--- a/packages/jacinthmount/jacinthmount/dispatch.py
+++ b/packages/jacinthmount/jacinthmount/dispatch.py
@@ -3,6 +3,7 @@
 import enum
 
 from jacinthmount.errors import (
+    NOT_RUN,
     DeadlineExceeded,
     EndpointFailed,
     JacinthmountError,
@@ -15,6 +16,7 @@
     'Attempt',
     'NextAction',
     'Stage',
+    'correct_refusal',
     'next_action',
     'next_action_within',
     'make_failure',
@@ -94,6 +96,24 @@
     return next_action(replaced(attempt, may_retry=False))
 
 
+def correct_refusal(
+    exc: JacinthmountError,
+    *,
+    may_have_run: bool,
+) -> JacinthmountError:
+    """Returns the error for the caller of a request that is refused.
+
+    :param exc: refusal of another attempt.
+    :param may_have_run: whether an earlier attempt was sent.
+    """
+    if may_have_run and exc.run_state == NOT_RUN:
+        return EndpointFailed(
+            detail=exc.detail,
+            retry_after_s=exc.retry_after_s,
+        )
+    return exc
+
+
 def make_failure(
     outcome: NextAction,
     *,
