--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import socket as std_socket
 import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -23,6 +24,7 @@
 )
 
 from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.net.header_rows import pack_rows
 from jacinthmount_node.net.sockets import (
     abort_socket,
     accept,
@@ -30,7 +32,7 @@
     with_timeout,
 )
 from jacinthmount_node.net.wire_reader import WireReader
-from jacinthmount_node.net.yield_budget import READ_BYTES
+from jacinthmount_node.net.yield_budget import READ_BYTES, YieldBudget
 
 __all__ = (
     'AnswerCut',
@@ -52,6 +54,8 @@
 POLL_S = 0.05
 # Time for which drain() keeps idle connections open for requests in transit.
 DRAIN_GRACE_S = 0.5
+# Time for which the rest of a refused request is read.
+DISCARD_S = 2.0
 # After the body h11 reports MUST_CLOSE instead of DONE if the caller closes
 # the connection after this request.
 BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
@@ -187,13 +191,9 @@
 
         :param first: piece of the body that is sent in the same write.
         """
-        self.started = True
-        self.status = status
-        await self._conn.send(
-            h11.Response(
-                status_code=status,
-                headers=[*headers, *self._conn.connection_headers()],
-            ),
+        await self._send(
+            status,
+            [*headers, *self._conn.connection_headers()],
             h11.Data(data=first),
         )
 
@@ -215,17 +215,13 @@
         headers: list[tuple[str, str]],
     ) -> None:
         """Sends a complete answer in one write."""
-        self.started = True
-        self.status = status
-        await self._conn.send(
-            h11.Response(
-                status_code=status,
-                headers=[
-                    *headers,
-                    *self._conn.connection_headers(),
-                    ('content-length', str(len(body))),
-                ],
-            ),
+        await self._send(
+            status,
+            [
+                *headers,
+                *self._conn.connection_headers(),
+                ('content-length', str(len(body))),
+            ],
             h11.Data(data=body),
             h11.EndOfMessage(),
         )
@@ -263,6 +259,21 @@
         """
         self._conn.fail(reason)
 
+    async def _send(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        *events: h11.Event,
+    ) -> None:
+        # Nothing has started if the head can't be built.
+        head = h11.Response(
+            status_code=status,
+            headers=pack_rows(headers),
+        )
+        self.started = True
+        self.status = status
+        await self._conn.send(head, *events)
+
 
 def parse_json_object(packed: bytes) -> dict[str, Any]:
     """Parses a JSON object.
@@ -471,15 +482,16 @@
         while True:
             try:
                 request = await self._next_request()
-                if request is None:
-                    return
-                await self._answer(request)
+                if request is not None:
+                    await self._answer(request)
             finally:
                 self.busy = False
                 self._idle_since = time.monotonic()
-            if not self._reusable():
+            if request is None or not self._reusable():
+                await self._discard_rest()
                 return
             self._wire.start_next_cycle()
+            self._is_answered = False
 
     def close_if_idle(self, idle_since: float) -> None:
         """Closes the connection unless a request has come.
@@ -737,6 +749,17 @@
         done = h11.DONE
         return self._wire.our_state is done and self._wire.their_state is done
 
+    async def _discard_rest(self) -> None:
+        # Closing with unread bytes would reset the connection, and the caller
+        # could lose the answer while it still sends its request.
+        if not self._is_answered or self._wire.their_state in BODY_ENDED:
+            return
+        await self._sock.shutdown(std_socket.SHUT_WR)
+        yield_budget = YieldBudget()
+        async with curio.ignore_after(DISCARD_S):
+            while received := await self._sock.recv(READ_BYTES):
+                await yield_budget.spend(len(received))
+
     async def _reject(self, exc: JacinthmountError) -> None:
         self.fail(str(exc))
         if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -1,8 +1,8 @@
 """TCP sockets, addresses, timeouts and the system clock."""
 
 import contextlib
-import select
 import re
+import select
 import socket as std_socket
 import time
 from collections.abc import Awaitable, Callable
