--- a/packages/jacinthmount-node/jacinthmount_node/callers/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -181,6 +181,7 @@
         body = await request.read_body()
         call, profile = self._parse_completion(request, key, body, arrived_at)
         request.request_id = call.request_id
+        call.deadline = self._fit_deadline(call.service, call.deadline)
         await self._admission.admit(key.account)
         await self._online.answer(call, profile, responder)
 
@@ -266,11 +267,15 @@
             deadline=arrived_at + profile.deadline_s,
         )
         request.request_id = call.request_id
+        call.deadline = self._fit_deadline(call.service, call.deadline)
         if key is not None:
             await self._admission.admit(key.account)
         answer = await self._plain.run(call, profile)
         await responder.send(answer.status, answer.body, answer.headers)
 
+    def _fit_deadline(self, service: str, deadline: float) -> float:
+        return self._node.stop.fit(self._node.now(), deadline, service)
+
     def _route(self, path: str) -> Route | None:
         if not path.startswith(ROUTE_URL_PREFIX):
             return None
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -10,6 +10,7 @@
     Attempt,
     NextAction,
     Stage,
+    correct_refusal,
     make_failure,
     next_action_within,
 )
@@ -51,11 +52,18 @@
     ``offset`` counts the characters relayed, from which a stream resumes.
     """
 
-    __slots__ = ('attempts', 'last_token_at', 'offset', 'tried')
+    __slots__ = (
+        'attempts',
+        'last_token_at',
+        'may_have_run',
+        'offset',
+        'tried',
+    )
 
     def __init__(self, *, now: float) -> None:
         self.offset = 0
         self.attempts = 0
+        self.may_have_run = False
         self.last_token_at = now
         self.tried: set[str] = set()
 
@@ -100,9 +108,12 @@
                 state = await gate.acquire(call, profile, progress.tried)
             except JacinthmountError as exc:
                 self._abort_if_started(responder)
-                raise exc
+                raise correct_refusal(
+                    exc, may_have_run=progress.may_have_run
+                ) from exc
             progress.attempts += 1
             try:
+                self._fit_deadline(call, progress)
                 failed = await self._attempt(
                     call,
                     profile,
@@ -115,9 +126,21 @@
             if failed is None:
                 return
             progress.tried.add(state.endpoint.name)
+            progress.may_have_run |= failed >= Stage.SENT
             self._raise_unless_retry(call, profile, failed, responder, progress)
             self._node.metrics.retries.labels(call.service).inc()
 
+    def _fit_deadline(self, call: OnlineCall, progress: _Progress) -> None:
+        stop = self._node.stop
+        if progress.attempts == 1:
+            # The stop may have begun while the request waited for a slot.
+            stop.raise_if_too_late(
+                self._node.now(),
+                call.deadline - self._node.now(),
+                call.service,
+            )
+        call.deadline = min(call.deadline, stop.ends_at)
+
     def _raise_unless_retry(
         self,
         call: OnlineCall,
@@ -147,7 +170,7 @@
         if outcome in {NextAction.RETRY, NextAction.RESUME}:
             return
         self._abort_if_started(responder)
-        raise make_failure(
+        exc = make_failure(
             outcome,
             time_left=time_left,
             not_run=DeadlineUnreachable(
@@ -156,6 +179,7 @@
             ),
             retry_after_s=1,
         )
+        raise correct_refusal(exc, may_have_run=progress.may_have_run)
 
     async def _attempt(
         self,
@@ -185,7 +209,10 @@
         except ATTEMPT_ERRORS:
             if responder.started and responder.broken:
                 raise
-            state.on_failure(self._node.now())
+            now = self._node.now()
+            state.on_failure(now)
+            if now >= call.deadline:
+                self._node.stop.note_run(call.service, now - started_at)
             if exchange is not None:
                 stage = exchange.stage
                 await exchange.close()
@@ -195,6 +222,7 @@
                 await exchange.close()
             raise
         state.on_success(self._node.now() - started_at)
+        self._node.stop.note_run(call.service, self._node.now() - started_at)
         await self._node.engine.release(exchange)
         return None
 
--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -1,10 +1,12 @@
 """TCP sockets, addresses, timeouts and the system clock."""
 
 import contextlib
+import re
 import select
 import socket as std_socket
 import time
 from collections.abc import Awaitable, Callable
+from ipaddress import IPv4Address
 from typing import Any
 
 import curio
@@ -19,11 +21,14 @@
     'accept',
     'connect',
     'has_unread',
+    'is_address',
     'listen',
     'parse_address',
     'with_timeout',
 )
 
+ADDRESS = re.compile('(?P<ip>[0-9.]{7,15}):(?P<port>[0-9]{1,5})')
+MAX_PORT = 65_535
 LISTEN_BACKLOG = 512
 # A connection is closed if sent data stays unacknowledged for this time.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
@@ -85,6 +90,18 @@
     return bool(poll.poll(0))
 
 
+def is_address(text: object) -> bool:
+    """Returns whether a text is the IPv4 address and port of one host."""
+    found = ADDRESS.fullmatch(text) if isinstance(text, str) else None
+    if found is None or not 0 < int(found['port']) <= MAX_PORT:
+        return False
+    try:
+        ip = IPv4Address(found['ip'])
+    except ValueError:
+        return False
+    return not ip.is_unspecified and not ip.is_multicast
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Splits ``IP:port`` into its parts."""
     host, _, port = address.rpartition(':')
--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -28,6 +28,7 @@
     ShareTable,
     split_limits,
 )
+from jacinthmount.stop_time import StopTime
 from jacinthmount.table import ConfigTable
 
 from jacinthmount_node.logs import log_event
@@ -58,6 +59,7 @@
         'settings',
         'share_tables',
         'splits',
+        'stop',
         'store',
         'table',
         'waiting',
@@ -99,6 +101,7 @@
         self.share_tables: list[ShareTable] = []
         self.loaded = False
         self.ready = False
+        self.stop = StopTime()
 
     @property
     def host(self) -> str:
@@ -223,10 +226,13 @@
         self.host_buckets.apply_limits(limits, self.now())
 
     def _rebuild_share_tables(self) -> None:
-        self.share_tables = [
-            parse_json(ShareTable, stored.body or '')
-            for stored in self.table.iter_prefix(SHARE_PREFIX)
-        ]
+        tables = []
+        for stored in self.table.iter_prefix(SHARE_PREFIX):
+            try:
+                tables.append(parse_json(ShareTable, stored.body or ''))
+            except MalformedRecord:
+                log_event('bad_object', name=stored.name)
+        self.share_tables = tables
 
     def _rebuild_members(self) -> None:
         members = {}
