--- a/packages/jacinthmount-standin/jacinthmount_standin/engine.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/engine.py
@@ -19,6 +19,7 @@
 )
 from jacinthmount_node.net.sockets import listen
 
+from jacinthmount_standin.deadly import EXIT_CRASHED, find_deadly_events
 from jacinthmount_standin.loaded_model import LoadedModel
 from jacinthmount_standin.prefix_cache import PrefixCache
 from jacinthmount_standin.switches import Switches
@@ -84,6 +85,7 @@
             swaps=0,
             fail=0,
             fenced=True,
+            mended=False,
             load_s=0.0,
             order_late_s=0.0,
             cache_size=DEFAULT_CACHE_SIZE,
@@ -248,6 +250,11 @@
             offset = int(request.headers.get('x-resume-offset', '0'))
             await self._generate(body, prompt, offset, request_id, responder)
 
+    def _crash_if_deadly(self, prompt: str, events: int) -> None:
+        deadly_events = find_deadly_events(prompt)
+        if deadly_events == events and not self._switches.read('mended'):
+            os._exit(EXIT_CRASHED)
+
     async def _generate(
         self,
         body: dict[str, Any],
@@ -264,7 +271,8 @@
         }
         headers = [('x-request-id', request_id)]
         if not body.get('stream'):
-            for _ in range(tokens):
+            for index in range(tokens):
+                self._crash_if_deadly(prompt, index)
                 await curio.sleep(self._step_s())
             await responder.send_json(
                 HTTPStatus.OK,
@@ -285,11 +293,14 @@
             ],
         )
         done = 0
+        events = 0
         for index in range(tokens):
             text = _token(prompt, index)
             done += len(text)
             if done <= offset:
                 continue
+            self._crash_if_deadly(prompt, events)
+            events += 1
             if self._should_cut(index, 'cuts'):
                 responder.abort()
                 return
--- a/packages/jacinthmount-standin/jacinthmount_standin/plain.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/plain.py
@@ -1,6 +1,7 @@
 """Stand-in for a plain HTTP service that counts its calls."""
 
 import json
+import os
 from collections import Counter
 from http import HTTPStatus
 
@@ -8,13 +9,17 @@
 from jacinthmount_node.net.http_server import HttpRequest, HttpServer, Responder
 from jacinthmount_node.net.sockets import listen
 
+from jacinthmount_standin.deadly import EXIT_CRASHED, find_deadly_events
 from jacinthmount_standin.switches import Switches
 
 __all__ = ('PlainService', 'run_plain')
 
 
 class PlainService:
-    """Echoes each body; reports the requests received at ``/stats``."""
+    """Echoes each body; reports the requests received at ``/stats``.
+
+    It crashes at once on a deadly body or query.
+    """
 
     __slots__ = ('_counts', '_received', '_switches')
 
@@ -42,6 +47,9 @@
             )
             return
         body = (await request.read_body()).decode('utf-8', 'replace')
+        for text in (body, *request.query.values()):
+            if find_deadly_events(text) is not None:
+                os._exit(EXIT_CRASHED)
         self._counts[body] += 1
         self._received.append(
             json.dumps([
