--- a/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/commands.py
@@ -141,6 +141,14 @@
     undo: bool
 
 
+@attrs.define(kw_only=True)
+class BlockedCommand:
+    """Lists the requests on which endpoints crashed, or clears one."""
+
+    # Digest of the request to serve again; empty for none.
+    clear: str
+
+
 @attrs.define(kw_only=True)
 class ExplainCommand:
     """Lists the log lines that concern a request, an item or a batch."""
@@ -337,6 +345,14 @@
                     UNDO,
                 ],
             ),
+            cappa.Command(
+                BlockedCommand,
+                name='blocked',
+                help='List the requests on which endpoints crashed.',
+                arguments=[
+                    option('clear', 'Serve this request digest again.', ''),
+                ],
+            ),
             cappa.Command(
                 ExplainCommand,
                 name='explain',
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
@@ -275,10 +275,9 @@
 def _run_drain(command: commands.DrainCommand, context: Context) -> int:
     leaving = not command.undo
     curio.run(
-        _drain_endpoint,
-        context.store(),
-        command.endpoint,
-        leaving,
+        porcelain.drain_endpoint(
+            context.store(), command.endpoint, leaving=leaving
+        )
     )
     context.write_line(
         f'{command.endpoint}: leaving {"yes" if leaving else "no"}'
@@ -286,14 +285,6 @@
     return 0
 
 
-async def _drain_endpoint(
-    store: HttpStore,
-    endpoint: str,
-    leaving: bool,
-) -> int:
-    return await porcelain.drain_endpoint(store, endpoint, leaving=leaving)
-
-
 @run.register
 def _run_evacuate(command: commands.EvacuateCommand, context: Context) -> int:
     evacuated = not command.undo
@@ -309,6 +300,26 @@
     return 0
 
 
+@run.register
+def _run_blocked(command: commands.BlockedCommand, context: Context) -> int:
+    if command.clear:
+        curio.run(porcelain.clear_blocked, context.store(), command.clear)
+    records = curio.run(porcelain.list_blocked, context.store())
+    context.print_rows(
+        'blocked',
+        [
+            {
+                'request': record.request,
+                'crashes': len(record.crashes),
+                'trials': record.trials,
+                'endpoints': ', '.join(record.crashes),
+            }
+            for record in records
+        ],
+    )
+    return 0
+
+
 @run.register
 def _run_explain(command: commands.ExplainCommand, context: Context) -> int:
     timeline = build_timeline(iter_lines(command.files), command.wanted_id)
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import curio
+from jacinthmount.crash_breaker import BlockedRequest
 from jacinthmount.declarations import (
     CONFIG_PREFIX,
     SCHEMAS,
@@ -32,15 +33,21 @@
     serialize_json,
 )
 from jacinthmount.stores import new_write_id, write_with_retry
+from jacinthmount_node.blocked_store import (
+    FLEET_BLOCKED_PREFIX,
+    BlockedStore,
+)
 from jacinthmount_node.net.http_client import TRANSPORT_ERRORS, ClientPool
 
 from jacinthmount_ctl.changes import Change, check_shares, compare
 
 __all__ = (
     'apply_changes',
+    'clear_blocked',
     'drain_endpoint',
     'evacuate_data_centre',
     'grant_key',
+    'list_blocked',
     'list_keys',
     'plan_changes',
     'read_declarations',
@@ -279,6 +286,25 @@
     return notified
 
 
+async def list_blocked(store: ObjectStore) -> list[BlockedRequest]:
+    """Lists the requests that are blocked since endpoints crashed on them."""
+    records = await _open_blocked(store).read_all()
+    return [one for one in records if isinstance(one, BlockedRequest)]
+
+
+async def clear_blocked(store: ObjectStore, request: str) -> None:
+    """Lets a blocked request be served again.
+
+    :param request: its digest.
+    :raises StoreConflict: its record was changed meanwhile.
+    """
+    await _open_blocked(store).clear(request)
+
+
+def _open_blocked(store: ObjectStore) -> BlockedStore:
+    return BlockedStore(store=store, prefix=FLEET_BLOCKED_PREFIX)
+
+
 async def list_keys(store: ObjectStore) -> list[KeyRecord]:
     """Lists the records of all keys, including withdrawn ones."""
     listing = await store.list_names(KEY_PREFIX)
--- a/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -1,6 +1,7 @@
 """Calls to plain services; calls that are not idempotent run at most once."""
 
 import curio
+from jacinthmount.crash_strikes import Suspect
 from jacinthmount.declarations import Profile
 from jacinthmount.dispatch import Attempt, NextAction, Stage, next_action_within
 from jacinthmount.errors import (
@@ -11,6 +12,7 @@
     IdempotencyMismatch,
     JacinthmountError,
     OutcomeUnknown,
+    RequestBlocked,
     StoreConflict,
     StoreUnavailable,
 )
@@ -27,9 +29,15 @@
 )
 from jacinthmount.ports import ABSENT, BackendCall, BackendExchange
 from jacinthmount.records import parse_json, replaced, serialize_json
+from jacinthmount.request_digest import digest_request
 from jacinthmount.routing import EndpointState
 from jacinthmount.stores import new_write_id, write_with_retry
 
+from jacinthmount_node.engines.crash_watch import (
+    CrashWatch,
+    InFlight,
+    refuse_blocked,
+)
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
@@ -56,7 +64,9 @@
         'key_id',
         'method',
         'request_id',
+        'runs',
         'service',
+        'suspect',
         'target',
     )
 
@@ -85,6 +95,12 @@
         self.request_id = request_id
         self.idempotency_key = idempotency_key
         self.deadline = deadline
+        self.suspect = Suspect(
+            request=digest_request(account, service, method, target, body),
+            parts=[],
+        )
+        # Number of endpoints that may have run it.
+        self.runs = 0
 
 
 class PlainAnswer:
@@ -113,11 +129,19 @@
 
     __slots__ = (
         '_capacity',
+        '_crashes',
         '_node',
     )
 
-    def __init__(self, *, node: Node, rooms: EngineCapacity) -> None:
+    def __init__(
+        self,
+        *,
+        node: Node,
+        rooms: EngineCapacity,
+        crashes: CrashWatch,
+    ) -> None:
         self._node = node
+        self._crashes = crashes
         self._capacity = rooms
 
     async def run(self, call: PlainCall, profile: Profile) -> PlainAnswer:
@@ -188,7 +212,7 @@
     ) -> PlainAnswer:
         try:
             answer = await self._run_attempts(call, profile)
-        except DeadlineUnreachable:
+        except (DeadlineUnreachable, RequestBlocked):
             ended = replaced(
                 started,
                 state=CALL_NOT_RUN,
@@ -233,12 +257,14 @@
         profile: Profile,
     ) -> PlainAnswer:
         repeatable = self._repeatable(call, profile)
-        limit = profile.max_attempts
         tried: set[str] = set()
         attempts = 0
         node = self._node
+        is_trial = await self._crashes.admit(call.suspect)
         node.budget.on_request()
         while True:
+            if not is_trial:
+                refuse_blocked(node.breaker, call.suspect, call.runs)
             state = self._choose(call, tried)
             result = await self._attempt(call, state, no_reuse=not repeatable)
             if isinstance(result, PlainAnswer):
@@ -246,9 +272,14 @@
             tried.add(state.endpoint.name)
             time_left = call.deadline > node.now()
             attempts += 1
-            attempts_left = attempts < limit and node.router(
-                call.service,
-            ).worth_retry(result, tried, node.now())
+            attempts_left = (
+                attempts < profile.max_attempts
+                and not is_trial
+                and self._crashes.may_repeat(call.suspect)
+                and node.router(call.service).worth_retry(
+                    result, tried, node.now()
+                )
+            )
             outcome = next_action_within(
                 Attempt(
                     stage=result,
@@ -300,10 +331,7 @@
                 )
                 answer = await self._exchange(call, exchange)
         except ATTEMPT_ERRORS:
-            state.on_failure(node.now())
-            stage = exchange.stage if exchange else Stage.CONNECTING
-            await _close(exchange)
-            return stage
+            return await self._on_failure(call, state, exchange, started_at)
         except BaseException:
             await _close(exchange)
             raise
@@ -312,8 +340,32 @@
             await self._capacity.update_online(state)
         state.on_success(node.now() - started_at)
         await node.plain.release(exchange)
+        await self._crashes.on_answer(call.suspect)
         return answer
 
+    async def _on_failure(
+        self,
+        call: PlainCall,
+        state: EndpointState,
+        exchange: BackendExchange | None,
+        started_at: float,
+    ) -> Stage:
+        state.on_failure(self._node.now())
+        if exchange is None:
+            return Stage.CONNECTING
+        await exchange.close()
+        if exchange.stage >= Stage.SENT:
+            call.runs += 1
+            await self._crashes.on_lost(
+                InFlight(
+                    endpoint=state.endpoint,
+                    request_id=call.request_id,
+                    suspect=call.suspect,
+                    sent_at=started_at,
+                )
+            )
+        return exchange.stage
+
     async def _exchange(
         self,
         call: PlainCall,
--- a/packages/jacinthmount-node/jacinthmount_node/callers/gate.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/gate.py
@@ -1,11 +1,14 @@
 """Queue for engine slots, fair between accounts, with early refusal."""
 
 import curio
+from jacinthmount.crash_strikes import Suspect
 from jacinthmount.declarations import Profile
 from jacinthmount.errors import DeadlineUnreachable
 from jacinthmount.fairness import FairQueue
+from jacinthmount.request_digest import digest_request
 from jacinthmount.routing import EndpointState, Router
 
+from jacinthmount_node.engines.crash_watch import refuse_blocked
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
 from jacinthmount_node.net.sockets import with_timeout
 from jacinthmount_node.node import Node
@@ -24,12 +27,15 @@
         'arrived_at',
         'body',
         'deadline',
+        'is_trial',
         'key_id',
         'path',
         'prefix',
         'request_id',
+        'runs',
         'service',
         'stream',
+        'suspect',
         'tokens',
         'weight',
     )
@@ -68,6 +74,14 @@
         self.weight = weight
         self.arrived_at = arrived_at
         self.deadline = deadline
+        self.suspect = Suspect(
+            request=digest_request(account, service, 'POST', path, body),
+            parts=[],
+        )
+        # Whether it is sent although it is blocked.
+        self.is_trial = False
+        # Number of endpoints that may have run it.
+        self.runs = 0
 
 
 class _Waiter:
@@ -116,12 +130,15 @@
         :param tried: names of endpoints that failed this request.
         :raises DeadlineUnreachable: the deadline can't be met; raised at once
             if the estimated wait is too long.
+        :raises JacinthmountError: endpoints crashed on the request meanwhile.
         """
         now = self._node.now()
         if len(self._queue) or not self._router.capacity_left(now):
             self._refuse_late(call, profile, now)
             await self._wait(call)
         self._node.keyring.recheck(call.key_id)
+        if not call.is_trial:
+            refuse_blocked(self._node.breaker, call.suspect, call.runs)
         state = self._router.choose(call.prefix, tried, self._node.now())
         if state is None:
             raise DeadlineUnreachable(
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -23,6 +23,7 @@
 
 from jacinthmount_node.callers.gate import Gate, OnlineCall
 from jacinthmount_node.engines.backends import REQUEST_ID
+from jacinthmount_node.engines.crash_watch import CrashWatch, InFlight
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
 from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
 from jacinthmount_node.net.http_server import Responder
@@ -65,12 +66,20 @@
 
     __slots__ = (
         '_capacity',
+        '_crashes',
         '_gates',
         '_node',
     )
 
-    def __init__(self, *, node: Node, rooms: EngineCapacity) -> None:
+    def __init__(
+        self,
+        *,
+        node: Node,
+        rooms: EngineCapacity,
+        crashes: CrashWatch,
+    ) -> None:
         self._node = node
+        self._crashes = crashes
         self._capacity = rooms
         self._gates: dict[str, Gate] = {}
 
@@ -92,6 +101,7 @@
         :raises JacinthmountError: the request is refused or failed before
             any part of an answer was sent.
         """
+        call.is_trial = await self._crashes.admit(call.suspect)
         gate = self._gate(call.service)
         progress = _Progress(now=call.arrived_at)
         self._node.budget.on_request()
@@ -130,6 +140,8 @@
         router = self._node.router(call.service)
         attempts_left = (
             progress.attempts < profile.max_attempts
+            and self._crashes.may_repeat(call.suspect)
+            and not call.is_trial
             and router.worth_retry(stage, progress.tried, self._node.now())
         )
         outcome = next_action_within(
@@ -167,7 +179,7 @@
     ) -> Stage | None:
         started_at = self._node.now()
         exchange = None
-        stage = Stage.CONNECTING
+        offset = progress.offset
         try:
             async with curio.timeout_after(call.deadline - started_at):
                 exchange = await self._node.engine.open(
@@ -186,16 +198,29 @@
             if responder.started and responder.broken:
                 raise
             state.on_failure(self._node.now())
-            if exchange is not None:
-                stage = exchange.stage
-                await exchange.close()
-            return stage
+            if exchange is None:
+                return Stage.CONNECTING
+            await exchange.close()
+            if exchange.stage >= Stage.SENT:
+                call.runs += 1
+                await self._crashes.on_lost(
+                    InFlight(
+                        endpoint=state.endpoint,
+                        request_id=call.request_id,
+                        suspect=call.suspect,
+                        sent_at=started_at,
+                    )
+                )
+            return exchange.stage
         except BaseException:
             if exchange is not None:
                 await exchange.close()
             raise
         state.on_success(self._node.now() - started_at)
         await self._node.engine.release(exchange)
+        if not offset:
+            # An answer that began at another endpoint shows nothing.
+            await self._crashes.on_answer(call.suspect)
         return None
 
     async def _run_while_responsive(
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -17,6 +17,7 @@
 from jacinthmount_node.callers.front_batches import BatchRoutes
 from jacinthmount_node.callers.front_files import FileRoutes
 from jacinthmount_node.callers.online import OnlineRunner
+from jacinthmount_node.engines.crash_watch import CrashWatch
 from jacinthmount_node.engines.engine import (
     EngineCacheEvents,
     EngineLoadReports,
@@ -50,6 +51,7 @@
         '_admin_server',
         '_batch',
         '_capacity',
+        '_crashes',
         '_front',
         '_front_server',
         '_links',
@@ -108,7 +110,12 @@
         )
         self._orders = make_orders(node, links, self._capacity, pool)
         admission = Admission(node=node, links=links)
-        self._online = OnlineRunner(node=node, rooms=self._capacity)
+        self._crashes = CrashWatch(
+            node=node, links=links, sync=self._sync, pool=pool
+        )
+        self._online = OnlineRunner(
+            node=node, rooms=self._capacity, crashes=self._crashes
+        )
         files = FileApi(node=node)
         self._batch = BatchRunner(
             node=node,
@@ -122,7 +129,9 @@
             node=node,
             admission=admission,
             online=self._online,
-            plain=PlainRunner(node=node, rooms=self._capacity),
+            plain=PlainRunner(
+                node=node, rooms=self._capacity, crashes=self._crashes
+            ),
             files=FileRoutes(
                 admission=admission,
                 files=files,
@@ -141,6 +150,7 @@
             shares=self._shares,
             admission=admission,
             rooms=self._capacity,
+            crashes=self._crashes,
         )
         self._front_server = HttpServer(
             sock=listen(settings.listen),
@@ -167,6 +177,7 @@
                 'config': self._sync.run,
                 'membership': self._membership.run,
                 'rooms': self._capacity.run,
+                'crashes': self._crashes.run,
                 'online': self._online.run,
                 'batch': self._batch.run,
                 'orders': self._orders.run,
--- a/packages/jacinthmount-node/jacinthmount_node/handlers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/handlers.py
@@ -6,6 +6,7 @@
 from jacinthmount.records import Record
 
 from jacinthmount_node.callers.admission import Admission
+from jacinthmount_node.engines.crash_watch import CrashWatch
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
 from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.members.share_task import ShareTask
@@ -21,6 +22,7 @@
     LoanAsk,
     Ping,
     Push,
+    Strikes,
     Take,
     Withdraw,
 )
@@ -31,7 +33,7 @@
 class PeerHandlers:
     """Components of a node that handle messages from other hosts."""
 
-    __slots__ = ('admission', 'rooms', 'shares', 'sync')
+    __slots__ = ('admission', 'crashes', 'rooms', 'shares', 'sync')
 
     def __init__(
         self,
@@ -40,11 +42,13 @@
         shares: ShareTask,
         admission: Admission,
         rooms: EngineCapacity,
+        crashes: CrashWatch,
     ) -> None:
         self.sync = sync
         self.shares = shares
         self.admission = admission
         self.rooms = rooms
+        self.crashes = crashes
 
     async def handle(self, message: Record, hello: Hello) -> Record | None:
         """Handles one message and returns the reply."""
@@ -136,3 +140,11 @@
 ) -> Record | None:
     handlers.rooms.on_silent(message)
     return Ack()
+
+
+@handle_message.register
+async def _on_strikes(
+    message: Strikes,
+    handlers: PeerHandlers,
+) -> Record | None:
+    return await handlers.crashes.on_strikes(message)
--- a/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
@@ -101,6 +101,11 @@
         node.loaded = True
         return True
 
+    def is_watcher(self) -> bool:
+        """Returns whether this host watches the platform for the others."""
+        own = self._node.host
+        return own in self._watchers() or own not in self._node.live_hosts()
+
     async def apply_objects(self, objects: list[Stored], *, push: bool) -> None:
         """Merges objects from any source and applies the newer ones.
 
@@ -168,7 +173,7 @@
             await self.load()
             await curio.sleep(WATCH_RETRY_PAUSE_S)
             return
-        if not self._is_watcher():
+        if not self.is_watcher():
             await curio.sleep(WATCHER_CHECK_INTERVAL_S)
             return
         node.metrics.platform_calls.labels('watch').inc()
@@ -199,10 +204,6 @@
         ranked = rank_hosts(WATCHER_RANK_SUBJECT, self._node.live_hosts())
         return ranked[:WATCHERS_PER_DATA_CENTRE]
 
-    def _is_watcher(self) -> bool:
-        own = self._node.host
-        return own in self._watchers() or own not in self._node.live_hosts()
-
     async def _run_push(self) -> None:
         while True:
             message = await self._outbox.get()
@@ -259,7 +260,7 @@
         # unavailable.
         while True:
             await curio.sleep(WITHDRAWN_WRITE_INTERVAL_S)
-            if not self._node.loaded or not self._is_watcher():
+            if not self._node.loaded or not self.is_watcher():
                 continue
             for key_id in self._node.keyring.withdrawn_ids():
                 with contextlib.suppress(StoreUnavailable, StoreConflict):
@@ -291,7 +292,7 @@
         self._digest_rounds += 1
         remote = (
             self._digest_rounds % REMOTE_DIGEST_ROUNDS == 0
-            and self._is_watcher()
+            and self.is_watcher()
         )
         records = self._peers(local=not remote)
         if not records:
--- a/packages/jacinthmount-node/jacinthmount_node/messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/messages.py
@@ -1,5 +1,6 @@
 """Messages between hosts on peer connections."""
 
+from jacinthmount.crash_strikes import CrashStrike
 from jacinthmount.ports import Stored
 from jacinthmount.records import Record
 from jacinthmount.shares import Handover
@@ -24,6 +25,7 @@
     'Ping',
     'Pong',
     'Push',
+    'Strikes',
     'Take',
     'TakeReply',
     'Withdraw',
@@ -250,3 +252,15 @@
     __slots__ = ('views',)
 
     views: list[EngineView]
+
+
+class Strikes(Record):
+    """Strikes against requests that were in flight at crashes of endpoints.
+
+    ``asks`` requests those of the recipient as well.
+    """
+
+    __slots__ = ('strikes', 'asks')
+
+    strikes: list[CrashStrike]
+    asks: bool
--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -4,6 +4,12 @@
 import uuid
 from collections.abc import Iterator
 
+from jacinthmount.crash_breaker import (
+    BlockedParts,
+    BlockedRequest,
+    CrashBreaker,
+    RecordedRequest,
+)
 from jacinthmount.declarations import (
     CONFIG_PREFIX,
     SCHEMAS,
@@ -30,6 +36,11 @@
 )
 from jacinthmount.table import ConfigTable
 
+from jacinthmount_node.blocked_store import (
+    FLEET_BLOCKED_PREFIX,
+    BlockedStore,
+    log_blocked,
+)
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import Metrics
 
@@ -40,6 +51,7 @@
     """Shared state of one node, which its tasks read and update."""
 
     __slots__ = (
+        'breaker',
         'budget',
         'catalogue',
         'clock',
@@ -81,6 +93,7 @@
         self.rng = rng
         self.incarnation = uuid.uuid4().hex
         self.metrics = Metrics()
+        self.breaker = CrashBreaker()
         self.table = ConfigTable()
         self.catalogue = Catalogue(records=[])
         self.keyring = Keyring()
@@ -105,6 +118,11 @@
         """Name of this host."""
         return self.settings.host
 
+    @property
+    def blocked_store(self) -> BlockedStore:
+        """Records of the requests on which endpoints crashed."""
+        return BlockedStore(store=self.store, prefix=FLEET_BLOCKED_PREFIX)
+
     @property
     def data_centre(self) -> str:
         """Name of the data centre of this host."""
@@ -182,6 +200,8 @@
             self._rebuild_share_tables()
         if any(name.startswith(HOST_PREFIX) for name in names):
             self._rebuild_members()
+        if any(name.startswith(FLEET_BLOCKED_PREFIX) for name in names):
+            self._rebuild_blocked()
         self.metrics.table_revision.set(self.table.revision)
 
     def _apply_key(self, stored: Stored) -> None:
@@ -238,3 +258,24 @@
                 continue
             members[record.host] = record
         self.members = members
+
+    def _rebuild_blocked(self) -> None:
+        now = self.now()
+        parts: list[BlockedParts] = []
+        requests: list[RecordedRequest] = []
+        records = self.blocked_store
+        for stored in self.table.iter_prefix(FLEET_BLOCKED_PREFIX):
+            blocked = records.parse(stored)
+            if blocked is None:
+                continue
+            log_blocked('block_recorded', blocked)
+            if isinstance(blocked, BlockedRequest):
+                requests.append(
+                    RecordedRequest(
+                        blocked=blocked, version=stored.version, seen_at=now
+                    )
+                )
+            else:
+                parts.append(blocked)
+        self.breaker.apply_recorded(parts, requests, now)
+        self.metrics.blocked_requests.set(len(requests))
