--- a/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -1,6 +1,7 @@
 """Calls to plain services; calls that are not idempotent run at most once."""
 
 import curio
+from jacinthmount.crash_strikes import Suspect
 from jacinthmount.declarations import Profile
 from jacinthmount.dispatch import (
     Attempt,
@@ -17,6 +18,7 @@
     IdempotencyMismatch,
     JacinthmountError,
     OutcomeUnknown,
+    RequestBlocked,
     StoreConflict,
     StoreUnavailable,
 )
@@ -33,9 +35,15 @@
 )
 from jacinthmount.ports import ABSENT, BackendCall, BackendExchange
 from jacinthmount.records import parse_json, replaced, serialize_json
+from jacinthmount.request_digest import digest_request
 from jacinthmount.routing import EndpointState
 from jacinthmount.stores import new_write_id, write_with_retry
 
+from jacinthmount_node.engines.crash_watch import (
+    CrashWatch,
+    InFlight,
+    refuse_blocked,
+)
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
@@ -62,7 +70,9 @@
         'key_id',
         'method',
         'request_id',
+        'runs',
         'service',
+        'suspect',
         'target',
     )
 
@@ -91,6 +101,12 @@
         self.request_id = request_id
         self.idempotency_key = idempotency_key
         self.deadline = deadline
+        self.suspect = Suspect(
+            request=digest_request(account, service, method, target, body),
+            parts=[],
+        )
+        # Number of endpoints that may have run it.
+        self.runs = 0
 
 
 class PlainAnswer:
@@ -119,11 +135,19 @@
 
     __slots__ = (
         '_capacity',
+        '_crashes',
         '_node',
     )
 
-    def __init__(self, *, node: Node, rooms: EngineCapacity) -> None:
+    def __init__(
+        self,
+        *,
+        node: Node,
+        rooms: EngineCapacity,
+        crashes: CrashWatch,
+    ) -> None:
         self._node = node
+        self._crashes = crashes
         self._capacity = rooms
 
     async def run(self, call: PlainCall, profile: Profile) -> PlainAnswer:
@@ -194,7 +218,7 @@
     ) -> PlainAnswer:
         try:
             answer = await self._run_attempts(call, profile)
-        except DeadlineUnreachable:
+        except (DeadlineUnreachable, RequestBlocked):
             ended = replaced(
                 started,
                 state=CALL_NOT_RUN,
@@ -241,24 +265,28 @@
         repeatable = self._repeatable(call, profile)
         tried: set[str] = set()
         attempts = 0
-        may_have_run = False
         node = self._node
+        is_trial = await self._crashes.admit(call.suspect)
         node.budget.on_request()
         while True:
             try:
-                state = self._choose(call, tried)
+                state = self._next_endpoint(call, tried, is_trial=is_trial)
             except JacinthmountError as exc:
-                raise correct_refusal(exc, may_have_run=may_have_run) from exc
+                raise correct_refusal(exc, may_have_run=call.runs > 0) from exc
             result = await self._attempt(call, state, no_reuse=not repeatable)
             if isinstance(result, PlainAnswer):
                 return result
             tried.add(state.endpoint.name)
-            may_have_run |= result >= Stage.SENT
             time_left = call.deadline > node.now()
             attempts += 1
-            attempts_left = attempts < profile.max_attempts and node.router(
-                call.service,
-            ).worth_retry(result, tried, node.now())
+            attempts_left = (
+                attempts < profile.max_attempts
+                and not is_trial
+                and self._crashes.may_repeat(call.suspect)
+                and node.router(call.service).worth_retry(
+                    result, tried, node.now()
+                )
+            )
             outcome = next_action_within(
                 Attempt(
                     stage=result,
@@ -273,9 +301,16 @@
             )
             if outcome is not NextAction.RETRY:
                 raise correct_refusal(
-                    _failure(outcome), may_have_run=may_have_run
+                    _failure(outcome), may_have_run=call.runs > 0
                 )
 
+    def _next_endpoint(
+        self, call: PlainCall, tried: set[str], *, is_trial: bool
+    ) -> EndpointState:
+        if not is_trial:
+            refuse_blocked(self._node.breaker, call.suspect, call.runs)
+        return self._choose(call, tried)
+
     def _choose(self, call: PlainCall, tried: set[str]) -> EndpointState:
         node = self._node
         if call.key_id:
@@ -312,13 +347,7 @@
                 )
                 answer = await self._exchange(call, exchange)
         except ATTEMPT_ERRORS:
-            now = node.now()
-            state.on_failure(now)
-            if now >= call.deadline:
-                node.stop.note_run(call.service, now - started_at)
-            stage = exchange.stage if exchange else Stage.CONNECTING
-            await _close(exchange)
-            return stage
+            return await self._on_failure(call, state, exchange, started_at)
         except BaseException:
             await _close(exchange)
             raise
@@ -328,8 +357,35 @@
         state.on_success(node.now() - started_at)
         node.stop.note_run(call.service, node.now() - started_at)
         await node.plain.release(exchange)
+        await self._crashes.on_answer(call.suspect)
         return answer
 
+    async def _on_failure(
+        self,
+        call: PlainCall,
+        state: EndpointState,
+        exchange: BackendExchange | None,
+        started_at: float,
+    ) -> Stage:
+        now = self._node.now()
+        state.on_failure(now)
+        if now >= call.deadline:
+            self._node.stop.note_run(call.service, now - started_at)
+        if exchange is None:
+            return Stage.CONNECTING
+        await exchange.close()
+        if exchange.stage >= Stage.SENT:
+            call.runs += 1
+            await self._crashes.on_lost(
+                InFlight(
+                    endpoint=state.endpoint,
+                    request_id=call.request_id,
+                    suspect=call.suspect,
+                    sent_at=started_at,
+                )
+            )
+        return exchange.stage
+
     async def _exchange(
         self,
         call: PlainCall,
--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -4,6 +4,12 @@
 import uuid
 from collections.abc import Iterator
 
+from jacinthmount.crash_breaker import (
+    BlockedParts,
+    BlockedRequest,
+    CrashBreaker,
+    RecordedRequest,
+)
 from jacinthmount.declarations import (
     CONFIG_PREFIX,
     SCHEMAS,
@@ -31,6 +37,11 @@
 from jacinthmount.stop_time import StopTime
 from jacinthmount.table import ConfigTable
 
+from jacinthmount_node.blocked_store import (
+    FLEET_BLOCKED_PREFIX,
+    BlockedStore,
+    log_blocked,
+)
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import Metrics
 
@@ -41,12 +52,12 @@
     """Shared state of one node, which its tasks read and update."""
 
     __slots__ = (
+        'breaker',
         'budget',
         'catalogue',
         'clock',
         'engine',
         'contacts',
-        'incarnation',
         'host_buckets',
         'keyring',
         'loaded',
@@ -81,8 +92,8 @@
         self.engine = engine
         self.plain = plain
         self.rng = rng
-        self.incarnation = uuid.uuid4().hex
         self.metrics = Metrics()
+        self.breaker = CrashBreaker()
         self.table = ConfigTable()
         self.catalogue = Catalogue(records=[])
         self.keyring = Keyring()
@@ -90,7 +101,7 @@
         self.contacts = PeerContacts(now=clock.now())
         self.host_buckets = HostBuckets(
             host=settings.host,
-            incarnation=self.incarnation,
+            incarnation=uuid.uuid4().hex,
         )
         self.routers: dict[str, Router] = {}
         self.budget = RetryBudget(now=clock.now())
@@ -108,6 +119,16 @@
         """Name of this host."""
         return self.settings.host
 
+    @property
+    def blocked_store(self) -> BlockedStore:
+        """Records of the requests on which endpoints crashed."""
+        return BlockedStore(store=self.store, prefix=FLEET_BLOCKED_PREFIX)
+
+    @property
+    def incarnation(self) -> str:
+        """Identifies this run of the process."""
+        return self.host_buckets.incarnation
+
     @property
     def data_centre(self) -> str:
         """Name of the data centre of this host."""
@@ -185,6 +206,8 @@
             self._rebuild_share_tables()
         if any(name.startswith(HOST_PREFIX) for name in names):
             self._rebuild_members()
+        if any(name.startswith(FLEET_BLOCKED_PREFIX) for name in names):
+            self._rebuild_blocked()
         self.metrics.table_revision.set(self.table.revision)
 
     def _apply_key(self, stored: Stored) -> None:
@@ -244,3 +267,24 @@
                 continue
             members[record.host] = record
         self.members = members
+
+    def _rebuild_blocked(self) -> None:
+        now = self.now()
+        parts: list[BlockedParts] = []
+        requests: list[RecordedRequest] = []
+        records = self.blocked_store
+        for stored in self.table.iter_prefix(FLEET_BLOCKED_PREFIX):
+            blocked = records.parse(stored)
+            if blocked is None:
+                continue
+            log_blocked('block_recorded', blocked)
+            if isinstance(blocked, BlockedRequest):
+                requests.append(
+                    RecordedRequest(
+                        blocked=blocked, version=stored.version, seen_at=now
+                    )
+                )
+            else:
+                parts.append(blocked)
+        self.breaker.apply_recorded(parts, requests, now)
+        self.metrics.blocked_requests.set(len(requests))
--- a/packages/jacinthmount/jacinthmount/shares.py
+++ b/packages/jacinthmount/jacinthmount/shares.py
@@ -157,6 +157,11 @@
         self._settled_at: float | None = None
         self.version = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Incarnation of the host whose buckets these are."""
+        return self._slot.incarnation
+
     def slots(self) -> list[str]:
         """Lists the hosts of the table."""
         table = self._table
