Let a stream that resumes wait for a slot (LOST)

Seen by callers: a resumable stream that had lost its endpoint was cut without its end, though the caller had over 4 s left and an endpoint was free within a second, where the other endpoints were full at that moment.

Cause: the limits of a request that has no answer yet, counted from its arrival, were applied to a stream that had begun: after the route's target time one refusal ended it, and it could wait 0.02 s in the queue. The class: a limit that is kept by a name that doesn't fit the state.

Why it works: such a stream tries again, each 0.1 s, and may wait in the queue, for up to 1.5 s after it lost its endpoint, in the bounds of its deadline and of max_attempts. Its caller expects an event within 2 s, and after a cut it could resume elsewhere, so the wait is not longer.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -39,6 +39,10 @@
 MAX_TRIES = 16
 # Pause after all endpoints of a service have refused a request.
 REFUSED_PAUSE_S = 0.03
+# The same for a stream that has begun, and how long it may wait for another
+# endpoint. Its caller expects the next event within 2 s.
+RESUME_PAUSE_S = 0.1
+RESUME_WAIT_S = 1.5
 CONNECT_TIMEOUT_S = 0.25
 # An attempt is aborted after this time without data, if it may be repeated.
 ABORT_UNRESPONSIVE_S = 0.6
@@ -205,12 +209,20 @@
         untried = self._state.placement(use.entry.service).startable(
             call.tried, self._wait_limit_s(call), self._state.now()
         )
-        if call.refusals and not untried:
+        if untried:
+            return
+        if call.has_begun:
+            await curio.sleep(RESUME_PAUSE_S)
+            call.tried.clear()
+        elif call.refusals:
             await curio.sleep(REFUSED_PAUSE_S)
             call.tried.clear()
 
     def _wait_limit_s(self, call: OnlineCall) -> float:
         now = self._state.now()
+        if call.has_begun:
+            until = min(call.resume_until, call.deadline)
+            return max(MIN_ATTEMPT_S, until - now)
         queue_deadline = (
             call.arrived_at + call.route.target_s * QUEUE_TIME_FRACTION
         )
@@ -348,10 +360,7 @@
         time_left = call.deadline - self._state.now() > MIN_ATTEMPT_S
         attempts_left = call.attempts < call.route.max_attempts
         if stage < Stage.SENT:
-            in_time = self._state.now() < call.arrived_at + call.route.target_s
-            attempts_left = call.refusals + len(call.tried) < MAX_TRIES and (
-                in_time or not call.refusals
-            )
+            attempts_left = self._may_try_again(call)
         elif not self._notices.crashes.may_repeat(
             call.service, call.request.shared_parts
         ):
@@ -371,6 +380,8 @@
             outcome = NextAction.FAILED
         if outcome in {NextAction.RETRY, NextAction.RESUME}:
             self._state.metrics.retries.labels(call.route.name).inc()
+            if outcome is NextAction.RESUME:
+                call.resume_until = self._state.now() + RESUME_WAIT_S
             return
         if responder.started:
             responder.abort()
@@ -383,6 +394,14 @@
             ),
         )
 
+    def _may_try_again(self, call: OnlineCall) -> bool:
+        if call.has_begun:
+            return self._state.now() < call.resume_until
+        if call.refusals + len(call.tried) >= MAX_TRIES:
+            return False
+        in_time = self._state.now() < call.arrived_at + call.route.target_s
+        return in_time or not call.refusals
+
     def _queue(self, service: str) -> OnlineQueue:
         queue = self._queues.get(service)
         if queue is None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -12,6 +12,8 @@
 
     ``service`` serves its first attempt. ``assigned_id`` is the id of the
     endpoint that the runner chose for that attempt, or an empty string.
+    ``resume_until`` bounds the wait of a stream that has begun for another
+    endpoint, in monotonic seconds.
     ``events`` counts the events of the current attempt, which has
     ``progressed`` if they show that the endpoint did not crash on its answer.
     """
@@ -31,6 +33,7 @@
         'refusals',
         'progressed',
         'request',
+        'resume_until',
         'route',
         'service',
         'tried',
@@ -66,6 +69,7 @@
         self.last_reply_at = arrived_at
         self.answered_at = arrived_at
         self.endpoint_id = ''
+        self.resume_until = deadline
         self.waited_s = 0.0
         self.attempts = 0
         self.events = 0
@@ -73,6 +77,11 @@
         self.refusals = 0
         self.tried: set[str] = set()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the answer was sent to the caller."""
+        return self.answered_at > self.arrived_at
+
     def may_repeat(self, now: float) -> bool:
         """Checks whether another endpoint may run the request again."""
         return (
