--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -14,6 +14,8 @@
 
     ``service`` serves its first attempt. ``assigned_id`` is the id of the
     endpoint that the runner chose for that attempt, or an empty string.
+    ``resume_until`` bounds the wait of a stream that has begun for another
+    endpoint, in monotonic seconds.
     ``events`` counts the events of the current attempt, which has
     ``progressed`` if they show that the endpoint did not crash on its answer.
     ``suspect`` tells the request from others if an endpoint crashes. The only
@@ -36,6 +38,7 @@
         'refusals',
         'progressed',
         'request',
+        'resume_until',
         'route',
         'service',
         'suspect',
@@ -71,6 +74,7 @@
         self.last_reply_at = arrived_at
         self.answered_at = arrived_at
         self.endpoint_id = ''
+        self.resume_until = deadline
         self.waited_s = 0.0
         self.attempts = 0
         self.events = 0
@@ -89,6 +93,11 @@
             parts=request.shared_parts,
         )
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the answer was sent to the caller."""
+        return self.answered_at > self.arrived_at
+
     def may_repeat(self, now: float) -> bool:
         """Checks whether another endpoint may run the request again."""
         return (
