Restart a component whose task has failed (LOST)

What callers see: a host whose component ended serves on by the configuration, the registrations and the keys that it had, until its process restarts. This is how hosts stopped following the list after one odd entry; the entry was only the trigger.

Cause: a task group of curio that waits for its tasks cancels the others when one fails, but leaves without the error. Components ran their tasks in such groups, so they ended as if they had done their work, and were not restarted. The class is a task that ends silently while its process lives.

Evidence: a group of a failing and a sleeping task is left normally; ten components used one (the new test lists them on the code before).

Change: a group that raises the error of the task that failed first.

--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_runner.py
@@ -15,6 +15,7 @@
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.node import Node
+from jacinthmount_node.parts import PartGroup
 
 __all__ = ('BatchRunner',)
 
@@ -63,7 +64,7 @@
 
     async def run(self) -> None:
         """Runs until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self._claims.run)
             await group.spawn(self._scheduler.run)
             await group.spawn(self._archive.run)
--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine_capacity.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine_capacity.py
@@ -24,6 +24,7 @@
 )
 from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
+from jacinthmount_node.parts import PartGroup
 
 __all__ = ('EngineCapacity',)
 
@@ -74,7 +75,7 @@
 
     async def run(self) -> None:
         """Sends reports and polls owned engines until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self._reporter.run)
             await group.spawn(self._run_refresh)
             await group.spawn(
--- a/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
@@ -29,6 +29,7 @@
 )
 from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
+from jacinthmount_node.parts import PartGroup
 
 __all__ = ('ConfigSync',)
 
@@ -80,7 +81,7 @@
 
     async def run(self) -> None:
         """Watches, pushes and compares digests until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self._run_watch)
             await group.spawn(self._run_push)
             await group.spawn(self._run_digest)
--- a/packages/jacinthmount-node/jacinthmount_node/members/membership.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/membership.py
@@ -14,6 +14,7 @@
 from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.members.share_task import ShareTask
 from jacinthmount_node.node import Node
+from jacinthmount_node.parts import PartGroup
 
 __all__ = ('Membership',)
 
@@ -46,7 +47,7 @@
 
     async def run(self) -> None:
         """Registers, sends heartbeats and cleans up until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self._run_register)
             await group.spawn(self._run_heartbeats)
             await group.spawn(self._run_cleanup)
--- a/packages/jacinthmount-node/jacinthmount_node/members/share_task.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/share_task.py
@@ -25,6 +25,7 @@
 from jacinthmount_node.messages import Give, Ping, Pong
 from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
+from jacinthmount_node.parts import PartGroup
 
 __all__ = ('ShareTask',)
 
@@ -67,7 +68,7 @@
 
     async def run(self) -> None:
         """Pings peers and maintains the slot until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self._run_pings)
             await group.spawn(self._run_table)
             await group.spawn(self._run_confirm)
--- a/packages/jacinthmount-node/jacinthmount_node/parts.py
+++ b/packages/jacinthmount-node/jacinthmount_node/parts.py
@@ -2,12 +2,13 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from types import TracebackType
 
 import curio
 
 from jacinthmount_node.logs import log_failure
 
-__all__ = ('Part', 'run_parts')
+__all__ = ('Part', 'PartGroup', 'run_parts')
 
 Part = Callable[[], Awaitable[None]]
 
@@ -24,6 +25,28 @@
         self.received = True
 
 
+class PartGroup(curio.TaskGroup):
+    """Tasks of one component.
+
+    The first one that fails ends the others, and its error leaves the group, so
+    that the component is restarted; a plain task group would only end.
+    """
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Waits for the tasks, or cancels them after an error.
+
+        :raises BaseException: that of the first task that failed.
+        """
+        await super().__aexit__(kind, exc, trace)
+        if exc is None and self.exception is not None:
+            raise self.exception
+
+
 async def run_parts(
     parts: dict[str, Part],
     leave: Part,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -13,6 +13,7 @@
 from jacinthmount.records import parse_json
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.parts import PartGroup
 from jacinthmount_node.relay.batch_cleanup import run_cleanup
 from jacinthmount_node.relay.batch_jobs import (
     BatchJob,
@@ -130,7 +131,7 @@
 
     async def run(self) -> None:
         """Works until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self._watch.run)
             await group.spawn(self._outage_refresh.run)
             await group.spawn(self._run_checks)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_notices.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_notices.py
@@ -1,8 +1,7 @@
 """What answers and losses tell of endpoints, shared with other hosts."""
 
-import curio
-
 from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.parts import PartGroup
 from jacinthmount_node.relay.crash_evidence import CrashEvidence
 from jacinthmount_node.relay.endpoint_limits import EndpointLimits
 from jacinthmount_node.relay.host_news import HostNews
@@ -33,6 +32,6 @@
 
     async def run(self) -> None:
         """Exchanges both with other hosts until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self.crashes.run)
             await group.spawn(self.limits.run)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -6,6 +6,7 @@
 from jacinthmount.rate_shares import ShareReport
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.parts import PartGroup
 from jacinthmount_node.relay.active_runner import ActiveRunner
 from jacinthmount_node.relay.messages import (
     EndpointUseReport,
@@ -75,7 +76,7 @@
 
     async def run(self) -> None:
         """Reports until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self._report_at_intervals)
             await group.spawn(self._report_on_change)
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/store_probe.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/store_probe.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from jacinthmount_node.parts import PartGroup
 from jacinthmount_node.relay.object_watch import ObjectWatch
 from jacinthmount_node.relay.state import RelayState
 
@@ -38,7 +39,7 @@
 
     async def run(self) -> None:
         """Probes until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             await group.spawn(self._run_outages)
             if self._state.settings.runs_batches:
                 await group.spawn(self._run_refresh)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -16,6 +16,7 @@
 from jacinthmount.records import serialize_json
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.parts import PartGroup
 from jacinthmount_node.relay.blocked_parts import (
     BLOCKED_PREFIX,
     BlockedPartRecords,
@@ -134,7 +135,7 @@
 
     async def run(self) -> None:
         """Follows the store, and peers during an outage, until cancelled."""
-        async with curio.TaskGroup() as group:
+        async with PartGroup() as group:
             for watch in self._watches():
                 await group.spawn(watch.run)
             await group.spawn(self._keep_registered)
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,73 @@
+"""Components of a process that fail."""
+
+import os
+import signal
+from pathlib import Path
+
+import curio
+import pytest
+from jacinthmount_node import parts
+
+
+@pytest.fixture
+def run_until_restarted():
+    """Runs a component until it was started three times.
+
+    The signal handlers of the test process are kept.
+    """
+    starts = []
+
+    async def leave():
+        """Has nothing to do."""
+
+    def run(component):
+        async def start():
+            starts.append(len(starts))
+            if len(starts) > 2:
+                os.kill(os.getpid(), signal.SIGTERM)
+                await curio.sleep(60)
+            await component()
+
+        curio.run(
+            curio.timeout_after,
+            5.0,
+            lambda: parts.run_parts(
+                {'part': start}, leave, restart_pause_s=0.01, poll_s=0.01
+            ),
+        )
+        return len(starts)
+
+    numbers = (signal.SIGTERM, signal.SIGINT)
+    handlers = [signal.getsignal(number) for number in numbers]
+    yield run
+    for number, handler in zip(numbers, handlers, strict=True):
+        signal.signal(number, handler)
+
+
+def test_part_whose_task_fails_ends_for_good(run_until_restarted):
+    """Guards against a component that ends as if it had done its work.
+
+    A task group of curio ends without the error of its task.
+    """
+
+    async def fail():
+        await curio.sleep(0.01)
+        raise ValueError
+
+    async def component():
+        async with parts.PartGroup() as group:
+            await group.spawn(fail)
+            await group.spawn(curio.sleep, 60)
+
+    assert run_until_restarted(component) == 3
+
+
+def test_components_use_groups_that_pass_errors_on():
+    """No component uses a plain group that waits for its tasks."""
+    modules = Path(parts.__file__).parent.rglob('*.py')
+    found = [
+        module.name
+        for module in modules
+        if 'curio.TaskGroup()' in module.read_text()
+    ]
+    assert not found
