Restart a component that a time-out of curio ended (LOST)

A TaskTimeout of curio is no Exception, so a component that it left was not restarted. test_part_that_times_out_ends_for_good failed before.

--- a/packages/jacinthmount-node/jacinthmount_node/parts.py
+++ b/packages/jacinthmount-node/jacinthmount_node/parts.py
@@ -82,6 +82,6 @@
         try:
             await part()
             return
-        except Exception as exc:
+        except (Exception, curio.TaskTimeout) as exc:
             log_failure(name, exc)
             await curio.sleep(pause_s)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -44,6 +44,18 @@
         signal.signal(number, handler)
 
 
+def test_part_that_times_out_ends_for_good(run_until_restarted):
+    """Guards against a part that ends while its process lives on.
+
+    A time-out of curio is no ``Exception``.
+    """
+
+    async def component():
+        raise curio.TaskTimeout
+
+    assert run_until_restarted(component) == 3
+
+
 def test_part_whose_task_fails_ends_for_good(run_until_restarted):
     """Guards against a component that ends as if it had done its work.
 
