--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -8,7 +8,7 @@
 from jacinthmount.placement import EndpointUse
 from jacinthmount.run_forecast import RunForecast
 
-from jacinthmount_node.logs import log_event
+from jacinthmount_node.logs import log_event, log_failure
 from jacinthmount_node.relay.item_runs import ItemRunner, RunEnd
 from jacinthmount_node.relay.runner_capacity import RunnerCapacity
 from jacinthmount_node.relay.state import RelayState
@@ -18,6 +18,8 @@
 # A run without an event for this long is stopped.
 STALL_TIMEOUT_S = 2.5
 LOAD_CHANGE_INTERVAL_S = 0.005
+# Pause after a run that ended by an unexpected error, before the next one.
+FAILED_RUN_PAUSE_S = 1.0
 
 FindService = Callable[[ItemRun], str | None]
 OnEnd = Callable[[ItemRun, RunEnd], Awaitable[None]]
@@ -244,6 +246,9 @@
         except curio.CancelledError:
             # Preempted, stalled or removed; the received events are kept.
             outcome = RunEnd.LOST
+        except Exception as exc:
+            log_failure(f'item {run.item_id}', exc)
+            await curio.sleep(FAILED_RUN_PAUSE_S)
         self._capacity.end(run)
         self._record_pace(run, events_before, outcome)
         if self._tasks.get(run.item_id) is await curio.current_task():
--- a/tests/test_run_scheduler.py
+++ b/tests/test_run_scheduler.py
@@ -6,6 +6,7 @@
 import pytest
 from jacinthmount.memory import ManualClock
 from jacinthmount.stores import MemoryStore
+from jacinthmount_node.relay import run_scheduler
 from jacinthmount_node.relay.messages import HostReport
 from jacinthmount_node.relay.run_scheduler import RunScheduler
 from jacinthmount_node.relay.runner_capacity import SETTLE_S, RunnerCapacity
@@ -27,6 +28,8 @@
     async def run(self, run, use):
         """See :meth:`~jacinthmount_node.relay.item_runs.ItemRunner.run`."""
         self.begun.append((run.item_id, run.last_event))
+        if run.item_id == 'odd':
+            raise ValueError('it can not be sent')
         run.texts.append('event')
         run.last_event = len(run.texts)
         await curio.sleep(60)
@@ -102,3 +105,21 @@
 
     curio.run(play)
     assert bench.endpoint.begun == [('a', None), ('a', 1)]
+
+
+def test_item_that_can_not_be_sent_keeps_its_slot(bench, monkeypatch):
+    """Guards against runs that end by an error that nobody expects."""
+    monkeypatch.setattr(run_scheduler, 'FAILED_RUN_PAUSE_S', 0.01)
+
+    async def play():
+        bench.scheduler.add(make_run('odd'))
+        await bench.settle()
+        for name in ('a', 'b'):
+            bench.scheduler.add(make_run(name))
+        await bench.settle()
+        bench.scheduler.stopped = True
+        await bench.scheduler.clear()
+
+    curio.run(play)
+    begun = [name for name, _ in bench.endpoint.begun]
+    assert {'a', 'b'} <= set(begun)
