--- a/tests/test_run_scheduler.py
+++ b/tests/test_run_scheduler.py
@@ -6,7 +6,6 @@
 import pytest
 from jacinthmount.memory import ManualClock
 from jacinthmount.stores import MemoryStore
-from jacinthmount_node.relay import run_scheduler
 from jacinthmount_node.relay.messages import HostReport
 from jacinthmount_node.relay.run_scheduler import RunScheduler
 from jacinthmount_node.relay.runner_capacity import SETTLE_S, RunnerCapacity
@@ -109,7 +108,9 @@
 
 def test_item_that_can_not_be_sent_keeps_its_slot(bench, monkeypatch):
     """Guards against runs that end by an error that nobody expects."""
-    monkeypatch.setattr(run_scheduler, 'FAILED_RUN_PAUSE_S', 0.01)
+    monkeypatch.setattr(
+        'jacinthmount_node.relay.run_scheduler.FAILED_RUN_PAUSE_S', 0.01
+    )
 
     async def play():
         bench.scheduler.add(make_run('odd'))
