Take an unusable address for a failed connection (LOST)

A port out of range or no digits raised an OverflowError or ValueError, which the tasks that connect do not expect; they ended, or the caller got a 500. test_unusable_address_ends_the_caller_of_connect failed before in four cases.

--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -121,6 +121,9 @@
         if local_ip:
             sock.bind((local_ip, 0))
         await sock.connect(parse_address(address))
+    except (ValueError, OverflowError) as exc:
+        await sock.close()
+        raise OSError(f'unusable address {address!r}') from exc
     except BaseException:
         await sock.close()
         raise
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 from curio.io import Socket
-from jacinthmount_node.net.sockets import abort_socket
+from jacinthmount_node.net.sockets import abort_socket, connect
 
 
 @pytest.fixture
@@ -33,3 +33,13 @@
     curio.run(local.close)
     abort_socket(local)
     assert not remote.recv(1)
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['127.0.0.1:99999', '127.0.0.1:', '127.0.0.1:\xb2', '127.0.0.1:-1'],
+)
+def test_unusable_address_ends_the_caller_of_connect(address):
+    """Guards tasks that expect a failed connection and nothing else."""
+    with pytest.raises(OSError, match='unusable address'):
+        curio.run(connect, address)
