--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -287,11 +287,19 @@
     async def _report_singly(self, changed: list[Stored]) -> None:
         # The objects are stored, so no later listing would report them.
         for stored in changed:
+            if not self._is_current(stored):
+                # What came meanwhile was reported already.
+                continue
             try:
                 await self._on_change(self, [stored])
             except Exception as exc:
                 log_failure(f'object {stored.name}', exc)
 
+    def _is_current(self, stored: Stored) -> bool:
+        if stored.body is None:
+            return stored.name not in self._objects
+        return self._objects.get(stored.name) == stored
+
     def _note_outage(self, exc: StoreUnavailable) -> None:
         if not self.in_outage:
             log_event('store_lost', prefix=self.prefix, detail=exc.detail)
--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -268,3 +268,35 @@
 
     curio.run(run_for, watch, 0.05, change)
     assert 'things/b' in handled
+
+
+def test_older_version_is_reported_after_a_newer_one(store):
+    """Guards against a report one by one that a refresh overtakes."""
+    handled = []
+
+    async def handle(watch, changed):
+        if len(changed) > 1:
+            raise OverflowError
+        stored = changed[0]
+        handled.append((stored.name, stored.body))
+        if stored.body == 'odd':
+            await store.write('things/2', 'newer', store.versions['things/2'])
+            await watch.refresh()
+
+    watch = ObjectWatch(
+        store=store,
+        prefix='things/',
+        on_change=handle,
+        rng=random.Random(1),
+    )
+
+    async def play():
+        store.versions = {
+            name: await store.write(name, body, ABSENT)
+            for name, body in (('things/1', 'odd'), ('things/2', 'older'))
+        }
+        await watch.refresh()
+
+    curio.run(play)
+    assert ('things/2', 'newer') in handled
+    assert ('things/2', 'older') not in handled
