--- a/tests/test_run_scheduler.py
+++ b/tests/test_run_scheduler.py
@@ -27,6 +27,8 @@
     async def run(self, run, use):
         """See :meth:`~jacinthmount_node.relay.item_runs.ItemRunner.run`."""
         self.begun.append((run.item_id, run.last_event))
+        if run.item_id == 'odd':
+            raise ValueError('it can not be sent')
         run.texts.append('event')
         run.last_event = len(run.texts)
         await curio.sleep(60)
@@ -102,3 +104,23 @@
 
     curio.run(play)
     assert bench.endpoint.begun == [('a', None), ('a', 1)]
+
+
+def test_item_that_can_not_be_sent_keeps_its_slot(bench, monkeypatch):
+    """Guards against runs that end by an error that nobody expects."""
+    monkeypatch.setattr(
+        'jacinthmount_node.relay.run_scheduler.FAILED_RUN_PAUSE_S', 0.01
+    )
+
+    async def play():
+        bench.scheduler.add(make_run('odd'))
+        await bench.settle()
+        for name in ('a', 'b'):
+            bench.scheduler.add(make_run(name))
+        await bench.settle()
+        bench.scheduler.stopped = True
+        await bench.scheduler.clear()
+
+    curio.run(play)
+    begun = [name for name, _ in bench.endpoint.begun]
+    assert {'a', 'b'} <= set(begun)
