--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_runner.py
@@ -11,6 +11,7 @@
 from jacinthmount_node.batches.batch_state import BatchState
 from jacinthmount_node.batches.files_api import FileApi
 from jacinthmount_node.batches.prefix_watch import PrefixWatch
+from jacinthmount_node.engines.crash_watch import CrashWatch
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.members.config_sync import ConfigSync
@@ -38,6 +39,7 @@
         files: FileApi,
         sync: ConfigSync,
         events: CacheEvents,
+        crashes: CrashWatch,
     ) -> None:
         self._batch_state = BatchState(node=node, rooms=rooms)
         self._prefixes = PrefixWatch(
@@ -51,6 +53,7 @@
             rooms=rooms,
             batch_state=self._batch_state,
             prefixes=self._prefixes,
+            crashes=crashes,
         )
         self._claims = BatchClaims(
             node=node,
--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_scheduler.py
@@ -13,7 +13,9 @@
 from jacinthmount_node.batches.batch_items import run_item
 from jacinthmount_node.batches.batch_state import BatchState
 from jacinthmount_node.batches.prefix_watch import PrefixWatch
+from jacinthmount_node.engines.crash_watch import CrashWatch
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.node import Node
 
 __all__ = ('BatchScheduler',)
@@ -44,6 +46,7 @@
 
     __slots__ = (
         '_batch_state',
+        '_crashes',
         '_node',
         '_prefixes',
         '_capacity',
@@ -59,7 +62,9 @@
         rooms: EngineCapacity,
         batch_state: BatchState,
         prefixes: PrefixWatch,
+        crashes: CrashWatch,
     ) -> None:
+        self._crashes = crashes
         self._prefixes = prefixes
         self._node = node
         self._capacity = rooms
@@ -150,16 +155,18 @@
             if candidate.service == endpoint.service
         ]
         chosen = None
-        newest = -math.inf
+        best = (-math.inf, -math.inf)
         look_ahead = self._node.settings.batch_look_ahead
         tracker = self._prefixes.tracker(endpoint.name)
         for item in itertools.islice(chunk.pending, look_ahead):
-            # Prefers the prefix that the engine used last: it is likely still
-            # in its cache, which saves work.
+            # An item that ended endpoints before goes after the others. Of
+            # these, prefers the prefix that the engine used last: it is likely
+            # still in its cache, which saves work.
             used_at = tracker.used_at(item.prefix, now) or 0
-            if used_at > newest and self._may_run(item, endpoint, names):
+            rank = (-self._suspects.count_failures(item.name), used_at)
+            if rank > best and self._may_run(item, endpoint, names):
                 chosen = item
-                newest = used_at
+                best = rank
         if chosen is not None:
             chunk.pending.remove(chosen)
             tracker.on_sent(chosen.prefix, now)
@@ -249,7 +256,17 @@
         return False
 
     async def _on_death(self, item: BatchItem, endpoint: Endpoint) -> bool:
-        failed = self._suspects.on_endpoint_lost(endpoint.name)
+        crashed = await self._crashes.has_crashed(endpoint)
+        failed = self._suspects.on_endpoint_lost(endpoint.name, crashed=crashed)
+        pause_s = self._suspects.rerun_pause_s(item.name)
+        log_event(
+            'item_lost',
+            item=item.name,
+            endpoint=endpoint.name,
+            crashed=crashed,
+            pause_s=pause_s,
+        )
+        item.not_before = self._node.now() + max(RETRY_PAUSE_S, pause_s)
         if item.name not in failed:
             return False
         await self._finish_item(
@@ -258,7 +275,7 @@
                 line=item.line,
                 state=FAILED,
                 status=0,
-                body='endpoints died while the item ran on them',
+                body='connections were lost while the item ran',
                 code=EndpointFailed.code,
             ),
         )
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -123,6 +123,7 @@
             files=files,
             sync=self._sync,
             events=EngineCacheEvents(pool=pool),
+            crashes=self._crashes,
         )
         batches = BatchApi(node=node, files=files, sync=self._sync)
         self._front = Front(
--- a/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
@@ -4,7 +4,7 @@
 
 import h11
 from jacinthmount.dispatch import Stage
-from jacinthmount.errors import EndpointFailed, EndpointLost
+from jacinthmount.errors import EndlessAnswer, EndpointFailed, EndpointLost
 from jacinthmount.ports import Backend, BackendCall, BackendExchange
 
 from jacinthmount_node.net.http_client import ClientPool, Exchange
@@ -68,7 +68,7 @@
         """Sends a call with these headers and reads the response head."""
         with self.track_stage():
             await self.http.send(call.method, call.target, headers, call.body)
-            await self.http.read_head()
+            await self._read_head()
         self.status = self.http.status
         self.headers = self.http.headers
 
@@ -81,6 +81,16 @@
         if answered_id != call.request_id:
             raise EndpointFailed(detail='response to another request')
 
+    async def _read_head(self) -> None:
+        try:
+            await self.http.read_head()
+        except EndlessAnswer:
+            raise
+        except EndpointFailed as exc:
+            if self.http.stage < Stage.ANSWERING:
+                raise EndpointLost(detail=exc.detail) from exc
+            raise
+
 
 class HttpBackend(Backend):
     """Endpoints over HTTP/1.1."""
--- a/packages/jacinthmount-node/jacinthmount_node/engines/crash_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/crash_watch.py
@@ -137,6 +137,14 @@
         else:
             await curio.spawn(self._check_again, lost, lost_at, daemon=True)
 
+    async def has_crashed(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint that was lost has crashed."""
+        if self._is_planned_end(endpoint):
+            return False
+        return await self._is_down(endpoint) or await self._is_down_soon(
+            endpoint
+        )
+
     async def on_strikes(self, news: Strikes) -> Strikes:
         """Merges the strikes of another host.
 
@@ -154,12 +162,16 @@
         return Strikes(strikes=strikes, asks=False)
 
     async def _check_again(self, lost: InFlight, lost_at: float) -> None:
+        if await self._is_down_soon(lost.endpoint):
+            await self._record_crash(lost, lost_at)
+
+    async def _is_down_soon(self, endpoint: Endpoint) -> bool:
         # A process that ends may close its connections before its listener.
         for pause_s in CONNECT_PAUSES_S:
             await curio.sleep(pause_s)
-            if await self._is_down(lost.endpoint):
-                await self._record_crash(lost, lost_at)
-                return
+            if await self._is_down(endpoint):
+                return True
+        return False
 
     async def _record_crash(self, lost: InFlight, lost_at: float) -> None:
         name = lost.endpoint.name
--- a/packages/jacinthmount-standin/jacinthmount_standin/engine.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/engine.py
@@ -222,7 +222,7 @@
         body = parse_json_object(raw_body)
         request_id = request.headers.get('x-request-id', '')
         self._counts[request_id] = self._counts.get(request_id, 0) + 1
-        if POISON in raw_body.decode():
+        if POISON in raw_body.decode() and not self._switches.read('mended'):
             await curio.sleep(self._token_s)
             os._exit(EXIT_KILLED)
         if self._model.loading():
