--- a/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -266,13 +266,15 @@
         tried: set[str] = set()
         attempts = 0
         node = self._node
-        is_trial = await self._crashes.admit(call.suspect)
+        is_trial = self._crashes.admit(call.suspect)
         node.budget.on_request()
         while True:
             try:
                 state = self._next_endpoint(call, tried, is_trial=is_trial)
             except JacinthmountError as exc:
                 raise correct_refusal(exc, may_have_run=call.runs > 0) from exc
+            if is_trial:
+                await self._crashes.begin_trial(call.suspect)
             result = await self._attempt(call, state, no_reuse=not repeatable)
             if isinstance(result, PlainAnswer):
                 return result
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -109,7 +109,7 @@
         :raises JacinthmountError: the request is refused or failed before
             any part of an answer was sent.
         """
-        call.is_trial = await self._crashes.admit(call.suspect)
+        call.is_trial = self._crashes.admit(call.suspect)
         gate = self._gate(call.service)
         progress = _Progress(now=call.arrived_at)
         self._node.budget.on_request()
@@ -124,6 +124,8 @@
             progress.attempts += 1
             try:
                 self._fit_deadline(call, progress)
+                if call.is_trial:
+                    await self._crashes.begin_trial(call.suspect)
                 failed = await self._attempt(
                     call,
                     profile,
--- a/packages/jacinthmount-node/jacinthmount_node/engines/crash_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/crash_watch.py
@@ -1,6 +1,6 @@
 """Requests in flight at crashes of endpoints, on the first interface."""
 
-import uuid
+import time
 
 import curio
 from jacinthmount.crash_breaker import CrashBreaker
@@ -20,6 +20,7 @@
 from jacinthmount_node.net.http_client import ClientPool
 from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
+from jacinthmount_node.parts import PartGroup
 
 __all__ = ('CrashWatch', 'InFlight', 'refuse_blocked')
 
@@ -28,6 +29,8 @@
 NEWS_TIMEOUT_S = 0.3
 # Repairs what hosts missed while they were cut off or restarted.
 EXCHANGE_INTERVAL_S = 2.0
+# An endpoint crashes once in this time at most.
+CRASH_WINDOW_S = 1.0
 WRITE_INTERVAL_S = 0.5
 # A request that was in flight at so many crashes is not repeated.
 MAX_CRASHES_TO_REPEAT = 2
@@ -97,21 +100,28 @@
             await group.spawn(self._run_exchange)
             await group.spawn(self._run_records)
 
-    async def admit(self, suspect: Suspect) -> bool:
+    def admit(self, suspect: Suspect) -> bool:
         """Refuses a request that crashes endpoints, unless it may be tried.
 
-        :returns: whether it is blocked, but sent once more as a trial.
+        :returns: whether it is blocked, but may be sent as a trial.
         :raises RequestBlocked: it is blocked.
         """
+        breaker = self._node.breaker
+        if breaker.may_try(suspect.request, self._node.now()):
+            return True
+        refuse_blocked(breaker, suspect, 0)
+        return False
+
+    async def begin_trial(self, suspect: Suspect) -> None:
+        """Counts a trial that is about to be sent.
+
+        :raises RequestBlocked: another host has begun one.
+        """
         node = self._node
-        if node.breaker.find_blocked_request(suspect.request) is None:
-            return False
-        if await node.blocked_store.begin_trial(
+        if not await node.blocked_store.begin_trial(
             node.breaker, suspect.request, node.now()
         ):
-            return True
-        refuse_blocked(node.breaker, suspect, 0)
-        return False
+            refuse_blocked(node.breaker, suspect, 0)
 
     def may_repeat(self, suspect: Suspect) -> bool:
         """Returns whether a request may be sent to another endpoint."""
@@ -178,7 +188,7 @@
         known = self._crashes.get(name)
         # What was sent before a crash was observed was in flight at it.
         if known is None or lost.sent_at > known.observed_at:
-            crash_id = f'{name}/{uuid.uuid4().hex}'
+            crash_id = _make_crash_id(name)
             self._note_crash(name, crash_id, lost_at)
         strikes = self._node.breaker.note_crash(
             lost.endpoint.service,
@@ -301,6 +311,11 @@
         return reply if isinstance(reply, Strikes) else None
 
 
+def _make_crash_id(name: str) -> str:
+    # The same at all hosts that see the crash before they hear of it.
+    return f'{name}/{int(time.time() // CRASH_WINDOW_S)}'
+
+
 def refuse_blocked(
     breaker: CrashBreaker, suspect: Suspect, attempts: int
 ) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -22,7 +22,6 @@
     error_body,
 )
 from jacinthmount_node.relay.batch_api import BatchApi
-from jacinthmount_node.relay.blocked_records import begin_trial
 from jacinthmount_node.relay.crash_evidence import find_blocked_error
 from jacinthmount_node.relay.online import OnlineRelay
 from jacinthmount_node.relay.online_call import OnlineCall
@@ -167,7 +166,7 @@
         deadline=_find_deadline(call, route, front, arrived_at),
         service=route.pick_service(front.state.rng),
     )
-    await _refuse_if_blocked(front.state, online)
+    _refuse_if_blocked(front.state, online)
     if account is not None:
         online.assigned_id = await front.quota.take(
             account,
@@ -178,7 +177,7 @@
     _log_served(front, online, responder)
 
 
-async def _refuse_if_blocked(state: RelayState, online: OnlineCall) -> None:
+def _refuse_if_blocked(state: RelayState, online: OnlineCall) -> None:
     """Refuses a request that crashes endpoints, unless it may be tried.
 
     :raises JacinthmountError: the request is blocked, or its prompt.
@@ -186,9 +185,13 @@
     exc = find_blocked_error(state, online.service, online.suspect, 0)
     if exc is None:
         return
-    parts = online.suspect.parts
-    if state.breaker.find_blocked_parts(online.service, parts) is None:
-        online.is_trial = await begin_trial(state, online.suspect.request)
+    breaker, suspect = state.breaker, online.suspect
+    online.is_trial = (
+        # What follows a part of an answer would show nothing.
+        online.last_event is None
+        and breaker.find_blocked_parts(online.service, suspect.parts) is None
+        and breaker.may_try(suspect.request, state.now())
+    )
     if not online.is_trial:
         raise exc
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -22,6 +22,7 @@
     Exchange,
 )
 from jacinthmount_node.net.http_server import Responder
+from jacinthmount_node.relay.blocked_records import begin_trial
 from jacinthmount_node.relay.crash_evidence import find_blocked_error
 from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_responses import count_endless
@@ -135,7 +136,7 @@
             call.waited_s = started_at - call.arrived_at
             try:
                 await self._report_start(call)
-                self._recheck(call, started_at, responder)
+                await self._recheck(call, started_at, responder)
                 stage = await self._attempt(call, use, responder)
                 if stage is not None:
                     await self._wait_if_all_full(call, use)
@@ -228,7 +229,7 @@
         )
         return max(MIN_ATTEMPT_S, min(queue_deadline, call.deadline) - now)
 
-    def _recheck(
+    async def _recheck(
         self,
         call: OnlineCall,
         now: float,
@@ -244,7 +245,7 @@
             stop.raise_if_too_late(now, call.deadline - now, call.route.name)
         call.deadline = min(call.deadline, stop.ends_at)
         self._recheck_key(call)
-        self._recheck_crashes(call, responder)
+        await self._recheck_crashes(call, responder)
 
     def _recheck_key(self, call: OnlineCall) -> None:
         # The key may have been withdrawn while the request was queued.
@@ -255,12 +256,18 @@
                 detail='key was withdrawn while the request waited'
             )
 
-    def _recheck_crashes(self, call: OnlineCall, responder: Responder) -> None:
+    async def _recheck_crashes(
+        self, call: OnlineCall, responder: Responder
+    ) -> None:
         # Endpoints may have crashed on it while the request waited.
         exc = find_blocked_error(
             self._state, call.service, call.suspect, call.attempts
         )
-        if exc is None or call.is_trial:
+        if exc is None:
+            return
+        if call.is_trial and await begin_trial(
+            self._state, call.suspect.request
+        ):
             return
         if responder.started:
             responder.abort()
--- a/packages/jacinthmount/jacinthmount/crash_breaker.py
+++ b/packages/jacinthmount/jacinthmount/crash_breaker.py
@@ -212,6 +212,11 @@
             return recorded.blocked
         return self._requests_by_strikes.get(request)
 
+    def may_try(self, request: str, now: float) -> bool:
+        """Returns whether a blocked request may be sent once more."""
+        recorded = self._recorded_requests.get(request)
+        return recorded is not None and recorded.may_try(now)
+
     def find_recorded(self, request: str) -> RecordedRequest | None:
         """Finds the record of a blocked request, or None."""
         return self._recorded_requests.get(request)
