--- a/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -1,5 +1,7 @@
 """Calls to plain services; calls that are not idempotent run at most once."""
 
+from http import HTTPStatus
+
 import curio
 from jacinthmount.crash_strikes import Suspect
 from jacinthmount.declarations import Profile
@@ -359,7 +361,8 @@
         state.on_success(node.now() - started_at)
         node.stop.note_run(call.service, node.now() - started_at)
         await node.plain.release(exchange)
-        await self._crashes.on_answer(call.suspect)
+        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            await self._crashes.on_answer(call.suspect)
         return answer
 
     async def _on_failure(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/crash_evidence.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/crash_evidence.py
@@ -86,6 +86,7 @@
 
     __slots__ = (
         '_blocked',
+        '_answered',
         '_checks',
         '_news',
         '_pool',
@@ -106,6 +107,8 @@
         self._blocked: list[BlockedParts | BlockedRequest] = []
         # Losses that wait for evidence, by lifetime of the endpoint.
         self._checks: dict[str, list[_Loss]] = {}
+        # Digests of recorded requests that were answered completely.
+        self._answered: set[str] = set()
         # Digests of requests whose endpoint may refuse connections soon.
         self._undecided: set[str] = set()
 
@@ -115,6 +118,11 @@
             await curio.sleep(EXCHANGE_INTERVAL_S)
             if self._state.breaker.has_suspects():
                 await self._exchange()
+            for request in list(self._answered):
+                # Repeated until the change of the store is known here.
+                await remove_record(self._state, request)
+                if self._state.breaker.find_recorded(request) is None:
+                    self._answered.discard(request)
 
     async def on_events(
         self, service: str, suspect: Suspect, events: int
@@ -138,7 +146,7 @@
         if cleared:
             await self._publish(cleared)
         if self._state.breaker.find_recorded(suspect.request) is not None:
-            await remove_record(self._state, suspect.request)
+            self._answered.add(suspect.request)
 
     async def on_lost(
         self,
@@ -156,16 +164,9 @@
         loss = _Loss(
             use=use, request_id=request_id, suspect=suspect, events=events
         )
-        if await self._is_down(use):
-            await self._record_crash(loss)
-            return
-        losses = self._checks.setdefault(loss.lifetime, [])
-        losses.append(loss)
-        self._undecided.add(suspect.request)
-        if len(losses) == 1:
-            await curio.spawn(
-                self._check_again, use, loss.lifetime, daemon=True
-            )
+        # The caller may go, which cancels only the wait.
+        check = await curio.spawn(self._check, loss, daemon=True)
+        await check.wait()
 
     def may_repeat(self, service: str, suspect: Suspect) -> bool:
         """Returns whether a request may be sent to another endpoint."""
@@ -200,16 +201,34 @@
                 log_blocked('suspects_unblocked', blocked)
         self._blocked = after
 
+    async def _check(self, loss: _Loss) -> None:
+        if await self._is_down(loss.use):
+            await self._record_crash(loss)
+            return
+        losses = self._checks.setdefault(loss.lifetime, [])
+        losses.append(loss)
+        self._undecided.add(loss.suspect.request)
+        if len(losses) == 1:
+            await curio.spawn(
+                self._check_again, loss.use, loss.lifetime, daemon=True
+            )
+
     async def _check_again(self, use: EndpointUse, lifetime: str) -> None:
-        is_crash = await self._refuses_soon(use)
-        if not is_crash:
-            self._decide(self._checks[lifetime])
-            is_crash = await self._is_replaced_soon(use)
-        losses = self._checks.pop(lifetime)
+        losses = self._checks[lifetime]
+        is_crash = False
+        try:
+            is_crash = await self._refuses_soon(use)
+            if not is_crash:
+                self._decide(losses)
+                is_crash = await self._is_replaced_soon(use)
+        finally:
+            self._checks.pop(lifetime)
+            if not is_crash:
+                self._decide(losses)
         if is_crash:
             for loss in losses:
                 await self._record_crash(loss)
-        self._decide(losses)
+            self._decide(losses)
 
     def _decide(self, losses: list[_Loss]) -> None:
         self._undecided.difference_update(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -128,9 +128,11 @@
         """
         breaker = self._state.breaker
         suspect = self._suspect(run)
+        is_undecided = self._notices.crashes.is_undecided(suspect)
+        if breaker.is_idle and not is_undecided:
+            return False
         wait_s = breaker.rerun_wait_s(suspect.request, self._state.now())
         parts = breaker.find_blocked_parts(service, suspect.parts)
-        is_undecided = self._notices.crashes.is_undecided(suspect)
         is_blocked = wait_s > 0 or is_undecided or parts is not None
         if is_blocked and run.item_id not in self._blocked:
             if len(self._blocked) >= MAX_LOGGED_WAITS:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -85,7 +85,7 @@
         self.suspect = Suspect(
             request=digest_request(
                 account,
-                request.host_name,
+                route.name,
                 request.method,
                 request.target,
                 body,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
@@ -35,6 +35,12 @@
 ))
 
 
+def _shows_soundness(status: int) -> bool:
+    """Returns whether the endpoint dealt with the request itself."""
+    is_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    return not is_error and status not in NOT_RUN_STATUSES
+
+
 class AttemptRefused(Exception):
     """The endpoint reported that it did not run the request.
 
@@ -130,8 +136,11 @@
         responder: Responder,
     ) -> None:
         body = await exchange.read_body()
-        await self._notices.crashes.on_answer(use.entry.service, call.suspect)
         status = exchange.status
+        if call.last_event is None and _shows_soundness(status):
+            await self._notices.crashes.on_answer(
+                use.entry.service, call.suspect
+            )
         if responder.started:
             raise EndpointFailed(detail=f'status {status} on resuming a stream')
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR and call.may_repeat(
--- a/packages/jacinthmount/jacinthmount/crash_breaker.py
+++ b/packages/jacinthmount/jacinthmount/crash_breaker.py
@@ -36,6 +36,8 @@
 MIN_CRASHES = 3
 # Crashes that so many requests explain are not blamed on a part.
 MAX_EXPLAINING_REQUESTS = 2
+# Crashes that are searched for requests that explain them.
+MAX_EXPLAINED_CRASHES = 6
 # Times that a blocked request may be sent to an endpoint again, over all hosts
 # and for as long as its record exists.
 MAX_TRIALS = 2
@@ -126,6 +128,11 @@
             or self._recorded_requests
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is blocked and there are no strikes."""
+        return self.is_closed and not self._table.has_strikes
+
     def note_progress(
         self, service: str, suspect: Suspect, now: float
     ) -> list[CrashStrike]:
@@ -298,6 +305,10 @@
             if len(self._table.crashes(request)) >= MIN_CRASHES
         }
         part_crashes = self._table.part_crashes
+        blamed: dict[frozenset[str], bool] = {}
+        for group in map(frozenset, part_crashes.values()):
+            if group not in blamed:
+                blamed[group] = self._are_blamed(group)
         self._parts_by_strikes = [
             BlockedParts(
                 service=service,
@@ -305,14 +316,17 @@
                 crashes=sorted(crashes),
             )
             for (service, _), crashes in part_crashes.items()
-            if self._are_blamed(crashes)
+            if blamed[frozenset(crashes)]
         ]
 
-    def _are_blamed(self, crashes: set[str]) -> bool:
+    def _are_blamed(self, crashes: frozenset[str]) -> bool:
         """Returns whether crashes are blamed on a part that was in all."""
         if len(crashes) < MIN_CRASHES:
             return False
-        causes = [self._table.causes.get(crash, set()) for crash in crashes]
+        causes = [
+            self._table.causes.get(crash, set())
+            for crash in sorted(crashes)[:MAX_EXPLAINED_CRASHES]
+        ]
         return not _are_explained(causes, MAX_EXPLAINING_REQUESTS)
 
 
--- a/packages/jacinthmount/jacinthmount/crash_strikes.py
+++ b/packages/jacinthmount/jacinthmount/crash_strikes.py
@@ -135,6 +135,11 @@
         self.part_crashes: dict[PartKey, set[str]] = {}
         self.causes: dict[str, set[str]] = {}
 
+    @property
+    def has_strikes(self) -> bool:
+        """Whether there are strikes, also cleared ones."""
+        return bool(self._strikes)
+
     def note_progress(
         self, service: str, suspect: Suspect, now: float
     ) -> list[CrashStrike]:
--- a/packages/jacinthmount/jacinthmount/request_digest.py
+++ b/packages/jacinthmount/jacinthmount/request_digest.py
@@ -9,16 +9,17 @@
 
 
 def digest_request(
-    account: str, host_name: str, method: str, target: str, body: bytes
+    account: str, route: str, method: str, target: str, body: bytes
 ) -> str:
     """Digests what a repeat of a request has in common with it.
 
     Neither its id nor its other headers are part of it. The digest is keyed by
     the account, so accounts never have one in common.
 
+    :param route: its name, since a host name has several spellings.
     :returns: hexadecimal digits.
     """
-    head = f'{method} {host_name} {target}\n'.encode()
+    head = f'{method} {route} {target}\n'.encode()
     digest = hashlib.blake2b(
         head, digest_size=DIGEST_BYTES, key=_make_key(account)
     )
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -9,7 +9,7 @@
 from http.client import HTTPException
 
 import pytest
-from jacinthmount_platform_standin.site import PlatformSite
+from jacinthmount_platform_standin.site import HOST_NAME, KEY, PlatformSite
 from jacinthmount_standin.callers import call_http
 
 ENGINES = 6
@@ -216,3 +216,28 @@
         crashes += site.restart_ended_engines()
     # Two at once, then after 1, 2 and 4 s.
     assert 2 <= crashes <= 5
+
+
+def test_caller_that_goes_leaves_its_request_a_suspect(site):
+    """Guards against evidence that is lost with the caller's connection."""
+    body = b'deadly after 6'
+    crashes = 0
+    for number in range(REPEATS):
+        front = f'front-{number % 2 + 1}'
+        with contextlib.suppress(OSError, HTTPException):
+            call_http(
+                site.fronts[front],
+                'POST',
+                '/scan/1',
+                body,
+                headers={
+                    'host': HOST_NAME,
+                    'authorization': f'Bearer {KEY}',
+                    'attempt-id': f'g{number:x}',
+                    'token-usage': '10,8',
+                },
+                timeout_s=0.075,
+            )
+        time.sleep(3 * PAUSE_S)
+        crashes += site.restart_ended_engines()
+    assert crashes <= ALLOWED_CRASHES
--- a/tests/test_request_digest.py
+++ b/tests/test_request_digest.py
@@ -3,7 +3,7 @@
 import pytest
 from jacinthmount.request_digest import digest_item, digest_request
 
-REQUEST = ('gin-yards', 'scans.example', 'POST', '/scan/1', b'bale')
+REQUEST = ('gin-yards', 'scan', 'POST', '/scan/1', b'bale')
 
 
 def test_repeat_has_the_digest_of_the_request():
@@ -15,14 +15,14 @@
     ('position', 'other'),
     [
         (0, 'auditors'),
-        (1, 'other.example'),
+        (1, 'check'),
         (2, 'GET'),
         (3, '/scan/1?page=2'),
         (4, b'other'),
     ],
 )
 def test_requests_that_differ_have_other_digests(position, other):
-    """Account, host name, method, target and body count."""
+    """Account, route, method, target and body count."""
     changed = list(REQUEST)
     changed[position] = other
     assert digest_request(*changed) != digest_request(*REQUEST)
