--- a/tests/test_odd_entries_generated.py
+++ b/tests/test_odd_entries_generated.py
@@ -7,8 +7,8 @@
 import curio
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
+from jacinthmount.crash_breaker import BlockedParts
 from jacinthmount.ports import ABSENT
-from jacinthmount.prompt_breaker import BlockedParts
 from jacinthmount.records import (
     parse_msgpack,
     serialize_json,
@@ -249,5 +249,5 @@
     """Guards against hosts that send a blocked part to engines."""
     sound = serialize_json(BlockedParts(**BLOCKED))
     for state in follow_all('blocked-parts/', entries, 'sound', sound):
-        assert state.breaker.find_blocked('model-a', ['0a'])
-        assert not state.breaker.find_blocked('model-a', ['other'])
+        assert state.breaker.find_blocked_parts('model-a', ['0a'])
+        assert not state.breaker.find_blocked_parts('model-a', ['other'])
