Split declarations: records and schemas, the index of them, the reading of files

The module held four jobs in 540 lines. No change of behaviour: the same functions moved, test_config and test_config_failures pass as before.

--- a/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
@@ -8,13 +8,13 @@
 
 import curio
 from jacinthmount.crash_breaker import BlockedRequest
+from jacinthmount.declaration_files import parse_declarations
 from jacinthmount.declarations import (
     CONFIG_PREFIX,
     SCHEMAS,
     Endpoint,
     Evacuation,
     object_name,
-    parse_declarations,
 )
 from jacinthmount.errors import (
     InvalidDeclarations,
--- a/packages/jacinthmount-node/jacinthmount_node/node.py
+++ b/packages/jacinthmount-node/jacinthmount_node/node.py
@@ -4,6 +4,7 @@
 import uuid
 from collections.abc import Iterator
 
+from jacinthmount.catalogue import Catalogue
 from jacinthmount.crash_breaker import (
     BlockedParts,
     BlockedRequest,
@@ -14,7 +15,6 @@
     CONFIG_PREFIX,
     SCHEMAS,
     Account,
-    Catalogue,
     DataCentre,
     Endpoint,
     Service,
--- a/packages/jacinthmount/jacinthmount/declarations.py
+++ b/packages/jacinthmount/jacinthmount/declarations.py
@@ -1,16 +1,13 @@
-"""Declarations made by operators: records, INI schemas and validation."""
+"""Declarations made by operators: their records and INI schemas."""
 
 import types
 from collections.abc import Mapping
-from typing import Any
 
-from jacinthmount.errors import InvalidDeclarations
-from jacinthmount.ini import Option, iter_sections, make_option, parse_section
-from jacinthmount.records import Record, replaced
+from jacinthmount.ini import Option, make_option
+from jacinthmount.records import Record
 
 __all__ = (
     'Account',
-    'Catalogue',
     'DataCentre',
     'Endpoint',
     'Evacuation',
@@ -18,16 +15,10 @@
     'Route',
     'SCHEMAS',
     'Service',
-    'check_catalogue',
     'object_name',
-    'parse_declarations',
 )
 
 CONFIG_PREFIX = 'fleet/config/'
-MAX_NAME_LENGTH = 63
-# Tolerance for the rounding error of a sum of shares.
-ROUNDING = 1e-9
-NAME_ALPHABET = frozenset('abcdefghijklmnopqrstuvwxyz0123456789-_.')
 
 
 class DataCentre(Record):
@@ -378,163 +369,6 @@
 )
 
 
-class Catalogue:
-    """Index of the declarations in force, by kind and name."""
-
-    __slots__ = ('_kinds', '_endpoints')
-
-    def __init__(self, *, records: list[Record]) -> None:
-        self._kinds: dict[type[Record], dict[str, Any]] = {}
-        for record in records:
-            name = getattr(record, 'name', '')
-            self._of_kind(type(record))[name] = record
-        self._mark_evacuated()
-        self._endpoints: dict[tuple[str, str], list[Endpoint]] = {}
-        for endpoint in self._of_kind(Endpoint).values():
-            key = (endpoint.service, endpoint.data_centre)
-            self._endpoints.setdefault(key, []).append(endpoint)
-
-    def find(self, record_type: type, name: str) -> Any:
-        """Returns the record of a kind and name, or None."""
-        return self._of_kind(record_type).get(name)
-
-    def list_records(self, record_type: type) -> list[Any]:
-        """Lists the records of one kind in name order."""
-        return [
-            record for _, record in sorted(self._of_kind(record_type).items())
-        ]
-
-    def endpoints(self, service: str, data_centre: str) -> list[Endpoint]:
-        """Lists the endpoints of a service in one data centre."""
-        return self._endpoints.get((service, data_centre), [])
-
-    def profile_of(self, service: str) -> Profile | None:
-        """Returns the profile of a service, or None."""
-        declared = self.find(Service, service)
-        return self.find(Profile, declared.profile) if declared else None
-
-    def kind_of(self, service: str) -> str:
-        """Returns the kind of a service, or an empty string if unknown."""
-        declared = self.find(Service, service)
-        return declared.kind if declared else ''
-
-    def _mark_evacuated(self) -> None:
-        evacuated = self._of_kind(Evacuation)
-        endpoints = self._of_kind(Endpoint)
-        for name, endpoint in endpoints.items():
-            if endpoint.data_centre in evacuated:
-                endpoints[name] = replaced(endpoint, leaving=True)
-
-    def _of_kind(self, record_type: type) -> dict[str, Any]:
-        return self._kinds.setdefault(record_type, {})
-
-
 def object_name(kind: str, name: str) -> str:
     """Returns the object name of a declaration in the object API."""
     return f'{CONFIG_PREFIX}{kind}/{name}'
-
-
-def parse_declarations(sources: dict[str, str]) -> dict[str, Record]:
-    """Parses and validates all declaration files of a directory.
-
-    :param sources: INI text by file name.
-    :returns: records by object name.
-    :raises InvalidDeclarations: with a list of all problems.
-    """
-    problems: list[str] = []
-    records: dict[str, Record] = {}
-    for source, text in sorted(sources.items()):
-        for section, raw in iter_sections(text, source, problems):
-            _parse_declaration(f'{source}: [{section}]', raw, records, problems)
-    problems.extend(check_catalogue(list(records.values())))
-    if problems:
-        raise InvalidDeclarations(problems=problems)
-    return records
-
-
-def check_catalogue(records: list[Record]) -> list[str]:
-    """Lists invalid references between records and invalid share sums."""
-    catalogue = Catalogue(records=records)
-    problems = _check_shares(catalogue.list_records(DataCentre))
-    for service in catalogue.list_records(Service):
-        if catalogue.find(Profile, service.profile) is None:
-            problems.append(
-                f'[service {service.name}]: profile: '
-                f'no profile {service.profile!r}',
-            )
-        if bool(service.weights) is not bool(service.version):
-            problems.append(
-                f'[service {service.name}]: version: '
-                'give weights and version together, or neither',
-            )
-    for endpoint in catalogue.list_records(Endpoint):
-        problems.extend(_check_endpoint(catalogue, endpoint))
-    for evacuation in catalogue.list_records(Evacuation):
-        if catalogue.find(DataCentre, evacuation.name) is None:
-            problems.append(
-                f'[evacuation {evacuation.name}]: '
-                f'no data centre {evacuation.name!r}',
-            )
-    for route in catalogue.list_records(Route):
-        target = catalogue.find(Service, route.service)
-        if target is None or target.kind != 'plain':
-            problems.append(
-                f'[route {route.name}]: service: '
-                f'no plain service {route.service!r}',
-            )
-    return problems
-
-
-def _parse_declaration(
-    location: str,
-    raw: dict[str, str],
-    records: dict[str, Record],
-    problems: list[str],
-) -> None:
-    kind, _, name = location.split('[', 1)[1].rstrip(']').partition(' ')
-    if kind not in SCHEMAS:
-        allowed = ', '.join(sorted(SCHEMAS))
-        problems.append(f'{location}: unknown kind; allowed: {allowed}')
-        return
-    if not _is_valid_name(name):
-        problems.append(
-            f'{location}: name: use 1 to {MAX_NAME_LENGTH} of a-z 0-9 - _ .',
-        )
-        return
-    if object_name(kind, name) in records:
-        problems.append(f'{location}: declared twice')
-        return
-    record_type, schema = SCHEMAS[kind]
-    problem_count = len(problems)
-    fields = parse_section(schema, raw, location, problems)
-    if len(problems) == problem_count:
-        record = record_type(name=name, write_id='', **fields)
-        records[object_name(kind, name)] = record
-
-
-def _is_valid_name(name: str) -> bool:
-    return 0 < len(name) <= MAX_NAME_LENGTH and set(name) <= NAME_ALPHABET
-
-
-def _check_shares(data_centres: list[DataCentre]) -> list[str]:
-    total = sum(data_centre.share for data_centre in data_centres)
-    if total > 1 + ROUNDING:
-        return [f'[data_centre]: share: the parts sum to {total:g}, above 1']
-    return []
-
-
-def _check_endpoint(catalogue: Catalogue, endpoint: Endpoint) -> list[str]:
-    location = f'[endpoint {endpoint.name}]'
-    problems = []
-    if catalogue.find(Service, endpoint.service) is None:
-        problems.append(f'{location}: service: no service {endpoint.service!r}')
-    if catalogue.find(DataCentre, endpoint.data_centre) is None:
-        problems.append(
-            f'{location}: data_centre: no data centre {endpoint.data_centre!r}',
-        )
-    host, _, port = endpoint.address.rpartition(':')
-    if not host or not port.isdecimal():
-        problems.append(
-            f'{location}: address: {endpoint.address!r} is not IP:port'
-        )
-    return problems
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 import pytest
-from jacinthmount.declarations import parse_declarations
+from jacinthmount.declaration_files import parse_declarations
 from jacinthmount.ports import Stored
 from jacinthmount.records import replaced, serialize_json
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -8,12 +8,9 @@
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
-from jacinthmount.declarations import (
-    SCHEMAS,
-    Catalogue,
-    object_name,
-    parse_declarations,
-)
+from jacinthmount.catalogue import Catalogue
+from jacinthmount.declaration_files import parse_declarations
+from jacinthmount.declarations import SCHEMAS, object_name
 from jacinthmount.errors import InvalidDeclarations, KeyMissing, KeyUnknown
 from jacinthmount.keys import Keyring, contains_key, parse_bearer
 from jacinthmount.records import replaced
