--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of the graceful shutdown of the HTTP server."""
 
 import contextlib
+import errno
 import socket as std_socket
 
 import curio
@@ -148,13 +149,63 @@
     assert len([one for one in received if one.endswith(b'whole')]) == 8
 
 
-async def _drain_with_queue(address, count):
+class _QueueListener:
+    """A listening socket that fails as its queue is emptied."""
+
+    def __init__(self, *, sock, number, count):
+        """Wraps a socket.
+
+        :param number: the error.
+        :param count: number of calls that fail, after the first one.
+        """
+        self._sock = sock
+        self._number = number
+        self._left = count
+        self._waiting = True
+
+    async def accept(self):
+        """Waits at first, then fails, then accepts a connection."""
+        if self._waiting:
+            self._waiting = False
+            await curio.sleep(60)
+        if self._left:
+            self._left -= 1
+            raise OSError(self._number, 'accept')
+        return await self._sock.accept()
+
+    async def close(self):
+        """Closes the socket."""
+        await self._sock.close()
+
+
+@pytest.mark.parametrize('number', [errno.ECONNABORTED, errno.EMFILE])
+def test_accept_queue_is_given_up_at_its_first_error(address, number):
+    """The error concerns one connection, the others are answered."""
+    sock = _QueueListener(
+        sock=listen(f'{address[0]}:{address[1]}'), number=number, count=3
+    )
+    received = curio.run(_drain_with_queue, address, 8, sock)
+    assert len([one for one in received if one.endswith(b'whole')]) == 8
+
+
+def test_accept_queue_that_always_fails_holds_a_stop_up(address):
+    """The listener is closed after a bounded number of errors."""
+    sock = _QueueListener(
+        sock=listen(f'{address[0]}:{address[1]}'),
+        number=errno.EMFILE,
+        count=10_000,
+    )
+    assert not any(curio.run(_drain_with_queue, address, 1, sock))
+
+
+async def _drain_with_queue(address, count, sock=None):
     """Drains a server before it could accept connections with requests.
 
+    :param sock: the listening socket, or None for a usual one.
     :returns: what each caller received.
     """
     server = HttpServer(
-        sock=listen(f'{address[0]}:{address[1]}'),
+        sock=sock or listen(f'{address[0]}:{address[1]}'),
         handler=answer,
     )
     serving = await curio.spawn(server.run, daemon=True)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,6 +1,8 @@
 """Tests of records and their codecs."""
 
 import json
+import subprocess
+import sys
 
 import pytest
 from hypothesis import given, seed, settings
@@ -107,3 +109,29 @@
     except MalformedRecord:
         return
     assert isinstance(parsed, (Envelope, Ping, Push))
+
+
+def test_nested_peer_message_ends_the_process():
+    """Guards against a message that overflows the stack of its reader.
+
+    It runs in a process of its own, which such a message would end.
+    """
+    script = (
+        'import msgpack\n'
+        'from jacinthmount.errors import MalformedRecord\n'
+        'from jacinthmount.records import parse_msgpack\n'
+        "packed = b''\n"
+        'for _ in range(20_000):\n'
+        '    packed = msgpack.packb(msgpack.ExtType(1, packed))\n'
+        'try:\n'
+        '    parse_msgpack(packed)\n'
+        'except MalformedRecord as exc:\n'
+        '    print(exc.detail)\n'
+    )
+    ended = subprocess.run(
+        [sys.executable, '-c', script],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert (ended.returncode, ended.stdout) == (0, 'nested too deeply\n')
--- a/tests/test_runner_takeover.py
+++ b/tests/test_runner_takeover.py
@@ -4,6 +4,7 @@
 
 import curio
 import pytest
+from jacinthmount.errors import MalformedRecord
 from jacinthmount.item_batches import (
     batch_name,
     chunk_name,
@@ -37,6 +38,7 @@
 )
 
 KEY = 'k'
+RUNNER = 'jacinthmount_node.relay.batch_runner'
 ITEMS = ('a', 'b', 'c', 'd')
 
 
@@ -64,6 +66,19 @@
 
     hides_changes = False
 
+    def __init__(self):
+        super().__init__()
+        self.read_errors = []
+
+    async def read_immutable(self, name):
+        """See :meth:`~jacinthmount.ports.ObjectStore.read_immutable`."""
+        if self.read_errors:
+            error = self.read_errors.pop()
+            if error is None:
+                return None
+            raise error
+        return await super().read_immutable(name)
+
     async def watch_page(self, prefix, after, wait_s):
         """See :meth:`~jacinthmount.ports.ObjectStore.watch_page`."""
         if self.hides_changes:
@@ -299,3 +314,28 @@
         return list(successor.runner._jobs)
 
     assert curio.run(play) == []
+
+
+@pytest.mark.parametrize(
+    'errors',
+    [
+        pytest.param([KeyError('unexpected')], id='unexpected error'),
+        pytest.param([curio.TaskTimeout('unexpected')], id='timeout'),
+        pytest.param([MalformedRecord(detail='odd')], id='malformed'),
+        # The first read is that of the log.
+        pytest.param([None, None], id='input not found'),
+    ],
+)
+def test_batch_whose_reading_fails_once_is_never_run(
+    successor, monkeypatch, errors
+):
+    """Its items are owed, so the runner reads it again."""
+    monkeypatch.setattr(f'{RUNNER}.LOAD_RETRY_S', 0.01)
+    successor.store.read_errors = errors
+
+    async def play():
+        await successor.take_over()
+        await curio.sleep(0.1)
+        return sorted(successor.runner._jobs[KEY].runs)
+
+    assert curio.run(play) == list(ITEMS)
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -306,3 +306,76 @@
         serve, make_server(address, handler), ask_once, address
     )
     assert received.startswith(b'HTTP/1.1 500 ')
+
+
+LONG_FIELD = b'GET /a HTTP/1.1\r\nhost: a\r\nx-long: %b'
+
+
+@pytest.mark.parametrize('limit', [2000, 300])
+def test_head_in_pieces_is_refused_by_an_older_limit(address, limit):
+    """The limit in force as the rest of a head comes counts, also a lower."""
+    limits = ServerLimits(header_bytes=500)
+    server = make_server(address, answer_late, limits=limits)
+
+    async def talk(conn):
+        await conn.sendall(REQUEST)
+        await conn.recv(1000)
+        limits.header_bytes = limit
+        await conn.sendall(LONG_FIELD % (b'x' * 700))
+        await curio.sleep(0.1)
+        await conn.sendall(b'x' * 400)
+        await curio.sleep(0.1)
+        await conn.sendall(b'\r\n\r\n')
+        return await conn.recv(1000)
+
+    received = curio.run(serve, server, talk, address)
+    status = b'200' if limit > 1000 else b'431'
+    assert received.startswith(b'HTTP/1.1 %b ' % status), received
+
+
+UPGRADE = (
+    b'POST /a HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\n'
+    b'upgrade: websocket\r\n%b\r\n%b'
+)
+UPGRADES = {
+    'without a body': UPGRADE % (b'', b''),
+    'with a body': UPGRADE % (b'content-length: 2\r\n', b'{}'),
+}
+
+
+@pytest.mark.parametrize('kind', UPGRADES)
+def test_request_with_upgrade_is_an_internal_error(address, kind):
+    """It is served without the upgrade, and so is the next request."""
+
+    async def handler(request, responder):
+        body = await request.read_body()
+        await responder.send(200, b'%bwhole' % body, [])
+
+    async def talk(conn):
+        answers = []
+        for sent in (UPGRADES[kind], REQUEST):
+            await conn.sendall(sent)
+            answers.append(await conn.recv(1000))
+        return answers
+
+    answers = curio.run(serve, make_server(address, handler), talk, address)
+    assert [one.endswith(b'whole') for one in answers] == [True, True], answers
+
+
+@pytest.mark.parametrize('kind', UPGRADES)
+def test_request_with_upgrade_goes_on_without_its_caller(address, lines, kind):
+    """It ends with its caller, as each request whose body was read."""
+
+    async def handler(request, responder):
+        await request.read_body()
+        await curio.sleep(ENOUGH_S)
+
+    async def talk(conn):
+        await conn.sendall(UPGRADES[kind])
+        await curio.sleep(0.2)
+        await conn.close()
+        while not ends(lines):
+            await curio.sleep(0.05)
+
+    curio.run(serve, make_server(address, handler), talk, address)
+    assert ends(lines)[0]['reason'] == 'caller closed'
