A head that comes in pieces is judged by the limit in force

Callers whose head came in several pieces got 431 by the limit at which their connection had been opened, after a configuration had raised it; and 431 for a head whose target, names and values are within the limit, since the separators counted as well, though not in a head that comes at once.

The parser took its limit when the connection was made. Now the reader asks for the limit in force whenever a head is incomplete, and allows the separators. The size of a complete head is checked as before, so a lowered limit holds too.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
@@ -1,6 +1,7 @@
 """Connection of one caller: requests one after the other, each answered."""
 
 import socket as std_socket
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -90,9 +91,14 @@
         self._is_closing = is_closing
         self._wire = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self.limits.header_bytes,
+            # The reader checks the limit, which may change.
+            max_incomplete_event_size=sys.maxsize,
+        )
+        self._reader = WireReader(
+            sock=sock,
+            wire=self._wire,
+            find_limit=lambda: self.limits.header_bytes,
         )
-        self._reader = WireReader(sock=sock, wire=self._wire)
         self._end_reason = ''
         self._is_answered = False
         self.busy = False
@@ -229,7 +235,7 @@
             len(name) + len(text) for name, text in event.headers
         )
         if size > self.limits.header_bytes:
-            # h11 limits only the size of incomplete heads.
+            # The reader limits only the size of incomplete heads.
             raise HeadersTooLarge(
                 detail=f'headers exceed {self.limits.header_bytes} bytes',
             )
--- a/packages/jacinthmount-node/jacinthmount_node/net/wire_reader.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/wire_reader.py
@@ -1,5 +1,7 @@
 """Reader of HTTP events that yields regularly and limits framing bytes."""
 
+from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -13,6 +15,10 @@
 # the ratio times the size of the body data.
 MAX_FRAMING_BYTES = 2 * READ_BYTES
 MAX_FRAMING_RATIO = 16
+# What a head has beside the target, the names and the values: a colon, a space
+# and the end of a line, and the rest of the request line.
+SEPARATOR_BYTES = 4
+REQUEST_LINE_BYTES = 20
 
 
 class FramingTooLong(h11.RemoteProtocolError):
@@ -30,15 +36,29 @@
 
     __slots__ = (
         '_data_bytes',
+        '_find_limit',
         '_sock',
         '_received_bytes',
         '_yield_budget',
         '_wire',
     )
 
-    def __init__(self, *, sock: Any, wire: h11.Connection) -> None:
+    def __init__(
+        self,
+        *,
+        sock: Any,
+        wire: h11.Connection,
+        find_limit: Callable[[], int] | None = None,
+    ) -> None:
+        """Creates a reader.
+
+        :param find_limit: returns the bytes that the target, the names and the
+            values of an incomplete head may have now, or None to leave the
+            limit to the parser.
+        """
         self._sock = sock
         self._wire = wire
+        self._find_limit = find_limit
         self._yield_budget = YieldBudget()
         self._received_bytes = 0
         self._data_bytes = 0
@@ -47,6 +67,7 @@
         """Reads until the next event and returns it.
 
         :raises FramingTooLong: there are too many framing bytes.
+        :raises h11.RemoteProtocolError: an incomplete head exceeds its limit.
         """
         while True:
             event = self._wire.next_event()
@@ -54,6 +75,7 @@
                 await self._yield_budget.spend(0)
                 self._check_framing(event)
                 return event
+            self._check_incomplete()
             received = await self._sock.recv(READ_BYTES)
             await self._yield_budget.spend(len(received))
             self.take(received)
@@ -63,6 +85,19 @@
         self._received_bytes += len(received)
         self._wire.receive_data(received)
 
+    def _check_incomplete(self) -> None:
+        if self._find_limit is None:
+            return
+        limit = self._find_limit()
+        incomplete = self._wire.trailing_data[0]
+        separators = incomplete.count(b'\n') * SEPARATOR_BYTES
+        allowed = limit + REQUEST_LINE_BYTES + min(separators, limit)
+        if len(incomplete) > allowed:
+            raise h11.RemoteProtocolError(
+                f'{len(incomplete)} bytes without an end',
+                error_status_hint=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            )
+
     def _check_framing(self, event: Any) -> None:
         if isinstance(event, h11.EndOfMessage):
             self._received_bytes = 0
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -333,6 +333,39 @@
     assert received.startswith(b'HTTP/1.1 %b ' % status), received
 
 
+def test_head_is_refused_for_coming_in_pieces(address):
+    """The same bytes of separators are allowed as for one in one piece."""
+    rows = b''.join(b'a%d: b\r\n' % number for number in range(50))
+    limits = ServerLimits(header_bytes=len(rows) - 40)
+    server = make_server(address, answer_late, limits=limits)
+
+    async def talk(conn):
+        await conn.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n%b' % rows)
+        await curio.sleep(0.1)
+        await conn.sendall(b'\r\n')
+        return await conn.recv(1000)
+
+    received = curio.run(serve, server, talk, address)
+    assert received.startswith(b'HTTP/1.1 200 '), received
+
+
+def test_head_without_an_end_is_read_on(address):
+    """It is refused at the limit, however many lines it has."""
+    server = make_server(
+        address, answer_late, limits=ServerLimits(header_bytes=500)
+    )
+
+    async def talk(conn):
+        await conn.sendall(b'GET / HTTP/1.1\r\nhost: a\r\n')
+        for _ in range(12):
+            await conn.sendall(b'a:b\r\n' * 20)
+            await curio.sleep(0.01)
+        return await conn.recv(1000)
+
+    received = curio.run(serve, server, talk, address)
+    assert received.startswith(b'HTTP/1.1 431 '), received
+
+
 UPGRADE = (
     b'POST /a HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\n'
     b'upgrade: websocket\r\n%b\r\n%b'
