Requests that ask for another protocol are served without it

A request with Upgrade and without a body was answered 500 with code 1000; one with a body was served, but went on after its caller had closed.

The parser keeps the state of such a request apart until the head of the answer, and the server did not know that state as one in which the body has ended: it read on, and got an event that is none of a body. Now it counts as ended. An endpoint never sees the header, which concerns one connection.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
@@ -45,8 +45,13 @@
 # Time for which the rest of a refused request is read.
 DISCARD_S = 2.0
 # After the body h11 reports MUST_CLOSE instead of DONE if the caller closes
-# the connection after this request.
-BODY_ENDED = frozenset((h11.DONE, h11.MUST_CLOSE))
+# the connection after this request, and MIGHT_SWITCH_PROTOCOL until the answer
+# to one that asks for another protocol.
+BODY_ENDED = frozenset((
+    h11.DONE,
+    h11.MUST_CLOSE,
+    h11.MIGHT_SWITCH_PROTOCOL,
+))
 CONNECTION_ERRORS = (OSError, curio.TaskTimeout, h11.ProtocolError)
 
 
