The accept queue of a stop outlives an error of one connection

At the end of a planned stop the connections that wait in the queue of the listener are accepted before it is closed, which would reset them.

Such an error concerns one connection or a resource that others will free. It is logged, and after a pause the next one is accepted, up to ten errors.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -4,14 +4,13 @@
 
 import curio
 
-from jacinthmount_node.logs import log_failure
 from jacinthmount_node.net.http_connection import (
     CONNECTION_ERRORS,
     CallerConnection,
     Handler,
 )
 from jacinthmount_node.net.http_messages import ServerLimits
-from jacinthmount_node.net.sockets import accept
+from jacinthmount_node.net.sockets import accept, accept_queued
 
 __all__ = ('HttpServer',)
 
@@ -122,15 +121,7 @@
 
     async def _accept_queued(self, group: curio.TaskGroup) -> None:
         # Closing a listener resets the connections in its queue.
-        while True:
-            sock = None
-            try:
-                async with curio.ignore_after(0):
-                    sock, _ = await self._sock.accept()
-            except OSError as exc:
-                log_failure('accept', exc)
-            if sock is None:
-                return
+        async for sock in accept_queued(self._sock, 'HTTP listener'):
             await self._begin(sock, group)
 
     async def _serve(self, conn: CallerConnection) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -19,6 +19,7 @@
     'SystemClock',
     'abort_socket',
     'accept',
+    'accept_queued',
     'connect',
     'has_unread',
     'is_address',
@@ -42,6 +43,8 @@
 )
 # Pause after a failed accept; without file descriptors it would fail at once.
 ACCEPT_PAUSE_S = 0.05
+# Limit on such pauses as the queue of a listener is emptied.
+MAX_QUEUE_ERRORS = 10
 
 
 class SystemClock(Clock):
@@ -169,6 +172,27 @@
             return conn
 
 
+async def accept_queued(sock, listener: str):
+    """Yields the connections that wait in the queue of a listener.
+
+    It gives up after ``MAX_QUEUE_ERRORS`` errors, each of which is logged.
+
+    :param listener: name of the listener, for the log.
+    """
+    errors = 0
+    while errors < MAX_QUEUE_ERRORS:
+        try:
+            conn = await curio.ignore_after(0, sock.accept)
+        except OSError as exc:
+            errors += 1
+            log_failure(listener, exc)
+            await curio.sleep(ACCEPT_PAUSE_S)
+            continue
+        if conn is None:
+            return
+        yield conn[0]
+
+
 def _detect_dead_peer(sock) -> None:
     tcp = std_socket.IPPROTO_TCP
     sock.setsockopt(tcp, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
