Tests that count log lines leave out those of earlier tests

The first destination of a log gets the lines that were written before it was added. A test that runs after others in one process saw theirs: one failed beside test_http_server.py, in one process, and passed alone.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -33,6 +33,8 @@
             written.append(line)
 
     eliot.add_destinations(add)
+    # The first destination gets the lines of earlier tests.
+    written.clear()
     yield written
     eliot.remove_destination(add)
 
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -30,6 +30,8 @@
     """The log lines that a test causes."""
     written = []
     eliot.add_destinations(written.append)
+    # The first destination gets the lines of earlier tests.
+    written.clear()
     yield written
     eliot.remove_destination(written.append)
 
