A link between hosts goes on after an error that is none of its own

A link ended for good by such an error, and its writer by a message that can't be encoded, without a line and with the link still there: each later request to that host then waited until its time was up. Callers would have got refusals for what the runner answers.

The task of a link caught the errors of connections only. Now it logs any other error and connects again; the writer logs a message that can't be encoded and goes on with the next, and the listener logs what ends a connection.

--- a/packages/jacinthmount-node/jacinthmount_node/net/peers.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/peers.py
@@ -21,7 +21,7 @@
     serialize_msgpack,
 )
 
-from jacinthmount_node.logs import log_event
+from jacinthmount_node.logs import log_event, log_failure
 from jacinthmount_node.messages import Envelope, Hello
 from jacinthmount_node.metrics import Metrics
 from jacinthmount_node.net.sockets import (
@@ -133,6 +133,8 @@
                 await self._serve_stream(raw, group)
             except PEER_ERRORS as exc:
                 log_event('peer_closed', error=type(exc).__name__)
+            except Exception as exc:
+                log_failure('peer connection', exc)
             finally:
                 await raw.close()
 
@@ -254,6 +256,9 @@
                 await self._run_connection()
             except PEER_ERRORS:
                 await curio.sleep(RECONNECT_PAUSE_S)
+            except Exception as exc:
+                log_failure('peer link', exc)
+                await curio.sleep(RECONNECT_PAUSE_S)
             finally:
                 self.connected = False
 
@@ -449,6 +454,9 @@
         except OSError:
             stream.abort()
             return
+        except Exception as exc:
+            # The message can't be encoded; others can.
+            log_failure('peer message', exc)
 
 
 def _parse_hello(envelope: Envelope) -> Hello:
