A message between hosts may be nested 32 times at most

A message of records inside records, some 120 KB long, ended the process that read it by SIGSEGV: each level takes some of the stack of the parser, which is written in C. Messages of this system are nested a few times.

Deeper ones are malformed now, which ends their connection with a line as for other malformed messages. The test reads one of 20,000 levels in a process of its own: ended by the signal before, refused now.

--- a/packages/jacinthmount/jacinthmount/records.py
+++ b/packages/jacinthmount/jacinthmount/records.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from functools import partial
 from types import NoneType, UnionType
 from typing import (
     Any,
@@ -31,6 +32,7 @@
 # Errors of an unpacker for bytes that are no record or exceed its buffer.
 UNPACK_ERRORS = (ValueError, msgpack.UnpackException)
 RECORD_EXT_CODE = 1
+MAX_DEPTH = 32
 MAX_RECORD_BYTES = 4 * 1024 * 1024
 # The whole numbers that a peer message can hold.
 MIN_INT = -9_223_372_036_854_775_808
@@ -181,10 +183,14 @@
     )
 
 
-def _unpack_ext(code: int, packed: bytes) -> Record:
+def _unpack_ext(code: int, packed: bytes, depth: int = 0) -> Record:
     if code != RECORD_EXT_CODE:
         raise MalformedRecord(detail=f'extension {code}')
-    row = msgpack.unpackb(packed, ext_hook=_unpack_ext)
+    if depth == MAX_DEPTH:
+        raise MalformedRecord(detail='nested too deeply')
+    row = msgpack.unpackb(
+        packed, ext_hook=partial(_unpack_ext, depth=depth + 1)
+    )
     if not isinstance(row, list) or not row or not isinstance(row[0], str):
         raise MalformedRecord(detail='record without a type name')
     record_type = _registry.get(row[0])
