A request that may have run is not refused as one that has not

A caller whose key was withdrawn got 401 with not_run before a repeat of its request, although an attempt had run it and its endpoint was lost.

The key is looked up again before each attempt, and the refusal was that of a request that had only waited. After an attempt it is 502 now; a stream that has begun is cut as before, so it never looks complete. Requests that only waited get 401 as before.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -273,10 +273,13 @@
         # The key may have been withdrawn while the request was queued.
         if call.route.public or not self._state.config.has_accounts:
             return
-        if self._state.config.account_of_key(call.request.key) is None:
-            raise KeyUnknown(
-                detail='key was withdrawn while the request waited'
-            )
+        if self._state.config.account_of_key(call.request.key) is not None:
+            return
+        detail = 'key was withdrawn while the request waited'
+        if call.attempts:
+            # An earlier attempt may have run the request.
+            raise EndpointFailed(detail=detail)
+        raise KeyUnknown(detail=detail)
 
     async def _recheck_crashes(
         self, call: OnlineCall, responder: Responder
