A batch whose reading fails once is read again

An accepted batch whose input was malformed or not found as it was read, or whose reading ended by an error that nobody expects, had no runs at that runner until another one took over: its items were accepted and lost.

The task that reads a batch ended by such an error; the store may well give the right input a moment later, since a copy can be older than the manifest. The reading has a module of its own.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -6,7 +6,7 @@
 import curio
 from jacinthmount.admissions import BatchAdmissions
 from jacinthmount.batch_order import ItemRun
-from jacinthmount.errors import MalformedRecord, StoreUnavailable
+from jacinthmount.errors import MalformedRecord
 from jacinthmount.item_batches import BATCH_PREFIX, ItemBatch
 from jacinthmount.ports import Stored
 from jacinthmount.recent_objects import RecentObjects
@@ -19,8 +19,8 @@
     BatchJob,
     list_finished,
     list_unfinished,
-    read_open_items,
 )
+from jacinthmount_node.relay.batch_loading import load_runs
 from jacinthmount_node.relay.host_connectivity import HostConnectivity
 from jacinthmount_node.relay.item_runs import ItemRunner, RunEnd
 from jacinthmount_node.relay.messages import BatchAdmission, BatchAdmissionReply
@@ -39,7 +39,6 @@
 # After this long without another active runner, no other runner has writes in
 # flight.
 NO_CONTENDER_S = 2.0
-LOAD_RETRY_S = 0.3
 # Time for which new batches are collected into one answer of the store.
 COALESCE_S = 0.25
 STANDBY_COALESCE_S = 1.5
@@ -240,26 +239,12 @@
             await curio.spawn(self._load, job, daemon=True)
 
     async def _load(self, job: BatchJob) -> None:
-        items = None
-        while items is None and self._jobs.get(job.key) is job:
-            try:
-                items = await read_open_items(self._state.store, job)
-            except StoreUnavailable as exc:
-                log_event(
-                    'batch_read_failed',
-                    batch=job.manifest.batch_id,
-                    detail=exc.detail,
-                )
-                await curio.sleep(LOAD_RETRY_S)
-            except MalformedRecord as exc:
-                log_event(
-                    'bad_batch', batch=job.manifest.batch_id, detail=exc.detail
-                )
-                return
-        if items is None or self._jobs.get(job.key) is not job:
+        runs = await load_runs(
+            self._state, job, lambda: self._jobs.get(job.key) is job
+        )
+        if self._jobs.get(job.key) is not job:
             return
         due_in_s = job.manifest.due_at_ms / MS - time.time()
-        runs = job.fill(items, self._state.now() + due_in_s)
         adopted = self._progress.adopt(job.key, job.runs)
         for run in runs:
             if run.is_finished:
--- a/tests/test_runner_takeover.py
+++ b/tests/test_runner_takeover.py
@@ -38,7 +38,7 @@
 )
 
 KEY = 'k'
-RUNNER = 'jacinthmount_node.relay.batch_runner'
+LOADING = 'jacinthmount_node.relay.batch_loading'
 ITEMS = ('a', 'b', 'c', 'd')
 
 
@@ -330,7 +330,7 @@
     successor, monkeypatch, errors
 ):
     """Its items are owed, so the runner reads it again."""
-    monkeypatch.setattr(f'{RUNNER}.LOAD_RETRY_S', 0.01)
+    monkeypatch.setattr(f'{LOADING}.RETRY_S', 0.01)
     successor.store.read_errors = errors
 
     async def play():
