Tests of refusals by other hosts after an attempt, which fail

The same cause as for a withdrawn key: a refusal that is true for a request that waited is passed on for one that may have run.

--- /dev/null
+++ b/tests/test_helper_relay.py
@@ -0,0 +1,170 @@
+"""Refusals of requests that go through another host."""
+
+import random
+
+import curio
+import pytest
+from jacinthmount.errors import EndpointFailed, JacinthmountError, NotFound
+from jacinthmount.memory import ManualClock
+from jacinthmount.records import replaced
+from jacinthmount.stores import MemoryStore
+from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.relay.helper_relay import HelperRelay
+from jacinthmount_node.relay.online_call import OnlineCall
+from jacinthmount_node.relay.protocols import (
+    EndpointResponse,
+    RelayedRequest,
+    RelayMark,
+)
+from jacinthmount_node.relay.state import RelayState
+
+from tests.relay_builders import make_relay_settings, make_route
+
+
+class _Exchange:
+    """An answer of another host."""
+
+    def __init__(self, status):
+        self.status = status
+
+    async def read_body(self):
+        """Returns an error without a code."""
+        return b'{}'
+
+
+class _Responder:
+    """Records the status that the caller gets."""
+
+    def __init__(self):
+        self.started = False
+        self.status = 0
+
+    async def send(self, status, body, headers):
+        """Records the status."""
+        self.status = status
+
+
+@pytest.fixture
+def state():
+    """A host without others."""
+    return RelayState(
+        settings=make_relay_settings(),
+        store=MemoryStore(),
+        clock=ManualClock(),
+        rng=random.Random(1),
+    )
+
+
+@pytest.fixture
+def helpers(state):
+    """The relay through other hosts."""
+    return HelperRelay(
+        state=state,
+        links=None,
+        pool=ClientPool(),
+        callers=None,
+        endpoints=None,
+    )
+
+
+def make_mark(attempts):
+    """Builds the mark of a request of another host."""
+    return RelayMark(host='h', attempts=attempts, has_token=True, recipient='i')
+
+
+def make_call(mark):
+    """Builds a request that may be repeated."""
+    return OnlineCall(
+        request=RelayedRequest(
+            request_id='r1',
+            key='secret',
+            host_name='scans.example',
+            path='/check/1',
+            target='/check/1',
+            method='POST',
+            headers=[],
+            left_s=5.0,
+            received_events=None,
+            first_attempt='',
+            shared_parts=[],
+            mark=mark,
+        ),
+        route=make_route('check', idempotent=True, max_attempts=2),
+        account='gin',
+        body=b'',
+        arrived_at=0.0,
+        deadline=5.0,
+        service='model-a',
+        mark=mark,
+    )
+
+
+UNSIGNED = EndpointResponse(
+    own=True,
+    not_run=False,
+    other_endpoint=False,
+    signed=False,
+    leaving=False,
+    headers=[],
+    load=None,
+    idle_s=None,
+    limit_per_s=0.0,
+)
+
+
+@pytest.mark.parametrize('status', [401, 404, 429, 503])
+def test_request_that_ran_is_refused_by_another_host(helpers, status):
+    """A key or a route that has gone since makes no attempt undone."""
+    responder = _Responder()
+    with pytest.raises(EndpointFailed):
+        curio.run(
+            helpers._relay_error,
+            make_call(None),
+            make_mark(attempts=1),
+            _Exchange(status),
+            UNSIGNED,
+            responder,
+        )
+    assert not responder.status
+
+
+@pytest.mark.parametrize('status', [401, 404, 429, 503])
+def test_request_that_never_ran_is_refused_by_another_host(helpers, status):
+    """Its caller gets that refusal."""
+    responder = _Responder()
+    is_reached = curio.run(
+        helpers._relay_error,
+        make_call(None),
+        make_mark(attempts=0),
+        _Exchange(status),
+        UNSIGNED,
+        responder,
+    )
+    assert is_reached
+    assert responder.status == status
+
+
+def test_failure_of_an_endpoint_is_replaced_after_an_attempt(helpers):
+    """What an endpoint has answered is passed on."""
+    responder = _Responder()
+    is_reached = curio.run(
+        helpers._relay_error,
+        make_call(None),
+        make_mark(attempts=1),
+        _Exchange(404),
+        replaced(UNSIGNED, signed=True),
+        responder,
+    )
+    assert is_reached
+    assert responder.status == 404
+
+
+def test_request_that_ran_at_a_helper_is_answered_as_not_run(helpers, state):
+    """A helper that is cut off after an attempt of its own says so."""
+    state.reach.isolated = True
+    call = make_call(make_mark(attempts=0))
+    call.attempts = 1
+    with pytest.raises(JacinthmountError) as raised:
+        helpers.is_needed(call)
+    assert raised.value.run_state != NotFound.run_state
+    assert raised.value.http_status == 502
