--- a/packages/jacinthmount-standin/jacinthmount_standin/declare.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/declare.py
@@ -6,10 +6,6 @@
 __all__ = ('WEIGHTS', 'Declared', 'write_declarations')
 
 SERVICES_INI = """\
-[profile online]
-lane = online
-deadline_s = 20
-
 [profile meeting-brief]
 lane = online
 deadline_s = 10
@@ -40,7 +36,7 @@
 
 
 WEIGHTS = 'provenance-weights'
-FENCED_VALUES = types.MappingProxyType({True: 'yes', False: 'no'})
+YES_NO = types.MappingProxyType({True: 'yes', False: 'no'})
 
 
 class Declared:
@@ -50,6 +46,7 @@
         'accounts',
         'engines',
         'fenced',
+        'idempotent',
         'plain_port',
         'regions',
         'shares',
@@ -78,13 +75,15 @@
         self.regions: dict[str, str] = {}
         self.version = ''
         self.fenced = True
+        # Whether requests to the model may be repeated.
+        self.idempotent = True
 
 
 def write_declarations(folder: Path, declared: Declared) -> None:
     """Writes the INI files of the declarations to a folder."""
     folder.mkdir(parents=True, exist_ok=True)
     (folder / 'services.ini').write_text(
-        SERVICES_INI + _model_section(declared.version)
+        SERVICES_INI + _model_section(declared)
     )
     (folder / 'fleet.ini').write_text(
         ''.join([
@@ -98,7 +97,7 @@
                 f'[endpoint {name}]\nservice = provenance-llm\n'
                 f'data_centre = {data_centre}\n'
                 f'address = 127.0.0.1:{port}\nslots = {slots}\n'
-                f'fenced = {FENCED_VALUES[declared.fenced]}\n\n'
+                f'fenced = {YES_NO[declared.fenced]}\n\n'
                 for name, (data_centre, port, slots) in declared.engines.items()
             ),
             *(
@@ -118,9 +117,11 @@
     )
 
 
-def _model_section(version: str) -> str:
-    weights = WEIGHTS if version else ''
+def _model_section(declared: Declared) -> str:
+    weights = WEIGHTS if declared.version else ''
     return (
+        '\n[profile online]\nlane = online\ndeadline_s = 20\n'
+        f'idempotent = {YES_NO[declared.idempotent]}\n'
         '\n[service provenance-llm]\nkind = model\nprofile = online\n'
-        f'weights = {weights}\nversion = {version}\n'
+        f'weights = {weights}\nversion = {declared.version}\n'
     )
