Infer the version of a stream only from a list of endpoints known to be fresh

Callers saw a stream of two versions: a front that had stood still while endpoints of a new version joined, and to which nobody replied as it went on, took the only version it knew for the one that began the stream.

Cause: a list counted as complete unless an outage had been noticed, however old it was. That the age of what a host knows was no part of what it infers is the class, and a runner did the same when it said that nobody else will know the stream. Ruled out: a wrong origin told by a front, since none was joined where fronts reply; a noticed outage, since none was joined where connections are reset.

Now the list has an age, that of the request that confirmed it: a listing, or a report to an active runner whose list is fresh and no newer. It counts the time of suspensions, and a process that has not run for 0.4 s has no fresh list until a request sent since then is answered. A host that infers alone needs a listing sent after the take-up arrived; tasks share it. A runner settles only with a fresh list, which it lists anew if need be (0.1 s); while it is not fresh it leaves the endpoints out of the revisions that it reports, so no message changes. If no runner settles the fronts are asked as well, also where a runner has replied. After 5 s without confirmation versions may have come and left unseen: the history is restored as at the start. A version that comes and leaves within one page of changes is recorded.

In a service of one version beside a settled runner nothing changes: one question to the runners, no call to the store. The stand-in for the sync in test_host_reports.py gets the member that reports now use.

--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -40,6 +40,8 @@
 UNACKNOWLEDGED_TIMEOUT_MS = MS * (
     KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_PROBES
 )
+# The monotonic clock of some systems stands still while they are suspended.
+BOOT_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 # Pause after a failed accept; without file descriptors it would fail at once.
 ACCEPT_PAUSE_S = 0.05
 
@@ -53,6 +55,10 @@
         """Returns the time in seconds."""
         return time.monotonic()
 
+    def boot_now(self) -> float:
+        """Implements :meth:`~jacinthmount.ports.Clock.boot_now`."""
+        return time.clock_gettime(BOOT_CLOCK)
+
 
 async def with_timeout(
     seconds: float,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -123,7 +123,7 @@
             links=links,
             pool=self._pools.online,
             active=self._reporter.active,
-            in_outage=lambda: self._sync.in_outage,
+            sync=self._sync,
         )
         self._runner_link = RunnerLink(
             state=state,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_notices.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_notices.py
@@ -1,7 +1,5 @@
 """What answers and losses tell of endpoints, shared with other hosts."""
 
-from collections.abc import Callable
-
 from jacinthmount_node.net.http_client import ClientPool
 from jacinthmount_node.parts import PartGroup
 from jacinthmount_node.relay.active_runner import ActiveRunner
@@ -12,6 +10,7 @@
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.stream_registry import StreamRegistry
 from jacinthmount_node.relay.stream_sender import StreamSender
+from jacinthmount_node.relay.sync import RelaySync
 from jacinthmount_node.relay.tracked_links import TrackedLinks
 
 __all__ = ('EndpointNotices',)
@@ -21,7 +20,6 @@
     """Crashes of endpoints, the limits they name, and the streams they begin.
 
     :param pool: connects to endpoints that may have crashed.
-    :param in_outage: returns whether this host reaches no store.
     """
 
     __slots__ = ('crashes', 'limits', 'reach', 'streams')
@@ -33,7 +31,7 @@
         links: TrackedLinks,
         pool: ClientPool,
         active: ActiveRunner,
-        in_outage: Callable[[], bool],
+        sync: RelaySync,
     ) -> None:
         news = HostNews(state=state, links=links)
         self.reach = ReachChecks(state=state, pool=pool)
@@ -47,7 +45,7 @@
             sender=StreamSender(
                 state=state, links=links, news=news, active=active
             ),
-            in_outage=in_outage,
+            sync=sync,
         )
 
     async def run(self) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/message_handler.py
@@ -179,7 +179,7 @@
     handler.state.add_leaving(body.leaving)
     reply = HostReportReply(
         state=leadership.state(),
-        revisions=handler.sync.revisions() if handler.runner else {},
+        revisions=handler.sync.runner_revisions() if handler.runner else {},
         leaving=handler.state.endpoints.announced_leaving(),
         views=None,
         parts=[],
@@ -287,7 +287,7 @@
 
 @_answer.register
 async def _(body: StreamAsk, handler: MessageHandler) -> Record | None:
-    return handler.notices.streams.on_ask(body)
+    return await handler.notices.streams.on_ask(body)
 
 
 @_answer.register
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -6,11 +6,12 @@
 
 import curio
 from jacinthmount.errors import HistoryGone, StoreUnavailable
+from jacinthmount.list_freshness import ListFreshness
 from jacinthmount.ports import Listing, ObjectStore, Stored
 from jacinthmount.records import Record
 
 from jacinthmount_node.logs import log_event, log_failure
-from jacinthmount_node.net.sockets import with_timeout
+from jacinthmount_node.net.sockets import SystemClock, with_timeout
 
 __all__ = ('ObjectWatch', 'PrefixSnapshot', 'WatchDelays')
 
@@ -73,6 +74,7 @@
 
     __slots__ = (
         '_call',
+        '_freshness',
         '_make_delays',
         '_has_update_source',
         '_is_probed',
@@ -96,13 +98,18 @@
         has_update_source: Callable[[], bool] | None = None,
         make_delays: Callable[[], WatchDelays] = WatchDelays,
         is_probed: bool = False,
+        freshness: ListFreshness | None = None,
     ) -> None:
         """Starts without objects and in an outage, until the first listing.
 
         :param has_update_source: whether another host sends updates to this
             one; without it no host does.
         :param is_probed: the owner refreshes this watch in an outage.
+        :param freshness: told of listings and pages.
         """
+        self._freshness = freshness or ListFreshness(
+            clock=SystemClock(), on_missed=_ignore_missed
+        )
         self._has_update_source = has_update_source or _never_has_update_source
         self._make_delays = make_delays
         self._is_probed = is_probed
@@ -192,10 +199,13 @@
         while True:
             if await self._wait_while_updated():
                 return
-            page = await self._wait_for_changes()
+            requested_at = self._freshness.now()
+            with self._freshness.follow():
+                page = await self._wait_for_changes()
             if page is None:
                 continue
             await self._apply_changes(page)
+            self._freshness.note_followed(requested_at)
             await curio.sleep(self._make_delays().coalesce_s)
 
     async def _wait_for_changes(self) -> Listing | None:
@@ -260,12 +270,14 @@
 
     async def _relist(self) -> None:
         sent_at = await curio.clock()
+        requested_at = self._freshness.now()
         listing = await self._store.list_names(self.prefix)
         self.last_reply_at = sent_at
         self.end_outage()
         names = {stored.name for stored in listing.objects}
         if listing.revision >= self.revision:
             await self._apply_state(listing.objects, names, listing.revision)
+        self._freshness.confirm(requested_at)
 
     async def _apply_state(
         self,
@@ -338,3 +350,7 @@
 def _never_has_update_source() -> bool:
     """Default of watches that have no update source."""
     return False
+
+
+def _ignore_missed() -> None:
+    """Default of watches whose history does not matter."""
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reports.py
@@ -208,6 +208,7 @@
         shares: ShareReport | None,
     ) -> None:
         sent_at = self._state.now()
+        requested_at = self._sync.endpoint_list.now()
         try:
             reply = await self._links.request_at(
                 runner.peer_address,
@@ -225,6 +226,10 @@
         if isinstance(reply, HostReportReply):
             self.active.record_state(reply.state)
             await self._apply_reply(runner.peer_address, reply, shares)
+            if reply.state.active and reply.state.can_run:
+                self._sync.endpoint_list.on_runner_reply(
+                    requested_at, reply.revisions
+                )
 
     async def _report_by_peer(
         self,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/stream_record.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/stream_record.py
@@ -55,12 +55,16 @@
         while True:
             await curio.sleep(CHECK_INTERVAL_S)
             is_active = self._state.leadership.active
-            if is_active and not self._was_active:
+            if is_active and self._needs_read():
                 is_active = await self._read()
             self._was_active = is_active
             if is_active:
                 await self._write_if_changed()
 
+    def _needs_read(self) -> bool:
+        now = self._state.now()
+        return not self._was_active or self._state.versions.needs_restore(now)
+
     async def _read(self) -> bool:
         """Merges the record into what this host knows.
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
@@ -1,7 +1,5 @@
 """Knows at which version the streams of callers began, at any host."""
 
-from collections.abc import Callable
-
 import curio
 from jacinthmount.errors import (
     PeerUnavailable,
@@ -28,27 +26,28 @@
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.stream_record import StreamRecord
 from jacinthmount_node.relay.stream_sender import StreamSender
+from jacinthmount_node.relay.sync import RelaySync
 from jacinthmount_node.relay.tracked_links import TrackedLinks
 
 __all__ = ('StreamRegistry', 'make_origin')
 
 ASK_TIMEOUT_S = 0.15
 ASK_PAUSE_S = 0.1
+# A runner replies before the host that asks it gives up.
+ASK_LIST_TIMEOUT_S = 0.1
 # The caller of a stream expects its next event within 2 s.
 FIND_LIMIT_S = 1.0
 MAX_ASKED_FRONTS = 16
 RETRY_AFTER_S = 0.3
+RESTORE_CHECK_S = 0.5
 # Longest pauses of a new host until a runner has told it the versions.
 RESTORE_PAUSES_S = (0.4, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
 class StreamRegistry:
-    """Records where streams begin, and finds the origins of others.
-
-    :param in_outage: returns whether this host reaches no store.
-    """
+    """Records where streams begin, and finds the origins of others."""
 
-    __slots__ = ('_in_outage', '_links', '_sender', '_state')
+    __slots__ = ('_links', '_sender', '_state', '_sync')
 
     def __init__(
         self,
@@ -56,10 +55,10 @@
         state: RelayState,
         links: TrackedLinks,
         sender: StreamSender,
-        in_outage: Callable[[], bool],
+        sync: RelaySync,
     ) -> None:
         self._state = state
-        self._in_outage = in_outage
+        self._sync = sync
         self._links = links
         self._sender = sender
 
@@ -88,7 +87,7 @@
         """Finds the origin of a stream that a caller takes up.
 
         :raises StreamNotResumable: nobody knows it, or its version has left.
-        :raises StreamOriginUnavailable: no runner can tell yet.
+        :raises StreamOriginUnavailable: nobody can tell yet.
         """
         noted = await self._find(call)
         call.begin(noted.origin, noted.at)
@@ -123,34 +122,38 @@
         self._state.origins.note_all(news.begun, now)
         return StreamNews(begun=[])
 
-    def on_ask(self, ask: StreamAsk) -> StreamReply:
+    async def on_ask(self, ask: StreamAsk) -> StreamReply:
         """Tells what this host knows."""
-        now = self._state.now()
-        versions = self._state.versions
         known = self._find_here(ask.stream)
+        is_settled = known is None and await self._is_settled()
         return StreamReply(
             origin=known.origin if known else None,
-            is_settled=(
-                self._state.settings.runs_batches
-                and self._state.leadership.active
-                and versions.is_complete(now)
-            ),
-            versions=versions.all_candidates(now),
+            is_settled=is_settled,
+            versions=self._state.versions.all_candidates(self._state.now()),
         )
 
+    async def _is_settled(self) -> bool:
+        if not self._state.settings.runs_batches:
+            return False
+        if not self._state.leadership.active:
+            return False
+        is_fresh = await curio.ignore_after(
+            ASK_LIST_TIMEOUT_S,
+            self._sync.endpoint_list.ensure_fresh,
+            timeout_result=False,
+        )
+        return is_fresh and self._state.versions.is_complete(self._state.now())
+
     async def _find(self, call: OnlineCall) -> NotedOrigin:
         until = self._state.now() + FIND_LIMIT_S
+        arrived_at = self._sync.endpoint_list.now()
         while True:
             noted = self._find_here(call.stream)
-            noted = noted or await self._find_elsewhere(call)
+            noted = noted or await self._find_elsewhere(call, arrived_at)
             if noted is not None:
                 return noted
             if self._state.now() >= until:
-                self._count('unavailable')
-                raise StreamOriginUnavailable(
-                    detail='no runner can tell yet which version began it',
-                    retry_after_s=RETRY_AFTER_S,
-                )
+                raise self._make_unavailable('which version began it')
             await curio.sleep(ASK_PAUSE_S)
 
     def _find_here(self, stream: str) -> NotedOrigin | None:
@@ -160,21 +163,32 @@
         is_certain = self._state.versions.is_certain(noted.origin, noted.at)
         return noted if is_certain else None
 
-    async def _find_elsewhere(self, call: OnlineCall) -> NotedOrigin | None:
+    async def _find_elsewhere(
+        self, call: OnlineCall, arrived_at: float
+    ) -> NotedOrigin | None:
         """Asks other hosts for the origin of a stream.
 
+        :param arrived_at: time of the list of endpoints at the arrival.
         :returns: None if another try may find it.
         :raises StreamNotResumable: nobody knows it.
         """
         replies = await self._ask_all(self._state.runners(), call.stream)
-        if not replies:
-            replies = await self._ask_all(self._pick_fronts(), call.stream)
-        now = self._state.now()
         known = find_known(replies)
+        settled = is_settled(replies)
+        if known is None and not settled:
+            fronts = await self._ask_all(self._pick_fronts(), call.stream)
+            known = find_known(fronts)
+            replies.extend(fronts)
         if known is not None:
-            return NotedOrigin(origin=known, at=now)
-        if not is_settled(replies) and not self._knows_all_versions():
+            return NotedOrigin(origin=known, at=self._state.now())
+        if not settled and not await self._knows_all_versions(arrived_at):
             return None
+        return self._infer(call, replies)
+
+    def _infer(
+        self, call: OnlineCall, replies: list[StreamReply]
+    ) -> NotedOrigin:
+        now = self._state.now()
         tables = [reply.versions for reply in replies]
         tables.append(self._state.versions.all_candidates(now))
         services = [one.service for one in call.route.services]
@@ -183,9 +197,16 @@
             raise self._refuse(call, 'unknown', 'is not known')
         return NotedOrigin(origin=only, at=now)
 
-    def _knows_all_versions(self) -> bool:
-        is_complete = self._state.versions.is_complete(self._state.now())
-        return is_complete and not self._in_outage()
+    async def _knows_all_versions(self, since: float) -> bool:
+        is_listed = await self._sync.endpoint_list.confirm(since)
+        return is_listed and self._state.versions.is_complete(self._state.now())
+
+    def _make_unavailable(self, unknown: str) -> StreamOriginUnavailable:
+        self._count('unavailable')
+        return StreamOriginUnavailable(
+            detail=f'no host can tell yet {unknown}',
+            retry_after_s=RETRY_AFTER_S,
+        )
 
     def _refuse(
         self, call: OnlineCall, outcome: str, reason: str
@@ -241,7 +262,13 @@
         return reply if isinstance(reply, StreamReply) else None
 
     async def _restore(self) -> None:
-        """Learns the versions that left before this host started."""
+        """Learns the versions that left unseen, until cancelled."""
+        while True:
+            if self._state.versions.needs_restore(self._state.now()):
+                await self._restore_once()
+            await curio.sleep(RESTORE_CHECK_S)
+
+    async def _restore_once(self) -> None:
         for pause_s in RESTORE_PAUSES_S:
             # Hosts that start together ask one after the other.
             await curio.sleep(self._state.rng.uniform(0, pause_s))
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -12,6 +12,7 @@
     StoreUnavailable,
 )
 from jacinthmount.fleet_config import FleetConfig
+from jacinthmount.list_freshness import ListFreshness
 from jacinthmount.ports import ABSENT, Stored
 from jacinthmount.records import serialize_json
 
@@ -21,6 +22,7 @@
     BLOCKED_PREFIX,
     BlockedRecords,
 )
+from jacinthmount_node.relay.endpoint_list import EndpointList
 from jacinthmount_node.relay.evacuations import Evacuations
 from jacinthmount_node.relay.host_records import HostRecords
 from jacinthmount_node.relay.messages import RelayHost, Snapshot, SnapshotAsk
@@ -77,6 +79,7 @@
         '_on_config',
         '_probe',
         '_state',
+        'endpoint_list',
     )
 
     def __init__(
@@ -102,10 +105,18 @@
         self._config_watch = self._make_watch(
             f'{config_prefix}/', self._apply_config
         )
+        freshness = ListFreshness(
+            clock=state.clock,
+            on_missed=lambda: state.versions.restart(state.now()),
+        )
         self._endpoint_watch = self._make_watch(
             cfg.endpoint_prefix,
             self._apply_endpoints,
             coalesce_s=COALESCE_S,
+            freshness=freshness,
+        )
+        self.endpoint_list = EndpointList(
+            watch=self._endpoint_watch, freshness=freshness
         )
         self._evacuation_watch = self._make_watch(
             cfg.evacuation_prefix,
@@ -138,6 +149,7 @@
         async with PartGroup() as group:
             for watch in self._watches():
                 await group.spawn(watch.run)
+            await group.spawn(self.endpoint_list.run)
             await group.spawn(self._keep_registered)
             await group.spawn(self._run_outage_check)
             await group.spawn(self._run_peer_requests)
@@ -184,6 +196,17 @@
         """Returns the latest known revision of each prefix."""
         return {watch.prefix: watch.revision for watch in self._watches()}
 
+    def runner_revisions(self) -> dict[str, int]:
+        """Returns the revisions that this host reports as a runner.
+
+        Hosts take the endpoints of the active one for complete, so it leaves
+        them out while its list is not fresh.
+        """
+        revisions = self.revisions()
+        if self._state.leadership.active and not self.endpoint_list.is_fresh():
+            revisions.pop(self._endpoint_watch.prefix)
+        return revisions
+
     async def catch_up(self, address: str, revisions: dict[str, int]) -> None:
         """Requests a snapshot from a host that has a newer revision."""
         behind = any(
@@ -193,10 +216,24 @@
         if behind and not self._snapshot_requested:
             self._snapshot_requested = True
             try:
-                await self._request_snapshot(address)
+                await self.request_snapshot(address)
             finally:
                 self._snapshot_requested = False
 
+    async def request_snapshot(self, address: str) -> None:
+        """Takes over what another host has and this one does not."""
+        try:
+            reply = await self._links.request_at(
+                address,
+                SnapshotAsk(known=self.revisions()),
+                PEER_TIMEOUT_S,
+            )
+        except PeerUnavailable as exc:
+            log_event('peer_silent', address=address, detail=exc.detail)
+            return
+        if isinstance(reply, Snapshot):
+            await self._apply_snapshot(reply)
+
     async def deregister(self) -> None:
         """Removes the registration of this host."""
         name = f'{HOST_PREFIX}{self._state.host}'
@@ -213,6 +250,7 @@
         on_change,
         *,
         coalesce_s: float = 0.0,
+        freshness: ListFreshness | None = None,
     ) -> ObjectWatch:
         return ObjectWatch(
             store=self._state.store,
@@ -222,6 +260,7 @@
             has_update_source=self._state.has_update_source,
             make_delays=lambda: self._make_delays(coalesce_s),
             is_probed=True,
+            freshness=freshness,
         )
 
     def _make_delays(self, coalesce_s: float) -> WatchDelays:
@@ -286,6 +325,8 @@
             else:
                 table.put(entry, one.version)
                 self._state.versions.note_registration(entry, now)
+                # It may leave before the next page is applied.
+                self._state.versions.add(entry.service, [entry.version], now)
             log_event(
                 'endpoint',
                 endpoint=endpoint_id,
@@ -377,20 +418,7 @@
         if not others:
             return
         address = self._state.rng.choice(others)
-        await self._request_snapshot(address)
-
-    async def _request_snapshot(self, address: str) -> None:
-        try:
-            reply = await self._links.request_at(
-                address,
-                SnapshotAsk(known=self.revisions()),
-                PEER_TIMEOUT_S,
-            )
-        except PeerUnavailable as exc:
-            log_event('peer_silent', address=address, detail=exc.detail)
-            return
-        if isinstance(reply, Snapshot):
-            await self._apply_snapshot(reply)
+        await self.request_snapshot(address)
 
     async def _apply_snapshot(self, snapshot: Snapshot) -> None:
         watches = {watch.prefix: watch for watch in self._watches()}
--- a/packages/jacinthmount/jacinthmount/ports.py
+++ b/packages/jacinthmount/jacinthmount/ports.py
@@ -378,3 +378,7 @@
     def now(self) -> float:
         """Returns the time."""
         raise NotImplementedError
+
+    def boot_now(self) -> float:
+        """Returns a time that also passes while the machine is suspended."""
+        return self.now()
--- a/packages/jacinthmount/jacinthmount/version_history.py
+++ b/packages/jacinthmount/jacinthmount/version_history.py
@@ -49,7 +49,8 @@
         self._registered: dict[str, str] = {}
         # Last change of version under the id of each endpoint.
         self._changes: dict[str, _Change] = {}
-        self._complete_at = now + GONE_VALID_S
+        self._complete_at = math.inf
+        self.restart(now)
 
     def update(self, entries: Iterable[EndpointEntry], now: float) -> None:
         """Replaces the versions that are present."""
@@ -86,9 +87,17 @@
         """Records that the versions that left before the start are known."""
         self._complete_at = -math.inf
 
+    def restart(self, now: float) -> None:
+        """Records that versions may have come and left unseen."""
+        self._complete_at = now + GONE_VALID_S
+
+    def needs_restore(self, now: float) -> bool:
+        """Returns whether versions that have left may be missing."""
+        return now < self._complete_at
+
     def is_complete(self, now: float) -> bool:
         """Returns whether no version can be missing."""
-        return bool(self._present) and now >= self._complete_at
+        return bool(self._present) and not self.needs_restore(now)
 
     def candidates(self, service: str, now: float) -> set[str]:
         """Returns the versions that may have begun a recent stream."""
--- /dev/null
+++ b/tests/test_endpoint_list.py
@@ -0,0 +1,165 @@
+"""Proof that no endpoint is missing in the list of a host."""
+
+import random
+
+import curio
+import pytest
+from jacinthmount.list_freshness import STALL_S, ListFreshness
+from jacinthmount.ports import ABSENT
+from jacinthmount.stores import MemoryStore
+from jacinthmount_node.net.sockets import SystemClock
+from jacinthmount_node.relay.endpoint_list import EndpointList
+from jacinthmount_node.relay.object_watch import ObjectWatch
+
+PREFIX = 'servers/'
+REPLY_S = 0.05
+STOP_S = STALL_S + 0.1
+
+
+class _Store(MemoryStore):
+    """A store that counts listings, which may hang."""
+
+    __slots__ = ('hangs', 'listed')
+
+    def __init__(self):
+        super().__init__()
+        self.hangs = False
+        self.listed = 0
+
+    async def list_names(self, prefix):
+        """Lists the prefix after a while."""
+        self.listed += 1
+        await curio.sleep(60 if self.hangs else REPLY_S)
+        return await super().list_names(prefix)
+
+
+class _StoppedClock(SystemClock):
+    """A clock that passes a time in which the process did not run."""
+
+    __slots__ = ('stopped_s',)
+
+    def __init__(self):
+        self.stopped_s = 0.0
+
+    def boot_now(self):
+        """Returns the time with that of the stops."""
+        return super().boot_now() + self.stopped_s
+
+
+class Host:
+    """The list of a host."""
+
+    def __init__(self):
+        """Makes a watch of the endpoints."""
+        self.clock = _StoppedClock()
+        self.store = _Store()
+        self.missed = 0
+        freshness = ListFreshness(clock=self.clock, on_missed=self.note_missed)
+        self.watch = ObjectWatch(
+            store=self.store,
+            prefix=PREFIX,
+            on_change=self.on_change,
+            rng=random.Random(1),
+            freshness=freshness,
+        )
+        self.endpoints = EndpointList(watch=self.watch, freshness=freshness)
+
+    def note_missed(self):
+        """Counts the gaps."""
+        self.missed += 1
+
+    async def on_change(self, watch, changed):
+        """Has nothing to do."""
+
+    def run(self, play):
+        """Runs a scenario once the endpoints are listed."""
+
+        async def main():
+            await self.store.write(f'{PREFIX}e1', 'one', ABSENT)
+            await self.watch.refresh()
+            running = await curio.spawn(self.endpoints.run, daemon=True)
+            self.store.listed = 0
+            try:
+                return await play()
+            finally:
+                await running.cancel()
+
+        return curio.run(main)
+
+
+@pytest.fixture
+def host():
+    """A host that has just listed the endpoints."""
+    return Host()
+
+
+def test_each_take_up_costs_a_listing_of_its_own(host):
+    """Those that come while none is in flight share the next one."""
+
+    async def play():
+        since = host.endpoints.now()
+        async with curio.TaskGroup() as group:
+            for _ in range(20):
+                await group.spawn(host.endpoints.confirm, since)
+        return group.results
+
+    assert all(host.run(play))
+    assert host.store.listed == 1
+
+
+def test_listing_sent_before_a_take_up_proves_its_versions(host):
+    """One that comes while a listing is in flight waits for the next."""
+
+    async def play():
+        first = await curio.spawn(host.endpoints.confirm, host.endpoints.now())
+        await curio.sleep(REPLY_S / 2)
+        confirmed = await host.endpoints.confirm(host.endpoints.now())
+        return confirmed, await first.join()
+
+    assert host.run(play) == (True, True)
+    assert host.store.listed == 2
+
+
+def test_list_is_proved_while_the_store_is_silent(host):
+    """The host gives up, and asks a store that it knows to be lost no more."""
+    host_list = host.endpoints
+
+    async def play():
+        host.store.hangs = True
+        return [await host_list.confirm(host_list.now()) for _ in range(2)]
+
+    assert host.run(play) == [False, False]
+    assert host.store.listed == 1
+
+
+def test_fresh_list_costs_store_calls(host):
+    """Only one that is not fresh is listed anew."""
+
+    async def play():
+        fresh = await host.endpoints.ensure_fresh()
+        assert not host.store.listed
+        host.clock.stopped_s += STOP_S
+        assert not host.endpoints.is_fresh()
+        return fresh and await host.endpoints.ensure_fresh()
+
+    assert host.run(play)
+    assert host.store.listed == 1
+
+
+@pytest.mark.parametrize(
+    ('revisions', 'is_fresh'),
+    [({PREFIX: 1}, True), ({PREFIX: 9}, False), ({'config/': 1}, False)],
+    ids=['as new', 'newer', 'of a runner whose list is not fresh'],
+)
+def test_reply_of_a_runner_confirms_a_list_that_it_does_not_know(
+    host, revisions, is_fresh
+):
+    """It has to name the endpoints, with a revision that is known here."""
+
+    async def play():
+        host.clock.stopped_s += STOP_S
+        await curio.sleep(2 * STALL_S)
+        host.endpoints.on_runner_reply(host.endpoints.now(), revisions)
+        return host.endpoints.is_fresh()
+
+    assert host.run(play) == is_fresh
--- a/tests/test_host_reports.py
+++ b/tests/test_host_reports.py
@@ -79,9 +79,22 @@
         return [called for called, _ in self.requests].count(host)
 
 
+class _EndpointList:
+    """A list of endpoints whose freshness does not matter."""
+
+    def now(self):
+        """Returns the time of the test's own clock."""
+        return 0.0
+
+    def on_runner_reply(self, requested_at, revisions):
+        """Has nothing to record."""
+
+
 class _Sync:
     """A sync for which no runner has newer objects."""
 
+    endpoint_list = _EndpointList()
+
     async def catch_up(self, address, revisions):
         """Has nothing to fetch."""
 
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -72,3 +72,14 @@
     history.note_registration(make_entry('e1'), 0.0)
     history.note_registration(make_entry('e1', started_at_ms=9), 20.0)
     assert history.is_certain(OLD, 19.0)
+
+
+def test_version_that_came_and_left_unseen_is_not_missed(history):
+    """A history with a gap is as incomplete as that of a new process."""
+    history.update([make_entry('e1')], 0.5)
+    history.complete()
+    assert not history.needs_restore(1.0)
+    history.restart(2.0)
+    assert history.needs_restore(2.0)
+    assert not history.is_complete(2.0)
+    assert history.is_complete(2.0 + GONE_VALID_S)
