--- a/tests/test_stream_registry.py
+++ b/tests/test_stream_registry.py
@@ -1,12 +1,15 @@
-"""What a runner tells of streams that it does not know."""
+"""What a host concludes from an old list of endpoints."""
 
 import random
+from types import SimpleNamespace
 
 import curio
 import pytest
+from jacinthmount.errors import StreamNotResumable, StreamOriginUnavailable
 from jacinthmount.list_freshness import STALL_S
 from jacinthmount.ports import ABSENT
 from jacinthmount.stores import MemoryStore
+from jacinthmount.stream_origins import StreamOrigin
 from jacinthmount_node.net.sockets import SystemClock
 from jacinthmount_node.relay.new_messages import StreamAsk
 from jacinthmount_node.relay.state import RelayState
@@ -140,3 +143,100 @@
 
     reply, _ = runner.play(replace)
     assert reply.versions == {'model-a': ['v1', 'v2']}
+
+
+class _Call:
+    """A stream that a caller takes up."""
+
+    stream = 's'
+    last_event = 7
+    request = SimpleNamespace(request_id='r2', first_attempt='r1')
+    route = SimpleNamespace(services=[SimpleNamespace(service='model-a')])
+
+    def __init__(self):
+        """Starts without an origin."""
+        self.begin(None, 0.0)
+        self.service = 'model-a'
+
+    def begin(self, origin, began_at):
+        """Records what began the stream."""
+        self.origin = origin
+        self.began_at = began_at
+
+
+class Front:
+    """A front that knows an endpoint of v1, and a stream that v2 began."""
+
+    def __init__(self):
+        """Makes a front without other hosts."""
+        self.clock = _Clock()
+        self.store = _Store()
+        self.state = RelayState(
+            settings=make_relay_settings(),
+            store=self.store,
+            clock=self.clock,
+            rng=random.Random(1),
+        )
+        self.sync = RelaySync(
+            state=self.state, links=None, decoder=_Decoder(), on_config=bool
+        )
+        self.registry = StreamRegistry(
+            state=self.state, links=None, sender=None, sync=self.sync
+        )
+        new = StreamOrigin(
+            service='model-a', endpoint_id='new', started_at_ms=1, version='v2'
+        )
+        self.state.origins.note('s', new, self.state.now())
+
+    def bind(self, meanwhile):
+        """Takes the stream up after a stop.
+
+        :returns: the version at which it goes on, or the error.
+        """
+
+        async def main():
+            await self.store.write(OLD, 'v1', ABSENT)
+            await self.sync._endpoint_watch.refresh()
+            self.clock.stopped_s += STOP_S
+            await meanwhile()
+            call = _Call()
+            try:
+                await self.registry.bind(call)
+            except (StreamNotResumable, StreamOriginUnavailable) as exc:
+                return type(exc)
+            return call.origin.version
+
+        return curio.run(main)
+
+
+@pytest.fixture
+def front():
+    """A front that stands still for a moment."""
+    return Front()
+
+
+def test_stream_begins_anew_though_its_version_has_just_joined(front):
+    """A host that stood still lists the endpoints first."""
+
+    async def join():
+        await front.store.write(NEW, 'v2', ABSENT)
+
+    assert front.bind(join) == 'v2'
+
+
+def test_stream_begins_anew_where_its_version_may_serve(front):
+    """A host that is cut off can't know that no endpoint has it."""
+
+    async def cut_off():
+        front.store.is_silent = True
+
+    assert front.bind(cut_off) is StreamOriginUnavailable
+
+
+def test_stream_whose_version_has_left_comes_back_in_vain(front):
+    """A fresh list shows that it has to begin anew."""
+
+    async def change_nothing():
+        assert not front.sync.endpoint_list.is_fresh()
+
+    assert front.bind(change_nothing) is StreamNotResumable
