Say that a version is gone only from a list of endpoints known to be fresh

Callers were told to begin anew (502, 1407) by a host that had stood still or was cut off, for streams at a version that had joined meanwhile and that endpoints served.

A host that knows an origin but no endpoint of its version lists the endpoints unless its list is fresh, else takes them over from other hosts; where neither answers it says 1310, come back. A version that has left is still refused at once with 1407: the list is fresh in steady state, so no call is made.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
@@ -92,6 +92,7 @@
         noted = await self._find(call)
         call.begin(noted.origin, noted.at)
         call.service = noted.origin.service
+        await self._learn_endpoints(noted)
         self.raise_if_stranded(call)
 
     def raise_if_stranded(self, call: OnlineCall) -> None:
@@ -201,6 +202,31 @@
         is_listed = await self._sync.endpoint_list.confirm(since)
         return is_listed and self._state.versions.is_complete(self._state.now())
 
+    async def _learn_endpoints(self, noted: NotedOrigin) -> None:
+        """Catches up unless endpoints of a version are known here.
+
+        :raises StreamOriginUnavailable: there may be some all the same.
+        """
+        endpoints = self._sync.endpoint_list
+        if self._serves(noted.origin) or await endpoints.ensure_fresh():
+            return
+        hosts = self._state.runners() + self._pick_fronts()
+        async with PartGroup() as group:
+            for host in hosts[:MAX_ASKED_FRONTS]:
+                await group.spawn(
+                    self._sync.request_snapshot, host.peer_address
+                )
+            async for _ in group:
+                if self._serves(noted.origin):
+                    break
+            await group.cancel_remaining()
+        if not self._serves(noted.origin):
+            raise self._make_unavailable('whether its version still serves')
+
+    def _serves(self, origin: StreamOrigin) -> bool:
+        placement = self._state.placement(origin.service)
+        return placement.has_version(origin.version)
+
     def _make_unavailable(self, unknown: str) -> StreamOriginUnavailable:
         self._count('unavailable')
         return StreamOriginUnavailable(
