Specify the host out of step beside which versions come and go

The specification had no host whose list is old. Refuted: the variant that trusts an old list, as it was (v2 comes, a stream begins at v2), and one that takes its history for complete once it has listed (v2 comes, begins the stream and leaves). The decision is the production code; the older broken variants are refuted as before.

--- a/spec/stream_versions.py
+++ b/spec/stream_versions.py
@@ -5,8 +5,13 @@
 the runner are killed; news of the stream is late or lost; the record in the
 store is written late. The decision is the production code.
 
-Assumed: hosts learn registrations from the runner, and a version is registered
-for longer than the record takes to be written.
+The stream is also taken up at a host that is out of step: it stands still or is
+cut off while versions come and go, lists the registrations at any moment, and
+has to infer the version, since nobody replies to it.
+
+Assumed: hosts learn registrations from the runner. A version is registered for
+longer than the record takes to be written, and for longer than a host may be
+out of step without a restart of its history.
 """
 
 from jacinthmount.stream_lookup import (
@@ -29,7 +34,14 @@
 class Rules:
     """Rules that a broken variant replaces."""
 
-    __slots__ = ('forgets_at_once', 'host_ahead', 'keep_record', 'tells')
+    __slots__ = (
+        'forgets_at_once',
+        'host_ahead',
+        'keep_history',
+        'keep_record',
+        'tells',
+        'trusts_old_list',
+    )
 
     def __init__(
         self,
@@ -38,6 +50,8 @@
         host_ahead: bool = False,
         keep_record: bool = True,
         forgets_at_once: bool = False,
+        trusts_old_list: bool = False,
+        keep_history: bool = False,
     ) -> None:
         """Follows every rule by default.
 
@@ -45,11 +59,17 @@
         :param host_ahead: a host may know a version before the runner does
         :param keep_record: a runner that starts reads the record
         :param forgets_at_once: the runner forgets a version that has left
+        :param trusts_old_list: a host infers a version from a list that is
+            older than the stream
+        :param keep_history: a host that was out of step takes its history for
+            complete once it has listed the registrations
         """
         self.tells = tells
         self.host_ahead = host_ahead
         self.keep_record = keep_record
         self.forgets_at_once = forgets_at_once
+        self.trusts_old_list = trusts_old_list
+        self.keep_history = keep_history
 
 
 NAMES = (
@@ -62,6 +82,9 @@
     'stream',
     'news',
     'kills',
+    'stale_host',
+    'has_listed',
+    'has_history',
 )
 MAX_KILLS = 2
 
@@ -70,17 +93,35 @@
     """Builds the specification.
 
     The runner is None while it is down, else the versions that it takes for
-    possible; the host likewise.
+    possible; the host and the stale host likewise. The stale host may have
+    listed the registrations since the stream began, and has its history unless
+    a version came and left unseen.
     """
     first = frozenset((OLD,))
     return Protocol(
         name='stream versions',
         candidate=False,
         fields=NAMES,
-        initial=(first, first, '', first, '', first, '', NOT_TOLD, 0),
+        initial=(
+            first,
+            first,
+            '',
+            first,
+            '',
+            first,
+            '',
+            NOT_TOLD,
+            0,
+            first,
+            False,
+            True,
+        ),
         transitions=lambda fields: _transitions(fields, rules),
         invariants={
             'never_joined': _never_joined,
+            'never_joined_when_stale': lambda fields: (
+                _infer_when_stale(fields, rules) in {'', fields['stream']}
+            ),
             'goes_on': _goes_on if rules.tells else _is_any,
         },
     )
@@ -117,6 +158,17 @@
     return known.version if known else ''
 
 
+def _infer_when_stale(fields: dict, rules: Rules) -> str:
+    """Returns the version that a host infers alone, or nothing."""
+    is_proven = fields['has_listed'] or rules.trusts_old_list
+    if not fields['stream'] or not is_proven or not fields['has_history']:
+        return ''
+    only = find_only_version(
+        [SERVICE], [{SERVICE: sorted(fields['stale_host'])}]
+    )
+    return only.version if only else ''
+
+
 def _make_origin(version: str) -> StreamOrigin | None:
     if not version:
         return None
@@ -134,14 +186,17 @@
 def _transitions(fields: tuple, rules: Rules) -> list[tuple[str, tuple]]:
     state = dict(zip(NAMES, fields, strict=True))
     return [
-        *_registrations(fields, state),
+        *_registrations(fields, state, rules),
+        *_stale_host_steps(fields, state),
         *_runner_steps(fields, state, rules),
         *_host_steps(fields, state, rules),
         *_kills(fields, state, rules),
     ]
 
 
-def _registrations(fields: tuple, state: dict) -> list[tuple[str, tuple]]:
+def _registrations(
+    fields: tuple, state: dict, rules: Rules
+) -> list[tuple[str, tuple]]:
     registered = state['registered']
     steps = []
     if registered == {OLD}:
@@ -150,10 +205,28 @@
     if len(registered) > 1 and registered <= state['recorded']:
         for version in sorted(registered):
             left = registered - {version}
-            steps.append((f'{version} leaves', _with(fields, registered=left)))
+            has_seen = version in state['stale_host'] or rules.keep_history
+            steps.append((
+                f'{version} leaves',
+                _with(
+                    fields,
+                    registered=left,
+                    has_history=state['has_history'] and has_seen,
+                ),
+            ))
     return steps
 
 
+def _stale_host_steps(fields: tuple, state: dict) -> list[tuple[str, tuple]]:
+    known = state['stale_host'] | state['registered']
+    return [
+        (
+            'stale host lists the registrations',
+            _with(fields, stale_host=known, has_listed=bool(state['stream'])),
+        )
+    ]
+
+
 def _runner_steps(
     fields: tuple, state: dict, rules: Rules
 ) -> list[tuple[str, tuple]]:
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -125,6 +125,12 @@
     'version that left forgotten': stream_versions.build(
         stream_versions.Rules(forgets_at_once=True),
     ),
+    'old list taken for complete': stream_versions.build(
+        stream_versions.Rules(trusts_old_list=True),
+    ),
+    'version that came and left unseen': stream_versions.build(
+        stream_versions.Rules(keep_history=True),
+    ),
     'host ahead of the runner': stream_versions.build(
         stream_versions.Rules(host_ahead=True),
     ),
