Log whether this host gave an attempt up

`attempt_lost` of an attempt that this host had aborted read as if the endpoint had closed the connection (RemoteProtocolError), so a silent endpoint could not be told from one that breaks off. The line has `given_up` now. The attempts under way stand in a module of their own; no change of what they do.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -34,6 +34,7 @@
 from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.response_relay import AttemptRefused, ResponseRelay
 from jacinthmount_node.relay.runner_link import RunnerLink
+from jacinthmount_node.relay.running_attempts import RunningAttempts
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('OnlineRelay',)
@@ -46,8 +47,6 @@
 RESUME_PAUSE_S = 0.1
 RESUME_WAIT_S = 1.5
 CONNECT_TIMEOUT_S = 0.25
-# An attempt is aborted after this time without data, if it may be repeated.
-ABORT_UNRESPONSIVE_S = 0.6
 # Part of the latency target of a route that a request may spend in the queue.
 QUEUE_TIME_FRACTION = 0.7
 MIN_ATTEMPT_S = 0.02
@@ -59,6 +58,7 @@
 
     __slots__ = (
         '_answers',
+        '_attempts',
         '_called',
         '_calls',
         '_helpers',
@@ -67,7 +67,6 @@
         '_pool',
         '_queues',
         '_reporter',
-        '_running',
         '_state',
     )
 
@@ -94,7 +93,7 @@
         self._queues: dict[str, OnlineQueue] = {}
         self._calls = 0
         self._called = curio.Event()
-        self._running: dict[OnlineCall, tuple[EndpointUse, Exchange]] = {}
+        self._attempts = RunningAttempts(state=state)
 
     async def run(self) -> None:
         """Dispatches queued requests when endpoints become available again."""
@@ -130,7 +129,7 @@
             now = self._state.now()
             for placement in self._state.placements.values():
                 placement.note_unresponsive(now)
-            self._abort_unresponsive(now)
+            self._attempts.abort_silent()
             await self.pump()
 
     async def _answer(self, call: OnlineCall, responder: Responder) -> None:
@@ -165,16 +164,6 @@
         if call.endpoint_id != call.assigned_id:
             await self._reporter.note_change()
 
-    def _abort_unresponsive(self, now: float) -> None:
-        # Another endpoint may still answer the request in time.
-        for call, (use, exchange) in list(self._running.items()):
-            no_data_since = use.no_data_since
-            if no_data_since is None or not call.may_repeat(self._state.now()):
-                continue
-            since = max(no_data_since, call.last_reply_at)
-            if now - since > ABORT_UNRESPONSIVE_S:
-                exchange.abort()
-
     async def _release(
         self,
         queue: OnlineQueue,
@@ -312,7 +301,7 @@
                     no_reuse=False,
                     timeout_s=CONNECT_TIMEOUT_S,
                 )
-                self._running[call] = (use, exchange)
+                self._attempts.begin(call, use, exchange)
                 idle_s = await self._answers.relay(
                     call, use, exchange, responder
                 )
@@ -330,7 +319,7 @@
             await self._record_loss(call, use, stage, exc, exchange)
             return stage
         finally:
-            self._running.pop(call, None)
+            self._attempts.end(call)
             if exchange is not None and not kept:
                 await exchange.close()
         use.on_success()
@@ -383,6 +372,7 @@
             digest=call.suspect.request,
             parts=','.join(call.suspect.parts),
             error=f'{type(exc).__name__}: {exc}',
+            given_up=self._attempts.is_given_up(call),
             after_s=round(self._state.now() - call.arrived_at, 3),
         )
         if self._state.now() >= call.deadline:
