Failing tests: requests end early beside a silent endpoint

Sound endpoints are stopped for 1.2 s before the first event, or three times 0.9 s or once 2.5 s in a stream, while no other endpoint has a slot.

--- /dev/null
+++ b/tests/test_silent_endpoints.py
@@ -0,0 +1,120 @@
+"""Sound endpoints that fall silent and go on, on real processes."""
+
+import signal
+import time
+
+import pytest
+from jacinthmount_platform_standin.site import PlatformSite
+
+from tests.streaming_callers import Stream, run_all
+
+COUNT = 12
+EVENTS = 40
+EVENT_S = 0.05
+# With these, answers of the slower endpoint outlast the silences of the other.
+FEWER_EVENTS = 35
+SLOW_EVENT_S = 0.13
+SILENCE_S = 1.2
+PAUSE_S = 0.4
+WAIT_S = 10.0
+POLL_S = 0.02
+PATHS = ('/check/1', '/scan/1')
+
+
+@pytest.fixture
+def make_site(tmp_path):
+    """Starts a site of one front, two runners and some engines."""
+    found = PlatformSite(folder=tmp_path, fronts=1, runners=2)
+
+    def make(engines, slots):
+        found.start(engines=engines, slots=slots)
+        for port in found.engines.values():
+            found.switch(port, event_s=EVENT_S, show_version=True)
+        return found
+
+    try:
+        yield make
+    finally:
+        found.stop()
+
+
+def stop_engines(site, names, silence_s=SILENCE_S, times=1):
+    """Stops engines and lets them go on, some times in a row."""
+    for _ in range(times):
+        for name in names:
+            site.signal(name, signal.SIGSTOP)
+        time.sleep(silence_s)
+        for name in names:
+            site.signal(name, signal.SIGCONT)
+        time.sleep(PAUSE_S)
+
+
+def begin(site, path, events=EVENTS):
+    """Sends requests at once.
+
+    :returns: the streams, and the threads that read them.
+    """
+    streams = [
+        Stream(name=f's{number}', count=events, path=path)
+        for number in range(COUNT)
+    ]
+    return streams, run_all(streams, [site.fronts['front-1']])
+
+
+def join(threads):
+    """Waits until all answers have ended."""
+    for thread in threads:
+        thread.join()
+
+
+def wait_events(streams, count):
+    """Waits until each stream has so many events."""
+    until = time.monotonic() + WAIT_S
+    while any(len(one.events) < count for one in streams):
+        assert time.monotonic() < until, streams
+        time.sleep(POLL_S)
+
+
+def check_whole(site, streams):
+    """Checks that each stream has a complete answer."""
+    cut = [one for one in streams if not one.is_whole]
+    assert not cut, (len(cut), cut, read_losses(site))
+
+
+def read_losses(site):
+    """Lists the attempts that the front gave up or lost."""
+    return [
+        (line['after_s'], line['events'], line['given_up'], line['error'])
+        for line in site.read_lines('front-1')
+        if line['message_type'].endswith(':attempt_lost')
+    ]
+
+
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize(
+    ('engines', 'slots'), [(1, 12), (2, 6)], ids=['only one', 'one of two']
+)
+def test_silence_before_the_first_event_ends_a_request(
+    make_site, path, engines, slots
+):
+    """No other endpoint can take the request, so it waits and is served."""
+    site = make_site(engines, slots)
+    site.signal('engine-1', signal.SIGSTOP)
+    streams, threads = begin(site, path)
+    stop_engines(site, ['engine-1'])
+    join(threads)
+    check_whole(site, streams)
+
+
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize(('silence_s', 'times'), [(0.9, 3), (2.5, 1)])
+def test_silence_inside_a_stream_cuts_it(make_site, path, silence_s, times):
+    """The other endpoint is full meanwhile, so the stream waits."""
+    site = make_site(2, 6)
+    site.switch(site.engines['engine-2'], event_s=SLOW_EVENT_S)
+    streams, threads = begin(site, path, FEWER_EVENTS)
+    wait_events(streams, 5)
+    stop_engines(site, ['engine-1'], silence_s, times)
+    join(threads)
+    check_whole(site, streams)
+    assert not read_losses(site)
