Give an attempt at a silent endpoint up only for a slot that is held

Requests that may be repeated were answered 502, or lost time inside their stream, beside an endpoint that was silent for a second or so and went on. The host aborted each such attempt after 0.6 s without data, whether or not another endpoint could take the request, and then found no place within what was left of its time in the queue (0.7 of the latency target).

Now a free slot of another endpoint is taken first and held for the request, then the attempt is aborted; without one it stays until data come or its deadline. The slot has to be free at once, at an endpoint of the right version that is not silent itself, and is freed on each other way out. An endpoint whose registration is gone, and a host that reaches no endpoint, are left without a slot. A request whose attempt was given up may wait until its deadline, since its place was taken from it. An endpoint that was ejected only for its silence is available again with its next data. Requests at silent endpoints come before new ones. Silence is still noted as a reason to check whether this host reaches any endpoint; giving up was what noted it before.

Ruled out: a longer time to silence, which only shifts the limit; a longer wait for the next place alone, which gives a certain place up for an uncertain one.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -34,7 +34,10 @@
 from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.response_relay import AttemptRefused, ResponseRelay
 from jacinthmount_node.relay.runner_link import RunnerLink
-from jacinthmount_node.relay.running_attempts import RunningAttempts
+from jacinthmount_node.relay.running_attempts import (
+    RunningAttempts,
+    has_key,
+)
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('OnlineRelay',)
@@ -93,7 +96,7 @@
         self._queues: dict[str, OnlineQueue] = {}
         self._calls = 0
         self._called = curio.Event()
-        self._attempts = RunningAttempts(state=state)
+        self._attempts = RunningAttempts(state=state, crashes=notices.crashes)
 
     async def run(self) -> None:
         """Dispatches queued requests when endpoints become available again."""
@@ -122,6 +125,7 @@
             await self._answer(call, responder)
         finally:
             self._calls -= 1
+            self._attempts.forget(call)
 
     async def _check_until_idle(self) -> None:
         while self._calls:
@@ -129,7 +133,8 @@
             now = self._state.now()
             for placement in self._state.placements.values():
                 placement.note_unresponsive(now)
-            self._attempts.abort_silent()
+            for entry in self._attempts.note_silent():
+                await self._notices.reach.note_failed(entry)
             await self.pump()
 
     async def _answer(self, call: OnlineCall, responder: Responder) -> None:
@@ -152,11 +157,12 @@
                 return
             self._retry_or_raise(call, stage, responder)
             self._prepare_next(call)
+        self._attempts.drop(call)
         await self._helpers.answer(call, responder, has_token=True)
 
     def _prepare_next(self, call: OnlineCall) -> None:
         call.assigned_id = ''
-        if call.origin is None:
+        if call.origin is None and not self._attempts.holds(call):
             call.service = call.route.pick_service(self._state.rng)
 
     async def _report_start(self, call: OnlineCall) -> None:
@@ -181,6 +187,10 @@
         queue: OnlineQueue,
         responder: Responder,
     ) -> EndpointUse:
+        held = self._attempts.take(call)
+        if held is not None:
+            queue.enter(call.account)
+            return held
         if self._may_ask_for_place(call, queue):
             call.assigned_id = await self._places.find(call)
         try:
@@ -215,6 +225,8 @@
         # Called before the slot is released: while the request counts as in
         # flight, the runner preempts batch items on the endpoint.
         call.tried.add(use.entry.endpoint_id)
+        if self._attempts.holds(call):
+            return
         untried = self._state.placement(use.entry.service).startable(
             call.tried,
             self._wait_limit_s(call),
@@ -232,7 +244,7 @@
 
     def _wait_limit_s(self, call: OnlineCall) -> float:
         now = self._state.now()
-        if call.has_begun or call.origin is not None:
+        if self._resumes(call) or call.origin is not None:
             until = min(call.resume_until, call.deadline)
             return max(MIN_ATTEMPT_S, until - now)
         queue_deadline = (
@@ -260,9 +272,7 @@
 
     def _recheck_key(self, call: OnlineCall) -> None:
         # The key may have been withdrawn while the request was queued.
-        if call.route.public or not self._state.config.has_accounts:
-            return
-        if self._state.config.account_of_key(call.request.key) is None:
+        if not has_key(self._state, call):
             raise KeyUnknown(
                 detail='key was withdrawn while the request waited'
             )
@@ -312,7 +322,7 @@
         except ATTEMPT_ERRORS as exc:
             if responder.broken:
                 raise
-            use.on_failure(self._state.now())
+            self._attempts.note_failed(call, use)
             count_endless(self._state.metrics, exc)
             use.unreachable = exchange is None
             stage = exchange.stage if exchange else Stage.CONNECTING
@@ -417,7 +427,7 @@
         if outcome in {NextAction.RETRY, NextAction.RESUME}:
             self._state.metrics.retries.labels(call.route.name).inc()
             if outcome is NextAction.RESUME:
-                call.resume_until = self._state.now() + RESUME_WAIT_S
+                self._attempts.limit_wait(call, RESUME_WAIT_S)
                 self._notices.streams.raise_if_stranded(call)
             return
         if responder.started:
@@ -432,16 +442,21 @@
         )
 
     def _may_try_again(self, call: OnlineCall) -> bool:
-        if call.has_begun:
+        if self._resumes(call):
             return self._state.now() < call.resume_until
         if call.refusals + len(call.tried) >= MAX_TRIES:
             return False
         in_time = self._state.now() < call.arrived_at + call.route.target_s
         return in_time or not call.refusals
 
+    def _resumes(self, call: OnlineCall) -> bool:
+        return call.has_begun or self._attempts.has_left(call)
+
     def _queue(self, service: str) -> OnlineQueue:
         queue = self._queues.get(service)
         if queue is None:
-            queue = OnlineQueue(state=self._state, service=service)
+            queue = OnlineQueue(
+                state=self._state, service=service, attempts=self._attempts
+            )
             self._queues[service] = queue
         return queue
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_queue.py
@@ -7,6 +7,7 @@
 from jacinthmount.placement import EndpointUse, Placement
 
 from jacinthmount_node.net.sockets import with_timeout
+from jacinthmount_node.relay.running_attempts import RunningAttempts
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('OnlineQueue',)
@@ -30,21 +31,28 @@
 class OnlineQueue:
     """Requests of one service that wait for a slot, on this host.
 
-    Streams that go on wait for the endpoints of one version. They come before
-    new requests, which may begin at any endpoint.
+    Streams that go on wait for the endpoints of one version. They come first,
+    then requests at silent endpoints, then new requests, which may begin at any
+    endpoint.
     """
 
     __slots__ = (
+        '_attempts',
         '_guard',
         '_placement',
         '_queue',
         '_queued',
         '_resuming',
+        '_service',
         '_state',
     )
 
-    def __init__(self, *, state: RelayState, service: str) -> None:
+    def __init__(
+        self, *, state: RelayState, service: str, attempts: RunningAttempts
+    ) -> None:
         self._state = state
+        self._service = service
+        self._attempts = attempts
         self._placement: Placement = state.placement(service)
         self._queue: FairQueue[_Waiter] = FairQueue()
         self._resuming: list[_Waiter] = []
@@ -84,6 +92,10 @@
         self._queue.begin(account)
         return use
 
+    def enter(self, account: str) -> None:
+        """Counts a request that has a slot already."""
+        self._queue.begin(account)
+
     def is_limited(self, tried: set[str]) -> bool:
         """Returns whether a request would have to wait for a limited endpoint.
 
@@ -98,9 +110,7 @@
 
         :param took_s: seconds for which it was held.
         """
-        use.online -= 1
-        if not use.online:
-            use.on_idle()
+        use.end()
         self._queue.end(account)
         self._guard.on_release(took_s)
 
@@ -110,6 +120,7 @@
             is_assigned = await self._assign(resuming)
             if not is_assigned and self._is_stranded(resuming):
                 await resuming.ready.set()
+        self._attempts.move_silent(self._service)
         while len(self._queue):
             now = self._state.now()
             if self._placement.choose(set(), now) is None:
@@ -213,7 +224,7 @@
             ) from None
         except BaseException:
             if waiter.use is not None:
-                waiter.use.online -= 1
+                waiter.use.end()
             raise
         finally:
             self._remove(account, waiter)
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         '_queue_until',
+        '_is_silent',
         '_failures',
         '_viewed_at',
         'batch_from_others',
@@ -75,12 +76,20 @@
         self._viewed_at = -VIEW_VALID_S
         self._failures = 0
         self._queue_until = 0.0
+        # It was ejected only because it sent nothing.
+        self._is_silent = False
 
     def begin(self, now: float) -> None:
         """Counts an online request that is about to be sent."""
         self.online += 1
         self.on_paced(now)
 
+    def end(self) -> None:
+        """Counts an online request that has ended."""
+        self.online -= 1
+        if not self.online:
+            self.on_idle()
+
     def on_paced(self, now: float) -> None:
         """Counts a request against what a cold or limited endpoint gets."""
         self.cold.on_sent(now)
@@ -112,6 +121,8 @@
     def on_contact(self, now: float) -> None:
         """Records that the endpoint sent data."""
         self.no_data_since = now
+        if self._is_silent:
+            self.on_success()
 
     def on_idle(self) -> None:
         """Records that no response is awaited any more."""
@@ -125,6 +136,7 @@
 
     def on_success(self) -> None:
         """Records a successful response."""
+        self._is_silent = False
         self._failures = 0
         self.ejected_until = 0.0
         self.unreachable = False
@@ -148,16 +160,29 @@
         """
         if now < self.ejected_until:
             return
+        self._is_silent = False
         self._failures += 1
         pause_s = EJECT_BASE_S * 2 ** min(self._failures - 1, 5)
         self.ejected_until = now + min(pause_s, EJECT_MAX_S)
 
+    def on_silence(self, now: float) -> None:
+        """Ejects an endpoint that sends nothing, until it does again."""
+        is_new = now >= self.ejected_until
+        self.on_failure(now)
+        self._is_silent = self._is_silent or is_new
+
     def in_flight(self, now: float) -> int:
         """Returns the known online requests in flight."""
         if now - self._viewed_at >= VIEW_VALID_S:
             return self.online
         return self.online + self.online_from_others
 
+    def has_slot(self, now: float) -> bool:
+        """Returns whether another online request would start at once."""
+        return self.in_flight(now) < self.entry.slots and not self.had_queue(
+            now
+        )
+
     def has_capacity(self, now: float) -> bool:
         """Returns whether another online request would start soon."""
         return self.in_flight(now) < self.entry.slots + MAX_EXTRA_WAITING
@@ -378,6 +403,25 @@
             return None
         return min(with_capacity, key=lambda use: self._rank(use, now))
 
+    def choose_free(
+        self, tried: set[str], now: float, version: str | None = None
+    ) -> EndpointUse | None:
+        """Chooses an endpoint at which a request would surely start at once.
+
+        :param tried: ids of endpoints to leave out.
+        :param version: leaves out those of other versions, unless None.
+        :returns: None if every endpoint is full, cold, not available or was
+            tried.
+        """
+        free = [
+            use
+            for use in self.untried(tried, version)
+            if self.is_available(use, now)
+            and use.has_slot(now)
+            and use.may_send(now)
+        ]
+        return min(free, key=lambda use: self._rank(use, now), default=None)
+
     def _rank(
         self,
         use: EndpointUse,
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -16,6 +16,8 @@
 SLOW_EVENT_S = 0.13
 SILENCE_S = 1.2
 PAUSE_S = 0.4
+# Less than the time-out, more than two seconds of events and the silence.
+HANGS_S = 4.0
 WAIT_S = 10.0
 POLL_S = 0.02
 PATHS = ('/check/1', '/scan/1')
@@ -81,6 +83,16 @@
     assert not cut, (len(cut), cut, read_losses(site))
 
 
+def count_endpoints(site):
+    """Counts the endpoints that served the last requests of the front."""
+    served = [
+        line['endpoint']
+        for line in site.read_lines('front-1')
+        if line['message_type'].endswith(':served')
+    ]
+    return len(set(served[-COUNT:]))
+
+
 def read_losses(site):
     """Lists the attempts that the front gave up or lost."""
     return [
@@ -118,3 +130,35 @@
     join(threads)
     check_whole(site, streams)
     assert not read_losses(site)
+
+
+def test_request_stays_at_an_endpoint_that_hangs(make_site):
+    """It moves to the free slots of another one, long before its time-out."""
+    site = make_site(2, 12)
+    streams, threads = begin(site, '/check/1')
+    wait_events(streams, 5)
+    site.signal('engine-1', signal.SIGSTOP)
+    join(threads)
+    check_whole(site, streams)
+    assert max(one.took_s for one in streams) < HANGS_S
+    assert read_losses(site)
+    # The slots that were held for them are free again.
+    site.signal('engine-1', signal.SIGCONT)
+    time.sleep(PAUSE_S)
+    for _ in range(2):
+        streams, threads = begin(site, '/scan/1', 5)
+        join(threads)
+        check_whole(site, streams)
+    assert count_endpoints(site) == 2
+
+
+def test_endpoint_is_avoided_after_its_silence(make_site):
+    """New requests use it as soon as an answer of it goes on."""
+    site = make_site(2, 12)
+    streams, threads = begin(site, '/scan/1')
+    wait_events(streams, 5)
+    stop_engines(site, ['engine-1'])
+    others, more = begin(site, '/check/1', 5)
+    join([*more, *threads])
+    check_whole(site, [*streams, *others])
+    assert count_endpoints(site) == 2
