--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -34,6 +34,10 @@
 from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.response_relay import AttemptRefused, ResponseRelay
 from jacinthmount_node.relay.runner_link import RunnerLink
+from jacinthmount_node.relay.running_attempts import (
+    RunningAttempts,
+    has_key,
+)
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('OnlineRelay',)
@@ -46,8 +50,6 @@
 RESUME_PAUSE_S = 0.1
 RESUME_WAIT_S = 1.5
 CONNECT_TIMEOUT_S = 0.25
-# An attempt is aborted after this time without data, if it may be repeated.
-ABORT_UNRESPONSIVE_S = 0.6
 # Part of the latency target of a route that a request may spend in the queue.
 QUEUE_TIME_FRACTION = 0.7
 MIN_ATTEMPT_S = 0.02
@@ -59,6 +61,7 @@
 
     __slots__ = (
         '_answers',
+        '_attempts',
         '_called',
         '_calls',
         '_helpers',
@@ -67,7 +70,6 @@
         '_pool',
         '_queues',
         '_reporter',
-        '_running',
         '_state',
     )
 
@@ -94,7 +96,7 @@
         self._queues: dict[str, OnlineQueue] = {}
         self._calls = 0
         self._called = curio.Event()
-        self._running: dict[OnlineCall, tuple[EndpointUse, Exchange]] = {}
+        self._attempts = RunningAttempts(state=state, crashes=notices.crashes)
 
     async def run(self) -> None:
         """Dispatches queued requests when endpoints become available again."""
@@ -123,6 +125,7 @@
             await self._answer(call, responder)
         finally:
             self._calls -= 1
+            self._attempts.forget(call)
 
     async def _check_until_idle(self) -> None:
         while self._calls:
@@ -130,7 +133,8 @@
             now = self._state.now()
             for placement in self._state.placements.values():
                 placement.note_unresponsive(now)
-            self._abort_unresponsive(now)
+            for entry in self._attempts.note_silent():
+                await self._notices.reach.note_failed(entry)
             await self.pump()
 
     async def _answer(self, call: OnlineCall, responder: Responder) -> None:
@@ -153,11 +157,12 @@
                 return
             self._retry_or_raise(call, stage, responder)
             self._prepare_next(call)
+        self._attempts.drop(call)
         await self._helpers.answer(call, responder, has_token=True)
 
     def _prepare_next(self, call: OnlineCall) -> None:
         call.assigned_id = ''
-        if call.origin is None:
+        if call.origin is None and not self._attempts.holds(call):
             call.service = call.route.pick_service(self._state.rng)
 
     async def _report_start(self, call: OnlineCall) -> None:
@@ -165,16 +170,6 @@
         if call.endpoint_id != call.assigned_id:
             await self._reporter.note_change()
 
-    def _abort_unresponsive(self, now: float) -> None:
-        # Another endpoint may still answer the request in time.
-        for call, (use, exchange) in list(self._running.items()):
-            no_data_since = use.no_data_since
-            if no_data_since is None or not call.may_repeat(self._state.now()):
-                continue
-            since = max(no_data_since, call.last_reply_at)
-            if now - since > ABORT_UNRESPONSIVE_S:
-                exchange.abort()
-
     async def _release(
         self,
         queue: OnlineQueue,
@@ -192,6 +187,10 @@
         queue: OnlineQueue,
         responder: Responder,
     ) -> EndpointUse:
+        held = self._attempts.take(call)
+        if held is not None:
+            queue.enter(call.account)
+            return held
         if self._may_ask_for_place(call, queue):
             call.assigned_id = await self._places.find(call)
         try:
@@ -226,6 +225,8 @@
         # Called before the slot is released: while the request counts as in
         # flight, the runner preempts batch items on the endpoint.
         call.tried.add(use.entry.endpoint_id)
+        if self._attempts.holds(call):
+            return
         untried = self._state.placement(use.entry.service).startable(
             call.tried,
             self._wait_limit_s(call),
@@ -243,7 +244,7 @@
 
     def _wait_limit_s(self, call: OnlineCall) -> float:
         now = self._state.now()
-        if call.has_begun or call.origin is not None:
+        if self._resumes(call) or call.origin is not None:
             until = min(call.resume_until, call.deadline)
             return max(MIN_ATTEMPT_S, until - now)
         queue_deadline = (
@@ -271,9 +272,7 @@
 
     def _recheck_key(self, call: OnlineCall) -> None:
         # The key may have been withdrawn while the request was queued.
-        if call.route.public or not self._state.config.has_accounts:
-            return
-        if self._state.config.account_of_key(call.request.key) is not None:
+        if has_key(self._state, call):
             return
         detail = 'key was withdrawn while the request waited'
         if call.attempts:
@@ -315,7 +314,7 @@
                     no_reuse=False,
                     timeout_s=CONNECT_TIMEOUT_S,
                 )
-                self._running[call] = (use, exchange)
+                self._attempts.begin(call, use, exchange)
                 idle_s = await self._answers.relay(
                     call, use, exchange, responder
                 )
@@ -326,14 +325,14 @@
         except ATTEMPT_ERRORS as exc:
             if responder.broken:
                 raise
-            use.on_failure(self._state.now())
+            self._attempts.note_failed(call, use)
             count_endless(self._state.metrics, exc)
             use.unreachable = exchange is None
             stage = exchange.stage if exchange else Stage.CONNECTING
             await self._record_loss(call, use, stage, exc, exchange)
             return stage
         finally:
-            self._running.pop(call, None)
+            self._attempts.end(call)
             if exchange is not None and not kept:
                 await exchange.close()
         use.on_success()
@@ -386,6 +385,7 @@
             digest=call.suspect.request,
             parts=','.join(call.suspect.parts),
             error=f'{type(exc).__name__}: {exc}',
+            given_up=self._attempts.is_given_up(call),
             after_s=round(self._state.now() - call.arrived_at, 3),
         )
         if self._state.now() >= call.deadline:
@@ -430,7 +430,7 @@
         if outcome in {NextAction.RETRY, NextAction.RESUME}:
             self._state.metrics.retries.labels(call.route.name).inc()
             if outcome is NextAction.RESUME:
-                call.resume_until = self._state.now() + RESUME_WAIT_S
+                self._attempts.limit_wait(call, RESUME_WAIT_S)
                 self._notices.streams.raise_if_stranded(call)
             return
         if responder.started:
@@ -445,16 +445,21 @@
         )
 
     def _may_try_again(self, call: OnlineCall) -> bool:
-        if call.has_begun:
+        if self._resumes(call):
             return self._state.now() < call.resume_until
         if call.refusals + len(call.tried) >= MAX_TRIES:
             return False
         in_time = self._state.now() < call.arrived_at + call.route.target_s
         return in_time or not call.refusals
 
+    def _resumes(self, call: OnlineCall) -> bool:
+        return call.has_begun or self._attempts.has_left(call)
+
     def _queue(self, service: str) -> OnlineQueue:
         queue = self._queues.get(service)
         if queue is None:
-            queue = OnlineQueue(state=self._state, service=service)
+            queue = OnlineQueue(
+                state=self._state, service=service, attempts=self._attempts
+            )
             self._queues[service] = queue
         return queue
