Refuse with 1303 where no runner can tell whether a limit is exceeded

Callers of a host that reaches no runner were refused with 429, 1301: their account had used up its rate, which nobody had told that host. It is the code 1303 (503) of the first interface: no share of the rate is confirmed. Both say that the request has not run and may come back, with the same Retry-After.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/quota.py
@@ -1,6 +1,11 @@
 """Rate limits of client accounts, as one front enforces them."""
 
-from jacinthmount.errors import PeerUnavailable, RateExceeded
+from jacinthmount.errors import (
+    JacinthmountError,
+    PeerUnavailable,
+    RateExceeded,
+    ShareUnconfirmed,
+)
 from jacinthmount.fleet_config import AccountRule
 from jacinthmount.held_shares import HeldShares
 from jacinthmount.retry_schedule import RetrySchedule
@@ -59,6 +64,7 @@
         :returns: id of the endpoint that the active runner chose, or an empty
             string if the token did not come from it.
         :raises RateExceeded: no token is available.
+        :raises ShareUnconfirmed: no runner can tell whether one is.
         """
         if account.rate_per_s <= 0:
             return ''
@@ -78,13 +84,17 @@
             return ''
         raise self._make_refusal(account, fronts)
 
-    def _make_refusal(self, account: AccountRule, fronts: int) -> RateExceeded:
+    def _make_refusal(
+        self, account: AccountRule, fronts: int
+    ) -> JacinthmountError:
         now = self._state.now()
         no_answer_s = max(0.0, self._runner_retry_at - now)
         empty_s = max(0.0, self._pool_retry_at.get(account.name, 0) - now)
-        return RateExceeded(
+        is_told = now >= self._runner_retry_at
+        error = RateExceeded if is_told else ShareUnconfirmed
+        return error(
             detail=(
-                f'rate limit of {account.name} exceeded: '
+                f'no token of {account.name}: '
                 f'{self._shares.describe(account.name, now)}, '
                 f'pool empty for {empty_s:.2f} s, '
                 f'runner request possible in {no_answer_s:.2f} s'
