Say that nobody knows a stream only when the active runner says so

While no runner with a fresh list has replied, the question is repeated for up to a second, as for other streams that can't be told yet, and ends with 1310, come back.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
@@ -184,19 +184,20 @@
             return NotedOrigin(origin=known, at=self._state.now())
         if not settled and not await self._knows_all_versions(arrived_at):
             return None
-        return self._infer(call, replies)
+        only = self._infer(call, replies)
+        if only is None and settled:
+            raise self._refuse(call, 'unknown', 'is not known')
+        return only
 
     def _infer(
         self, call: OnlineCall, replies: list[StreamReply]
-    ) -> NotedOrigin:
+    ) -> NotedOrigin | None:
         now = self._state.now()
         tables = [reply.versions for reply in replies]
         tables.append(self._state.versions.all_candidates(now))
         services = [one.service for one in call.route.services]
         only = find_only_version(services, tables)
-        if only is None:
-            raise self._refuse(call, 'unknown', 'is not known')
-        return NotedOrigin(origin=only, at=now)
+        return NotedOrigin(origin=only, at=now) if only else None
 
     async def _knows_all_versions(self, since: float) -> bool:
         is_listed = await self._sync.endpoint_list.confirm(since)
