--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -6,20 +6,23 @@
 import pytest
 from jacinthmount_platform_standin.site import PlatformSite
 
-from tests.streaming_callers import Stream, run_all
+from tests.silences import (
+    EVENT_S,
+    PAUSE_S,
+    begin,
+    check_whole,
+    count_endpoints,
+    join,
+    read_losses,
+    stop_engines,
+    wait_events,
+)
 
-COUNT = 12
-EVENTS = 40
-EVENT_S = 0.05
 # With these, answers of the slower endpoint outlast the silences of the other.
 FEWER_EVENTS = 35
 SLOW_EVENT_S = 0.13
-SILENCE_S = 1.2
-PAUSE_S = 0.4
 # Less than the time-out, more than two seconds of events and the silence.
 HANGS_S = 4.0
-WAIT_S = 10.0
-POLL_S = 0.02
 PATHS = ('/check/1', '/scan/1')
 
 
@@ -40,68 +43,6 @@
         found.stop()
 
 
-def stop_engines(site, names, silence_s=SILENCE_S, times=1):
-    """Stops engines and lets them go on, some times in a row."""
-    for _ in range(times):
-        for name in names:
-            site.signal(name, signal.SIGSTOP)
-        time.sleep(silence_s)
-        for name in names:
-            site.signal(name, signal.SIGCONT)
-        time.sleep(PAUSE_S)
-
-
-def begin(site, path, events=EVENTS):
-    """Sends requests at once.
-
-    :returns: the streams, and the threads that read them.
-    """
-    streams = [
-        Stream(name=f's{number}', count=events, path=path)
-        for number in range(COUNT)
-    ]
-    return streams, run_all(streams, [site.fronts['front-1']])
-
-
-def join(threads):
-    """Waits until all answers have ended."""
-    for thread in threads:
-        thread.join()
-
-
-def wait_events(streams, count):
-    """Waits until each stream has so many events."""
-    until = time.monotonic() + WAIT_S
-    while any(len(one.events) < count for one in streams):
-        assert time.monotonic() < until, streams
-        time.sleep(POLL_S)
-
-
-def check_whole(site, streams):
-    """Checks that each stream has a complete answer."""
-    cut = [one for one in streams if not one.is_whole]
-    assert not cut, (len(cut), cut, read_losses(site))
-
-
-def count_endpoints(site):
-    """Counts the endpoints that served the last requests of the front."""
-    served = [
-        line['endpoint']
-        for line in site.read_lines('front-1')
-        if line['message_type'].endswith(':served')
-    ]
-    return len(set(served[-COUNT:]))
-
-
-def read_losses(site):
-    """Lists the attempts that the front gave up or lost."""
-    return [
-        (line['after_s'], line['events'], line['given_up'], line['error'])
-        for line in site.read_lines('front-1')
-        if line['message_type'].endswith(':attempt_lost')
-    ]
-
-
 @pytest.mark.parametrize('path', PATHS)
 @pytest.mark.parametrize(
     ('engines', 'slots'), [(1, 12), (2, 6)], ids=['only one', 'one of two']
