--- a/packages/jacinthmount-node/jacinthmount_node/relay/front_addresses.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front_addresses.py
@@ -2,6 +2,7 @@
 
 from jacinthmount.errors import PeerUnavailable
 
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.relay.messages import RelayHost
 from jacinthmount_node.relay.new_messages import FrontAddress, FrontAsk
 from jacinthmount_node.relay.state import RelayState
@@ -13,7 +14,10 @@
 
 
 class FrontAddresses:
-    """Asks hosts for their addresses, each once in its lifetime."""
+    """Asks hosts for their addresses, each once in its lifetime.
+
+    It also asks whether they run at all.
+    """
 
     __slots__ = ('_known', '_links', '_state')
 
@@ -40,6 +44,17 @@
         self._known[host.incarnation] = reply.address
         return reply.address
 
+    async def is_alive(self, host: RelayHost) -> bool:
+        """Asks a host whether it runs, which its link answers at once."""
+        try:
+            await self._links.request_at(
+                host.peer_address, FrontAsk(), ASK_TIMEOUT_S
+            )
+        except PeerUnavailable as exc:
+            log_event('helper_silent', helper=host.host, detail=exc.detail)
+            return False
+        return True
+
     def _drop_gone(self) -> None:
         current = {host.incarnation for host in self._state.hosts.values()}
         for incarnation in set(self._known) - current:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
@@ -44,6 +44,7 @@
 
 HELPER_ERRORS = (*ATTEMPT_ERRORS, PeerUnavailable)
 CONNECT_TIMEOUT_S = 0.25
+# A host that has sent no head by then is asked whether it is alive.
 HEAD_TIMEOUT_S = 1.0
 MAX_HELPERS = 4
 MIN_ATTEMPT_S = 0.02
@@ -187,7 +188,9 @@
                     no_reuse=not call.route.idempotent,
                     timeout_s=CONNECT_TIMEOUT_S,
                 )
-                is_served = await self._relay(call, mark, exchange, responder)
+                is_served = await self._relay(
+                    call, helper, mark, exchange, responder
+                )
         except HELPER_ERRORS as exc:
             if responder.broken:
                 raise
@@ -225,6 +228,7 @@
     async def _relay(
         self,
         call: OnlineCall,
+        helper: RelayHost,
         mark: RelayMark,
         exchange: Exchange,
         responder: Responder,
@@ -245,7 +249,7 @@
         await exchange.send(
             call.request.method, call.request.target, headers, call.body
         )
-        await with_timeout(self._head_limit_s(call), exchange.read_head)
+        await self._read_head(call, helper, exchange)
         answer = self._endpoints.parse_response(
             call.request.request_id, exchange.status, exchange.headers
         )
@@ -262,12 +266,24 @@
             await responder.send(exchange.status, body, answer.headers)
         return True
 
-    def _head_limit_s(self, call: OnlineCall) -> float:
-        left_s = call.deadline - self._state.now()
+    async def _read_head(
+        self, call: OnlineCall, helper: RelayHost, exchange: Exchange
+    ) -> None:
+        """Waits for the head for as long as the host is alive.
+
+        :raises TimeoutError: it is silent, and another one may answer in time.
+        """
+        while True:
+            try:
+                return await with_timeout(HEAD_TIMEOUT_S, exchange.read_head)
+            except TimeoutError:
+                if not await self._may_wait(call, helper):
+                    raise
+
+    async def _may_wait(self, call: OnlineCall, helper: RelayHost) -> bool:
         if not call.route.idempotent:
-            return left_s
-        # A host that is silent may be lost; another one may answer in time.
-        return min(left_s, HEAD_TIMEOUT_S)
+            return True
+        return await self._addresses.is_alive(helper)
 
     async def _relay_error(
         self,
