Reply that a stream is not known yet in a message that can be read (ORDER)

Callers whose stream was taken up while the active runner could not list the endpoints within 0.1 s lost more than that: curio returns None for a call that times out, whatever result is named for it, so the reply held None where a boolean belongs. The host that asked took it for garbage and closed the link, with all requests for tokens and places that were under way on it. Found by a review, which saw a second request on the link fail at 0.16 s.

test_reply_of_a_runner_that_is_cut_off_ends_the_link failed before (MalformedRecord), and so did the check of a runner that is cut off, which took None for false and now asks for False itself.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
@@ -139,11 +139,12 @@
         if not self._state.leadership.active:
             return False
         is_fresh = await curio.ignore_after(
-            ASK_LIST_TIMEOUT_S,
-            self._sync.endpoint_list.ensure_fresh,
-            timeout_result=False,
+            ASK_LIST_TIMEOUT_S, self._sync.endpoint_list.ensure_fresh
+        )
+        # The result is None after the timeout.
+        return bool(is_fresh) and self._state.versions.is_complete(
+            self._state.now()
         )
-        return is_fresh and self._state.versions.is_complete(self._state.now())
 
     async def _find(self, call: OnlineCall) -> NotedOrigin:
         until = self._state.now() + FIND_LIMIT_S
--- a/tests/test_stream_registry.py
+++ b/tests/test_stream_registry.py
@@ -8,6 +8,7 @@
 from jacinthmount.errors import StreamNotResumable, StreamOriginUnavailable
 from jacinthmount.list_freshness import STALL_S
 from jacinthmount.ports import ABSENT
+from jacinthmount.records import parse_msgpack, serialize_msgpack
 from jacinthmount.stores import MemoryStore
 from jacinthmount.stream_origins import StreamOrigin
 from jacinthmount_node.net.sockets import SystemClock
@@ -124,7 +125,17 @@
         runner.store.is_silent = True
 
     reply, _ = runner.play(cut_off)
-    assert not reply.is_settled
+    assert reply.is_settled is False
+
+
+def test_reply_of_a_runner_that_is_cut_off_ends_the_link(runner):
+    """The host that asked can read it."""
+
+    async def cut_off():
+        runner.store.is_silent = True
+
+    reply, _ = runner.play(cut_off)
+    assert parse_msgpack(serialize_msgpack(reply)) == reply
 
 
 def test_version_that_came_and_left_within_a_page_is_missed(runner):
