--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_list.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_list.py
@@ -3,6 +3,8 @@
 import curio
 from jacinthmount.list_freshness import ALIVE_INTERVAL_S, ListFreshness
 
+from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.sockets import with_timeout
 from jacinthmount_node.relay.object_watch import ObjectWatch
 
 __all__ = ('EndpointList',)
@@ -83,7 +85,10 @@
 
     async def _list(self, listing: _Listing) -> None:
         try:
-            await self._watch.probe(LIST_TIMEOUT_S)
+            await with_timeout(LIST_TIMEOUT_S, self._watch.refresh)
+        except TimeoutError:
+            # A store that is slow is no store that is lost.
+            log_event('endpoints_not_listed')
         finally:
             self._listing = None
             await listing.done.set()
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -8,7 +8,10 @@
 from jacinthmount.ports import ABSENT
 from jacinthmount.stores import MemoryStore
 from jacinthmount_node.net.sockets import SystemClock
-from jacinthmount_node.relay.endpoint_list import EndpointList
+from jacinthmount_node.relay.endpoint_list import (
+    LIST_TIMEOUT_S,
+    EndpointList,
+)
 from jacinthmount_node.relay.object_watch import ObjectWatch
 
 PREFIX = 'servers/'
@@ -19,17 +22,18 @@
 class _Store(MemoryStore):
     """A store that counts listings, which may hang."""
 
-    __slots__ = ('hangs', 'listed')
+    __slots__ = ('hangs', 'listed', 'reply_s')
 
     def __init__(self):
         super().__init__()
         self.hangs = False
         self.listed = 0
+        self.reply_s = REPLY_S
 
     async def list_names(self, prefix):
         """Lists the prefix after a while."""
         self.listed += 1
-        await curio.sleep(60 if self.hangs else REPLY_S)
+        await curio.sleep(60 if self.hangs else self.reply_s)
         return await super().list_names(prefix)
 
 
@@ -126,10 +130,24 @@
 
     async def play():
         host.store.hangs = True
-        return [await host_list.confirm(host_list.now()) for _ in range(2)]
+        first = await host_list.confirm(host_list.now())
+        await host.watch.probe(REPLY_S)
+        return first, await host_list.confirm(host_list.now())
 
-    assert host.run(play) == [False, False]
-    assert host.store.listed == 1
+    assert host.run(play) == (False, False)
+    # One by the probe that found the outage.
+    assert host.store.listed == 2
+
+
+def test_slow_listing_counts_as_an_outage_of_the_store(host):
+    """The store answers, so what relies on it goes on."""
+
+    async def play():
+        host.store.reply_s = 2 * LIST_TIMEOUT_S
+        confirmed = await host.endpoints.confirm(host.endpoints.now())
+        return confirmed, host.watch.in_outage
+
+    assert host.run(play) == (False, False)
 
 
 def test_fresh_list_costs_store_calls(host):
