The list of a host proves nothing of the time after its listing (ORDER)

A runner settled what nobody knows by a list of up to 2 s, and a host took the reply of a runner for a proof of its own list, so that both ages added up. The specification refutes it already (a host ahead of the runner).

Now a runner lists the endpoints once it is asked, all that ask sharing a call, and replies of a runner show a host only that it missed no change.

Both new tests failed before. test_fresh_list_costs_store_calls went with the function that it tested; that many take-ups share a listing is tested as before. The test of what a runner may confirm asks the same of what it may vouch for.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_list.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_list.py
@@ -51,19 +51,14 @@
     ) -> None:
         """Records the revisions that an active runner reported.
 
+        They show that no change was missed, but not that the list is complete.
+
         :param requested_at: time at which the runner was asked.
         :param revisions: by prefix, without this one if its list is not fresh.
         """
         revision = revisions.get(self._watch.prefix, 0)
         if 0 < revision <= self._watch.revision:
-            self._freshness.confirm(requested_at)
-
-    async def ensure_fresh(self) -> bool:
-        """Lists the endpoints unless the list is fresh.
-
-        :returns: whether the list is fresh.
-        """
-        return self.is_fresh() or await self.confirm(self.now())
+            self._freshness.vouch(requested_at)
 
     async def confirm(self, since: float) -> bool:
         """Lists the endpoints by a call that is sent since a time.
@@ -76,11 +71,13 @@
         while not self._freshness.is_confirmed_since(since):
             if is_sent or self._watch.in_outage:
                 return False
-            if self._listing is None:
-                self._listing = _Listing(requested_at=self.now())
-                await curio.spawn(self._list, self._listing, daemon=True)
-            is_sent = self._listing.requested_at >= since
-            await self._listing.done.wait()
+            listing = self._listing
+            if listing is None:
+                listing = _Listing(requested_at=self.now())
+                self._listing = listing
+                await curio.spawn(self._list, listing, daemon=True)
+            is_sent = listing.requested_at >= since
+            await listing.done.wait()
         return True
 
     async def _list(self, listing: _Listing) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
@@ -138,11 +138,12 @@
             return False
         if not self._state.leadership.active:
             return False
-        is_fresh = await curio.ignore_after(
-            ASK_LIST_TIMEOUT_S, self._sync.endpoint_list.ensure_fresh
+        endpoints = self._sync.endpoint_list
+        is_listed = await curio.ignore_after(
+            ASK_LIST_TIMEOUT_S, endpoints.confirm, endpoints.now()
         )
         # The result is None after the timeout.
-        return bool(is_fresh) and self._state.versions.is_complete(
+        return bool(is_listed) and self._state.versions.is_complete(
             self._state.now()
         )
 
@@ -210,7 +211,9 @@
         :raises StreamOriginUnavailable: there may be some all the same.
         """
         endpoints = self._sync.endpoint_list
-        if self._serves(noted.origin) or await endpoints.ensure_fresh():
+        if self._serves(noted.origin):
+            return
+        if await endpoints.confirm(endpoints.now()):
             return
         hosts = self._state.runners() + self._pick_fronts()
         async with PartGroup() as group:
--- a/packages/jacinthmount/jacinthmount/list_freshness.py
+++ b/packages/jacinthmount/jacinthmount/list_freshness.py
@@ -79,14 +79,17 @@
         self._followed_until = max(self._followed_until, requested_at)
 
     def confirm(self, requested_at: float) -> None:
-        """Records that the list was complete when a request was sent."""
+        """Records that the list was complete when a listing was requested."""
         self._confirmed_at = max(self._confirmed_at, requested_at)
-        missed_s = requested_at - self._followed_until
-        if missed_s > MISSED_S:
-            if self._is_followed:
-                return
-            self._on_missed()
-        self.note_followed(requested_at)
+        self._note_known(requested_at)
+
+    def vouch(self, requested_at: float) -> None:
+        """Records that a host whose list is fresh has nothing newer.
+
+        Its list may be as old as a fresh one can be, so this proves nothing of
+        the time since then.
+        """
+        self._note_known(requested_at - FRESH_S)
 
     def is_confirmed_since(self, moment: float) -> bool:
         """Returns whether a request sent since then has confirmed the list."""
@@ -102,3 +105,11 @@
             and age_s < FRESH_S
             and self.is_confirmed_since(self._resumed_at)
         )
+
+    def _note_known(self, moment: float) -> None:
+        """Records that the list was complete at a time."""
+        if moment - self._followed_until > MISSED_S:
+            if self._is_followed:
+                return
+            self._on_missed()
+        self.note_followed(moment)
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -4,7 +4,7 @@
 
 import curio
 import pytest
-from jacinthmount.list_freshness import STALL_S, ListFreshness
+from jacinthmount.list_freshness import MISSED_S, STALL_S, ListFreshness
 from jacinthmount.ports import ABSENT
 from jacinthmount.stores import MemoryStore
 from jacinthmount_node.net.sockets import SystemClock
@@ -150,34 +150,34 @@
     assert host.run(play) == (False, False)
 
 
-def test_fresh_list_costs_store_calls(host):
-    """Only one that is not fresh is listed anew."""
+def test_reply_of_a_runner_proves_a_list(host):
+    """The list of the runner itself may be older than the question."""
 
     async def play():
-        fresh = await host.endpoints.ensure_fresh()
-        assert not host.store.listed
-        host.clock.stopped_s += STOP_S
-        assert not host.endpoints.is_fresh()
-        return fresh and await host.endpoints.ensure_fresh()
+        host.store.hangs = True
+        asked_at = host.endpoints.now()
+        host.endpoints.on_runner_reply(asked_at, {PREFIX: 1})
+        return await host.endpoints.confirm(asked_at)
 
-    assert host.run(play)
-    assert host.store.listed == 1
+    assert host.run(play) is False
 
 
 @pytest.mark.parametrize(
-    ('revisions', 'is_fresh'),
-    [({PREFIX: 1}, True), ({PREFIX: 9}, False), ({'config/': 1}, False)],
+    ('revisions', 'missed'),
+    [({PREFIX: 1}, 0), ({PREFIX: 9}, 1), ({'config/': 1}, 1)],
     ids=['as new', 'newer', 'of a runner whose list is not fresh'],
 )
-def test_reply_of_a_runner_confirms_a_list_that_it_does_not_know(
-    host, revisions, is_fresh
+def test_reply_of_a_runner_vouches_for_a_list_that_it_does_not_know(
+    host, revisions, missed
 ):
     """It has to name the endpoints, with a revision that is known here."""
 
     async def play():
-        host.clock.stopped_s += STOP_S
-        await curio.sleep(2 * STALL_S)
-        host.endpoints.on_runner_reply(host.endpoints.now(), revisions)
-        return host.endpoints.is_fresh()
-
-    assert host.run(play) == is_fresh
+        for _ in range(4):
+            host.clock.stopped_s += MISSED_S / 2
+            host.endpoints.on_runner_reply(host.endpoints.now(), revisions)
+        host.clock.stopped_s += MISSED_S / 2
+        await host.watch.refresh()
+        return host.missed
+
+    assert host.run(play) == missed
--- a/tests/test_stream_registry.py
+++ b/tests/test_stream_registry.py
@@ -128,6 +128,17 @@
     assert reply.is_settled is False
 
 
+def test_runner_settles_with_a_list_that_is_older_than_the_question(runner):
+    """A version may have joined since, and its streams been taken up."""
+
+    async def cut_off_without_a_stop():
+        runner.clock.stopped_s = 0.0
+        runner.store.is_silent = True
+
+    reply, _ = runner.play(cut_off_without_a_stop)
+    assert reply.is_settled is False
+
+
 def test_reply_of_a_runner_that_is_cut_off_ends_the_link(runner):
     """The host that asked can read it."""
 
