--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -19,6 +19,8 @@
     endpoint, in monotonic seconds.
     ``events`` counts the events of the current attempt, which has
     ``progressed`` if they show that the endpoint did not crash on its answer.
+    ``last_reply_at`` is the time of the last data, ``inf`` while the caller has
+    not taken what was sent.
     ``stream`` is the digest of the attempt that brought its first event.
     ``suspect`` tells the request from others if an endpoint crashes. The only
     attempt of a request with ``is_trial`` may be sent although it is blocked.
--- a/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
@@ -1,5 +1,7 @@
 """Relay of one attempt: the complete response of an endpoint, or an error."""
 
+import math
+from collections.abc import Coroutine
 from http import HTTPStatus
 
 from jacinthmount.errors import EndpointFailed
@@ -153,7 +155,7 @@
                 detail=f'status {status} without a guarantee of no run'
             )
         self._record_first_event(call)
-        await responder.send(status, body, answer.headers)
+        await self._write(call, responder.send(status, body, answer.headers))
 
     async def _relay_stream(
         self,
@@ -174,9 +176,12 @@
             await self._count_events(call, use, len(events))
             packed = b''.join(event.packed for event in events)
             if responder.started:
-                await responder.write(packed)
+                await self._write(call, responder.write(packed))
             else:
-                await responder.start(HTTPStatus.OK, answer.headers, packed)
+                await self._write(
+                    call,
+                    responder.start(HTTPStatus.OK, answer.headers, packed),
+                )
                 self._record_first_event(call)
             call.last_event = checker.last
         if not responder.started:
@@ -188,6 +193,19 @@
             )
         await responder.finish()
 
+    async def _write(
+        self, call: OnlineCall, writing: Coroutine[None, None, None]
+    ) -> None:
+        """Waits until the caller has taken a part of the answer.
+
+        The silence of the endpoint counts from then on.
+        """
+        call.last_reply_at = math.inf
+        try:
+            await writing
+        finally:
+            call.last_reply_at = self._state.now()
+
     async def _count_events(
         self, call: OnlineCall, use: EndpointUse, count: int
     ) -> None:
--- a/tests/test_running_attempts.py
+++ b/tests/test_running_attempts.py
@@ -1,5 +1,6 @@
 """Attempts under way, and moves from silent endpoints to free slots."""
 
+import math
 import random
 
 import pytest
@@ -163,6 +164,14 @@
     assert relay.pass_silence()
 
 
+def test_caller_that_reads_slowly_moves_its_request():
+    """The endpoint has sent what the caller has not read yet."""
+    relay = Relay()
+    relay.call.last_reply_at = math.inf
+    assert not relay.pass_silence()
+    assert relay.other.online == 0
+
+
 def test_endpoint_stays_ejected_after_its_silence():
     """Its next data make it available at once."""
     relay = Relay()
