A slot that was held is used only if its endpoint still may be (DRAIN)

Found by a review, by reading: a request that moves took the slot that was held for it without a look at what had come meanwhile, so an endpoint that drains, is evacuated or was ejected could get it. Now the slot is freed and the request looks for another place. Three cases, which failed before.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/running_attempts.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/running_attempts.py
@@ -110,8 +110,15 @@
         return call in self._held
 
     def take(self, call: OnlineCall) -> EndpointUse | None:
-        """Hands over the slot that is held for a request."""
-        return self._held.pop(call, None)
+        """Hands over the slot that is held for a request.
+
+        :returns: None if there is none, or if it may no longer be used.
+        """
+        use = self._held.pop(call, None)
+        if use is None or self._is_usable(use):
+            return use
+        use.end()
+        return None
 
     def drop(self, call: OnlineCall) -> None:
         """Frees the slot that is held for a request, if there is one."""
@@ -153,6 +160,11 @@
             if is_running and attempt.is_silent(now) and self._may_move(call):
                 self._move(attempt, now)
 
+    def _is_usable(self, use: EndpointUse) -> bool:
+        placement = self._state.placement(use.entry.service)
+        is_listed = placement.find(use.entry.endpoint_id) is use
+        return is_listed and placement.is_available(use, self._state.now())
+
     def _may_move(self, call: OnlineCall) -> bool:
         """Returns whether another endpoint may run a request under way."""
         blocked = find_blocked_error(
--- a/tests/test_running_attempts.py
+++ b/tests/test_running_attempts.py
@@ -172,6 +172,26 @@
     assert relay.other.online == 0
 
 
+def drain(relay):
+    """Lets the registration of the other endpoint end."""
+    relay.placement.set_entries([relay.first.entry], relay.state.now())
+
+
+def evacuate(relay):
+    """Lets the data centre of the other endpoint be evacuated."""
+    relay.other.evacuated = True
+
+
+@pytest.mark.parametrize('change', [drain, evacuate, eject])
+def test_request_is_sent_to_a_held_slot_that_may_not_be_used(change):
+    """The slot is freed, and the request looks for another one."""
+    relay = Relay()
+    relay.pass_silence()
+    change(relay)
+    assert relay.attempts.take(relay.call) is None
+    assert relay.other.online == 0
+
+
 def test_endpoint_stays_ejected_after_its_silence():
     """Its next data make it available at once."""
     relay = Relay()
