An endpoint that has deregistered, or is in doubt, is not left (LOST)

Found by a review: an attempt was ended without another place once the registration of its endpoint was gone. In a planned change its process still ends its requests, and may be silent meanwhile, so they were cut. Likewise a stream whose version is in doubt was moved, though it may go on nowhere else, and was cut then.

An attempt still moves as soon as a place is there.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/running_attempts.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/running_attempts.py
@@ -2,7 +2,8 @@
 
 An attempt at a silent endpoint ends early only for something better: a free
 slot of another endpoint, which is held for the request before the attempt is
-aborted, or once the endpoint is known to be gone.
+aborted, or another host if this one reaches no endpoint. That an endpoint has
+deregistered is no reason, since its process may still end its requests.
 """
 
 from jacinthmount.endpoint_table import EndpointEntry
@@ -167,27 +168,33 @@
 
     def _may_move(self, call: OnlineCall) -> bool:
         """Returns whether another endpoint may run a request under way."""
+        if self._is_blocked(call) or self._is_in_doubt(call):
+            return False
+        return call.may_repeat(self._state.now()) and has_key(self._state, call)
+
+    def _is_blocked(self, call: OnlineCall) -> bool:
         blocked = find_blocked_error(
             self._state, call.service, call.suspect, call.attempts
         )
-        return (
-            blocked is None
-            and call.may_repeat(self._state.now())
-            and self._crashes.may_repeat(call.service, call.suspect)
-            and has_key(self._state, call)
+        return blocked is not None or not self._crashes.may_repeat(
+            call.service, call.suspect
         )
 
+    def _is_in_doubt(self, call: OnlineCall) -> bool:
+        if call.origin is None:
+            return False
+        return not self._state.versions.is_certain(call.origin, call.began_at)
+
     def _move(self, attempt: _Attempt, now: float) -> None:
         call = attempt.call
         entry = attempt.use.entry
         place = self._state.placement(entry.service).choose_free(
             {*call.tried, entry.endpoint_id}, now, call.version
         )
-        is_gone = self._state.endpoints.find(entry.endpoint_id) is None
         if place is not None:
             place.begin(now)
             self._held[call] = place
-        elif not (is_gone or self._state.reach.isolated):
+        elif not self._state.reach.isolated:
             return
         log_event(
             'attempt_given_up',
@@ -195,7 +202,6 @@
             endpoint=entry.endpoint_id,
             silent_s=round(now - attempt.silent_since(now), 3),
             next=place.entry.endpoint_id if place else '',
-            gone=is_gone,
         )
         attempt.given_up = True
         call.resume_until = call.deadline
