Only silences that could move a request suspect the reach of a host

Found by a review: two sound endpoints with one long request each that may not be repeated cost 14 connections in 5 s, as each silence had the endpoints checked. The test failed before.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/running_attempts.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/running_attempts.py
@@ -135,7 +135,8 @@
     def note_silent(self) -> list[EndpointEntry]:
         """Finds the attempts at silent endpoints.
 
-        :returns: their endpoints, each attempt once in a while.
+        :returns: the endpoints of those that may be repeated, each attempt
+            once in a while.
         """
         now = self._state.now()
         self._silent = [
@@ -145,6 +146,8 @@
         ]
         found = {}
         for attempt in self._silent:
+            if not attempt.call.may_repeat(now):
+                continue
             if now - attempt.noted_at > SILENT_AFTER_S:
                 attempt.noted_at = now
                 found[attempt.use.entry.endpoint_id] = attempt.use.entry
--- a/tests/test_running_attempts.py
+++ b/tests/test_running_attempts.py
@@ -206,6 +206,13 @@
     assert not relay.pass_silence()
 
 
+def test_slow_request_that_may_not_be_repeated_costs_connections():
+    """Only silences that could move a request suspect the reach of a host."""
+    relay = Relay(idempotent=False)
+    relay.clock.advance(SILENT_AFTER_S + 0.1)
+    assert not relay.attempts.note_silent()
+
+
 def test_endpoint_stays_ejected_after_its_silence():
     """Its next data make it available at once."""
     relay = Relay()
