Failing test of first messages that open a connection each

A host that has not yet been answered by another one asks it for each stream over a connection of its own; none is answered in time if many come at once on a busy machine, so none shows that the other host understands, and the next round is the same.

--- a/tests/test_peer_builds.py
+++ b/tests/test_peer_builds.py
@@ -175,3 +175,15 @@
     builds.keep_only({'c'})
     assert not builds.understands('a')
     assert builds.may_ask('b', 1.0)
+
+
+def test_first_messages_to_a_host_open_a_connection_each(hosts, knows_message):
+    """Many at once would take longer than their senders wait."""
+    knows_message(known=True)
+
+    async def play():
+        asking = [await curio.spawn(hosts.ask, NewMessage()) for _ in range(20)]
+        return [await task.join() for task in asking]
+
+    assert all(isinstance(reply, NewMessage) for reply in hosts.run(play))
+    assert len(hosts.connections) <= 2
