Ask a host one first question at a time

Callers may have been refused with 1310 by a host whose peers know their streams: each question to a host that has not yet answered one went over a connection of its own, and many at once take longer than the 0.15 s that a question may take.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/tracked_links.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/tracked_links.py
@@ -1,5 +1,6 @@
 """Peer links that record the last contact with each data centre."""
 
+import curio
 from jacinthmount.errors import PeerClosed, PeerUnavailable
 from jacinthmount.peer_builds import PeerBuilds
 from jacinthmount.records import Record
@@ -17,10 +18,12 @@
 class TrackedLinks:
     """Wraps peer links and records the data centre of each reply."""
 
-    __slots__ = ('_builds', '_links', '_state')
+    __slots__ = ('_builds', '_first', '_links', '_state')
 
     def __init__(self, *, links: PeerLinks, state: RelayState) -> None:
         self._builds = PeerBuilds()
+        # Ends of the first new messages that are under way, by incarnation.
+        self._first: dict[str, curio.Event] = {}
         self._links = links
         self._state = state
 
@@ -65,16 +68,39 @@
     ) -> Record:
         """Sends a message that hosts of an earlier build don't understand.
 
-        Until a host has answered one, each goes over a connection of its own,
-        since an earlier build closes it.
+        Until a host has answered one, one at a time goes over a connection of
+        its own, since an earlier build closes it; the others wait for its end.
         """
+        first = self._first.get(host.incarnation)
+        if first is not None:
+            await first.wait()
         address = host.peer_address
         if self._builds.understands(host.incarnation):
             return await self._links.request_at(address, body, timeout_s)
+        if first is not None:
+            raise PeerUnavailable(detail=f'{host.host}: no first reply')
+        return await self._request_first(host, body, timeout_s)
+
+    async def _request_first(
+        self, host: RelayHost, body: Record, timeout_s: float
+    ) -> Record:
         if not self.may_understand_news(host):
             raise PeerUnavailable(detail=f'{host.host} runs an earlier build')
+        ended = curio.Event()
+        self._first[host.incarnation] = ended
+        try:
+            return await self._request_apart(host, body, timeout_s)
+        finally:
+            self._first.pop(host.incarnation)
+            await ended.set()
+
+    async def _request_apart(
+        self, host: RelayHost, body: Record, timeout_s: float
+    ) -> Record:
         try:
-            reply = await self._links.request_apart(address, body, timeout_s)
+            reply = await self._links.request_apart(
+                host.peer_address, body, timeout_s
+            )
         except PeerClosed:
             self._builds.on_closed(host.incarnation, self._state.now())
             log_event(
