A refusal of another host after an attempt is not passed on as true (REFUSED)

A host that reaches no endpoint sends its requests through another one. If an attempt of its own may have run the request, it passed on that host's 401 or 404 all the same, which state that it has not run.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
@@ -93,9 +93,12 @@
         """Returns whether a request has to go through another host.
 
         :raises NoEndpointReached: it came from another host already.
+        :raises EndpointFailed: the same, after an attempt of this host.
         """
         if not self._state.reach.isolated:
             return False
+        if call.mark is not None and call.attempts > call.mark.attempts:
+            raise EndpointFailed(detail='this host reaches no endpoint')
         if call.mark is not None:
             raise NoEndpointReached(detail='this host reaches no endpoint')
         return True
@@ -298,7 +301,8 @@
             call.attempts -= 1
             return False
         # An earlier attempt may have run the request.
-        is_untrue = bool(mark.attempts) and exchange.status in NOT_RUN_STATUSES
+        is_refusal = exchange.status in NOT_RUN_STATUSES or not answer.signed
+        is_untrue = bool(mark.attempts) and is_refusal
         if responder.started or is_untrue:
             raise EndpointFailed(detail=f'status {exchange.status} of a host')
         await responder.send(exchange.status, body, answer.headers)
