Leave a silent engine for a better one only

Now a slot at an engine that can be used is taken first, with the budget, the attempts and the version of a stream that has begun; without it the attempt stays until it is answered, lost or late. An engine that was left for its silence is not ejected.

--- a/packages/jacinthmount-node/jacinthmount_node/callers/gate.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/gate.py
@@ -145,14 +145,29 @@
                 detail='no endpoint is available',
                 retry_after_s=MIN_RETRY_AFTER_S,
             )
-        state.online += 1
-        self._queue.begin(call.account)
-        try:
-            await self._capacity.update_online(state)
-        except BaseException:
-            state.online -= 1
-            self._queue.end(call.account)
-            raise
+        await self._take(call, state)
+        return state
+
+    async def take_free(
+        self, call: OnlineCall, avoided: set[str]
+    ) -> EndpointState | None:
+        """Takes a slot that is free now at an endpoint that can be used.
+
+        :param avoided: names of endpoints that are not to be used.
+        :returns: None if there is no such slot.
+        """
+        now = self._node.now()
+        free = [
+            state
+            for state in self._router.states()
+            if state.endpoint.name not in avoided
+            and state.available(now)
+            and state.free_slots() > 0
+        ]
+        if not free:
+            return None
+        state = min(free, key=lambda one: one.load(now))
+        await self._take(call, state)
         return state
 
     async def release(self, call: OnlineCall, state: EndpointState) -> None:
@@ -179,6 +194,16 @@
         """Returns the number of waiting requests."""
         return len(self._queue)
 
+    async def _take(self, call: OnlineCall, state: EndpointState) -> None:
+        state.online += 1
+        self._queue.begin(call.account)
+        try:
+            await self._capacity.update_online(state)
+        except BaseException:
+            state.online -= 1
+            self._queue.end(call.account)
+            raise
+
     def _refuse_late(
         self,
         call: OnlineCall,
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -1,8 +1,6 @@
 """Online requests to model engines: attempts, retries and relayed answers."""
 
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any
 
 import curio
 from jacinthmount.declarations import Profile
@@ -12,6 +10,7 @@
     Stage,
     correct_refusal,
     make_failure,
+    next_action,
     next_action_within,
 )
 from jacinthmount.errors import (
@@ -40,7 +39,7 @@
 ENGINE_CHECK_INTERVAL_S = 0.5
 QUEUE_CHECK_INTERVAL_S = 0.25
 LANE = 'online'
-RelayFunc = Callable[..., Awaitable[None]]
+REPEATED = frozenset((NextAction.RETRY, NextAction.RESUME))
 FORWARDED_HEADERS = ('content-type',)
 SSE_HEADERS = (
     ('content-type', 'text/event-stream'),
@@ -52,6 +51,8 @@
     """Attempts of one request and how much of its answer was relayed.
 
     ``offset`` counts the characters relayed, from which a stream resumes.
+    ``reserved`` is the endpoint of the next attempt, if a slot was taken there
+    before the last one was given up.
     """
 
     __slots__ = (
@@ -59,6 +60,7 @@
         'last_token_at',
         'may_have_run',
         'offset',
+        'reserved',
         'tried',
         'version',
     )
@@ -68,6 +70,7 @@
         self.attempts = 0
         self.may_have_run = False
         self.last_token_at = now
+        self.reserved: EndpointState | None = None
         self.tried: set[str] = set()
         # Software version of the engine that began the answer.
         self.version = ''
@@ -81,6 +84,7 @@
         '_crashes',
         '_gates',
         '_node',
+        '_versions',
     )
 
     def __init__(
@@ -94,6 +98,8 @@
         self._crashes = crashes
         self._capacity = rooms
         self._gates: dict[str, Gate] = {}
+        # Software version that each engine named last, by its name.
+        self._versions: dict[str, str] = {}
 
     async def run(self) -> None:
         """Grants slots of recovered endpoints until cancelled."""
@@ -114,17 +120,25 @@
             any part of an answer was sent.
         """
         call.is_trial = self._crashes.admit(call.suspect)
-        gate = self._gate(call.service)
         progress = _Progress(now=call.arrived_at)
         self._node.budget.on_request()
+        try:
+            await self._run_attempts(call, profile, responder, progress)
+        finally:
+            if progress.reserved is not None:
+                gate = self._gate(call.service)
+                await gate.release(call, progress.reserved)
+
+    async def _run_attempts(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        responder: Responder,
+        progress: _Progress,
+    ) -> None:
+        gate = self._gate(call.service)
         while True:
-            try:
-                state = await gate.acquire(call, profile, progress.tried)
-            except JacinthmountError as exc:
-                self._abort_if_started(responder)
-                raise correct_refusal(
-                    exc, may_have_run=progress.may_have_run
-                ) from exc
+            state = await self._next_state(call, profile, responder, progress)
             progress.attempts += 1
             try:
                 self._fit_deadline(call, progress)
@@ -143,9 +157,32 @@
                 return
             progress.tried.add(state.endpoint.name)
             progress.may_have_run |= failed >= Stage.SENT
-            self._raise_unless_retry(call, profile, failed, responder, progress)
+            if progress.reserved is None:
+                self._raise_unless_retry(
+                    call, profile, failed, responder, progress
+                )
             self._node.metrics.retries.labels(call.service).inc()
 
+    async def _next_state(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        responder: Responder,
+        progress: _Progress,
+    ) -> EndpointState:
+        reserved = progress.reserved
+        if reserved is not None:
+            progress.reserved = None
+            return reserved
+        gate = self._gate(call.service)
+        try:
+            return await gate.acquire(call, profile, progress.tried)
+        except JacinthmountError as exc:
+            self._abort_if_started(responder)
+            raise correct_refusal(
+                exc, may_have_run=progress.may_have_run
+            ) from exc
+
     def _fit_deadline(self, call: OnlineCall, progress: _Progress) -> None:
         stop = self._node.stop
         if progress.attempts == 1:
@@ -165,32 +202,28 @@
         responder: Responder,
         progress: _Progress,
     ) -> None:
-        time_left = call.deadline > self._node.now()
         router = self._node.router(call.service)
-        attempts_left = (
-            progress.attempts < profile.max_attempts
-            and self._crashes.may_repeat(call.suspect)
-            and not call.is_trial
-            and router.worth_retry(stage, progress.tried, self._node.now())
+        attempt = self._describe(
+            call,
+            profile,
+            stage,
+            responder,
+            progress,
+            is_worth=router.worth_retry(
+                stage, progress.tried, self._node.now()
+            ),
         )
         outcome = next_action_within(
-            Attempt(
-                stage=stage,
-                idempotent=profile.idempotent,
-                relayed=responder.started,
-                resumable=call.stream,
-                may_retry=attempts_left,
-                time_left=time_left,
-            ),
+            attempt,
             self._node.budget,
             self._node.now(),
         )
-        if outcome in {NextAction.RETRY, NextAction.RESUME}:
+        if outcome in REPEATED:
             return
         self._abort_if_started(responder)
         exc = make_failure(
             outcome,
-            time_left=time_left,
+            time_left=attempt.time_left,
             not_run=DeadlineUnreachable(
                 detail='no endpoint was reachable',
                 retry_after_s=1,
@@ -199,6 +232,30 @@
         )
         raise correct_refusal(exc, may_have_run=progress.may_have_run)
 
+    def _describe(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        stage: Stage,
+        responder: Responder,
+        progress: _Progress,
+        *,
+        is_worth: bool,
+    ) -> Attempt:
+        attempts_left = (
+            progress.attempts < profile.max_attempts
+            and self._crashes.may_repeat(call.suspect)
+            and not call.is_trial
+        )
+        return Attempt(
+            stage=stage,
+            idempotent=profile.idempotent,
+            relayed=responder.started,
+            resumable=call.stream,
+            may_retry=attempts_left and is_worth,
+            time_left=call.deadline > self._node.now(),
+        )
+
     async def _attempt(
         self,
         call: OnlineCall,
@@ -216,10 +273,10 @@
                     state.endpoint.address,
                     no_reuse=not profile.idempotent,
                 )
-                await self._run_while_responsive(
-                    state,
-                    self._relay,
+                await self._relay_unless_left(
                     call,
+                    profile,
+                    state,
                     exchange,
                     responder,
                     progress,
@@ -232,6 +289,9 @@
         except ATTEMPT_ERRORS:
             if responder.started and responder.broken:
                 raise
+            if progress.reserved is None:
+                # One that was left for its silence may be sound.
+                state.on_failure(self._node.now())
             await self._on_failure(call, state, exchange, started_at)
             return exchange.stage if exchange else Stage.CONNECTING
         except BaseException:
@@ -253,7 +313,6 @@
         started_at: float,
     ) -> None:
         now = self._node.now()
-        state.on_failure(now)
         if now >= call.deadline:
             self._node.stop.note_run(call.service, now - started_at)
         if exchange is None:
@@ -270,29 +329,82 @@
                 )
             )
 
-    async def _run_while_responsive(
+    async def _relay_unless_left(
         self,
+        call: OnlineCall,
+        profile: Profile,
         state: EndpointState,
-        func: RelayFunc,
-        *args: Any,
+        exchange: BackendExchange,
+        responder: Responder,
+        progress: _Progress,
     ) -> None:
-        # A frozen endpoint keeps its connections open without sending, so the
-        # load polls decide whether it is still responsive.
-        task = await curio.spawn(func, *args)
+        # A frozen endpoint keeps its connections open without sending, but a
+        # sound one may do so for a while: it is left for a better one only.
+        task = await curio.spawn(
+            self._relay, call, state, exchange, responder, progress
+        )
         try:
             while not task.terminated:
                 async with curio.ignore_after(ENGINE_CHECK_INTERVAL_S):
                     await task.wait()
-                if state.silent and not task.terminated:
+                if task.terminated or not self._is_mute(state, progress):
+                    continue
+                await self._reserve_better(
+                    call, profile, state, responder, progress
+                )
+                if progress.reserved is not None and not task.terminated:
                     raise EndpointFailed(detail='endpoint is unresponsive')
         finally:
             await task.cancel()
         if task.exception is not None:
             raise task.exception
 
+    def _is_mute(self, state: EndpointState, progress: _Progress) -> bool:
+        quiet_s = self._node.now() - progress.last_token_at
+        return state.silent and quiet_s >= ENGINE_CHECK_INTERVAL_S
+
+    async def _reserve_better(
+        self,
+        call: OnlineCall,
+        profile: Profile,
+        state: EndpointState,
+        responder: Responder,
+        progress: _Progress,
+    ) -> None:
+        """Takes a slot at another endpoint that can go on with a request.
+
+        Nothing is taken if the request may not be repeated.
+        """
+        attempt = self._describe(
+            call, profile, Stage.SENT, responder, progress, is_worth=True
+        )
+        if next_action(attempt) not in REPEATED:
+            return
+        avoided = {state.endpoint.name}
+        if progress.offset:
+            avoided.update(self._list_other_versions(call, progress))
+        gate = self._gate(call.service)
+        reserved = await gate.take_free(call, avoided)
+        if reserved is None:
+            return
+        if self._node.budget.spend(self._node.now()):
+            progress.reserved = reserved
+        else:
+            await gate.release(call, reserved)
+
+    def _list_other_versions(
+        self, call: OnlineCall, progress: _Progress
+    ) -> list[str]:
+        return [
+            other.endpoint.name
+            for other in self._node.router(call.service).states()
+            if self._versions.get(other.endpoint.name) != progress.version
+        ]
+
     async def _relay(
         self,
         call: OnlineCall,
+        state: EndpointState,
         exchange: BackendExchange,
         responder: Responder,
         progress: _Progress,
@@ -308,6 +420,7 @@
                 offset=progress.offset,
             ),
         )
+        self._versions[state.endpoint.name] = exchange.version
         if progress.offset and exchange.version != progress.version:
             raise OtherVersion(detail=f'engine has {exchange.version}')
         progress.version = exchange.version
