--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -325,6 +325,17 @@
     assert answer.error['run_state'] == 'not_run'
 
 
+@pytest.mark.parametrize('field', ['max_tokens', 'max_completion_tokens'])
+@pytest.mark.parametrize('digits', [20, 400])
+def test_number_of_hundreds_of_digits_is_an_error_of_the_host(
+    site, key, field, digits
+):
+    """A limit of tokens that no engine can have is refused with 400."""
+    limits = {'max_tokens': None, field: int('9' * digits)}
+    answer = site.chat('east-h1', key, 'hello', **limits)
+    assert (answer.status, answer.error['run_state']) == (400, 'not_run')
+
+
 def test_bad_batch_file_names_lines_and_leaves_nothing(site, key):
     """An invalid file is refused with its line number and not stored."""
     before = site.get('east-h1', '/v1/files', key).body
