Take an odd event of an engine for a failure of the engine

An event that is not UTF-8, is nested too deeply, or whose choices or text have another type raised an error that nobody expected there: by the rule of the server callers get 500 before a stream and a cut in one, and a batch item ends its task. The decoder named three kinds of errors and decoded bytes outside of them.

Now each error of reading an event is EndpointFailed, so the request is repeated elsewhere as after any failed answer.

The fault was shown at the decoder, not through a host.

--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
@@ -30,6 +30,14 @@
 )
 
 LOAD_ERRORS = (*TRANSPORT_ERRORS, ValueError, LookupError)
+# What reading a value of another type or shape raises.
+ODD_EVENT_ERRORS = (
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 LOAD_TIMEOUT_S = 1.0
 END_OF_STREAM = '[DONE]'
 SSE_DATA_PREFIX = b'data:'
@@ -79,11 +87,14 @@
     def _split_payloads(self, piece: bytes) -> list[str]:
         *lines, rest = (self._partial + piece).split(b'\n')
         self._partial = rest
-        return [
-            line[len(SSE_DATA_PREFIX) :].strip().decode()
-            for line in lines
-            if line.startswith(SSE_DATA_PREFIX)
-        ]
+        try:
+            return [
+                line[len(SSE_DATA_PREFIX) :].strip().decode()
+                for line in lines
+                if line.startswith(SSE_DATA_PREFIX)
+            ]
+        except UnicodeDecodeError as exc:
+            raise EndpointFailed(detail='stream event is not UTF-8') from exc
 
     def _parse(self, payload: str) -> StreamEvent:
         try:
@@ -91,8 +102,10 @@
             choice = (parsed.get('choices') or [{}])[0]
             delta = choice.get('delta') or {}
             text = delta.get('content') or choice.get('text') or ''
-        except (ValueError, AttributeError, LookupError) as exc:
+        except ODD_EVENT_ERRORS as exc:
             raise EndpointFailed(detail='stream event is not JSON') from exc
+        if not isinstance(text, str):
+            raise EndpointFailed(detail='text of a stream event is no text')
         if 'error' in parsed:
             raise EndpointFailed(detail='engine reported an error')
         self.usage = parsed.get('usage') or self.usage
