Refuse a limit of tokens that no engine can have

A request with max_tokens of 400 digits was answered 500: the estimate of its size adds a float, and the number does not fit into one. One of 20 digits went to an engine, which wrote until the deadline (504). Both fields are bounded to a billion tokens now, and the refusal is 400, not run.

--- a/packages/jacinthmount-node/jacinthmount_node/callers/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -2,6 +2,7 @@
 
 import uuid
 from http import HTTPStatus
+from typing import Any
 from urllib.parse import quote, urlencode
 
 from jacinthmount.declarations import Account, Profile, Route, Service
@@ -41,6 +42,8 @@
 # Both serve to estimate the size of a request for fair queueing.
 DEFAULT_MAX_TOKENS = 256
 CHARS_PER_TOKEN = 4
+# No engine writes as many; much larger numbers can't be converted to a float.
+MAX_OUTPUT_TOKENS = 1_000_000_000
 MODEL_PATHS = frozenset(('/v1/chat/completions', '/v1/completions'))
 PATH_SAFE_CHARS = "/%:@!$&'()*+,;=~"
 
@@ -204,8 +207,7 @@
             raise MalformedRequest(detail='the model only accepts batches')
         account = self._node.catalogue.find(Account, key.account)
         prompt = read_prompt(body)
-        limit = body.get('max_tokens') or body.get('max_completion_tokens')
-        output_tokens = limit if isinstance(limit, int) else DEFAULT_MAX_TOKENS
+        output_tokens = _read_output_tokens(body)
         call = OnlineCall(
             account=key.account,
             key_id=key.key_id,
@@ -282,6 +284,15 @@
         return self._node.catalogue.find(Route, path.split('/')[2])
 
 
+def _read_output_tokens(body: dict[str, Any]) -> int:
+    limit = body.get('max_tokens') or body.get('max_completion_tokens')
+    if not isinstance(limit, int):
+        return DEFAULT_MAX_TOKENS
+    if abs(limit) > MAX_OUTPUT_TOKENS:
+        raise MalformedRequest(detail='max_tokens is too large')
+    return limit
+
+
 def _service_target(request: HttpRequest) -> str:
     # Drops query parameters with a key, which can have any name.
     target_path = quote(
