Release the claim of a chunk that can't be read

The items of a chunk whose reading ended by an error that nobody expected stayed without runs: its host kept the claim and no host takes over a claim of a host that lives. There was no line in the log either.

--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_claims.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_claims.py
@@ -269,6 +269,11 @@
             log_event('chunk_failed', chunk=run.name, detail=exc.detail)
             done = False
             await self._release(run)
+        except (Exception, curio.TaskTimeout) as exc:
+            log_failure(f'chunk {run.name}', exc)
+            done = False
+            self._released_at[run.name] = self._node.now()
+            await self._release(run)
         finally:
             self._batch_state.chunks.pop(run.name, None)
         if done:
