Ask the owner of an engine that is taken for silent

A host that missed the one message that an engine goes on took it for silent from then on, and sent it nothing as long as another engine was there: it reports to the owner only engines where it has requests, or all while some wait. The state that reports would repair kept the reports from being sent.

Now each host asks the owner of an engine that it takes for silent with each check, each 0.5 s.

--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine_capacity.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine_capacity.py
@@ -212,6 +212,7 @@
             # A new owner needs the load of all hosts before it starts batch
             # items.
             await self._report_engines(self._owners.take_changed())
+            await self._ask_about_silent()
             for endpoint in self.owned_endpoints():
                 self._update_state(endpoint)
             self._drop_unowned()
@@ -228,6 +229,13 @@
             if state.online or self._node.has_waiting(state.endpoint.service):
                 await self.update_online(state)
 
+    async def _ask_about_silent(self) -> None:
+        # The owner tells once that an engine goes on, and a host that missed it
+        # sends no requests there that it would report.
+        for state in list(self._node.iter_states()):
+            if state.silent:
+                await self.update_online(state)
+
     def _drop_unowned(self) -> None:
         # If this host owns the engine again later, its count starts empty and
         # waits for the reports of all hosts.
