--- a/packages/jacinthmount-standin/jacinthmount_standin/declare.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/declare.py
@@ -44,9 +44,11 @@
 
     __slots__ = (
         'accounts',
+        'deadline_s',
         'engines',
         'fenced',
         'idempotent',
+        'left_out',
         'plain_port',
         'regions',
         'shares',
@@ -77,13 +79,22 @@
         self.fenced = True
         # Whether requests to the model may be repeated.
         self.idempotent = True
+        # Deadline of requests to the model, in seconds.
+        self.deadline_s = 20
+        # Sections of services, routes and profiles that are not declared.
+        self.left_out: set[str] = set()
 
 
 def write_declarations(folder: Path, declared: Declared) -> None:
     """Writes the INI files of the declarations to a folder."""
     folder.mkdir(parents=True, exist_ok=True)
+    sections = (SERVICES_INI + _model_section(declared)).split('\n\n')
     (folder / 'services.ini').write_text(
-        SERVICES_INI + _model_section(declared)
+        '\n\n'.join(
+            section
+            for section in sections
+            if section.partition('\n')[0].strip('[]') not in declared.left_out
+        )
     )
     (folder / 'fleet.ini').write_text(
         ''.join([
@@ -120,7 +131,8 @@
 def _model_section(declared: Declared) -> str:
     weights = WEIGHTS if declared.version else ''
     return (
-        '\n[profile online]\nlane = online\ndeadline_s = 20\n'
+        '\n[profile online]\nlane = online\n'
+        f'deadline_s = {declared.deadline_s}\n'
         f'idempotent = {YES_NO[declared.idempotent]}\n'
         '\n[service provenance-llm]\nkind = model\nprofile = online\n'
         f'weights = {weights}\nversion = {declared.version}\n'
