--- a/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -3,7 +3,6 @@
 from http import HTTPStatus
 
 import curio
-from jacinthmount.crash_strikes import Suspect
 from jacinthmount.declarations import Profile
 from jacinthmount.dispatch import (
     Attempt,
@@ -37,13 +36,16 @@
 )
 from jacinthmount.ports import ABSENT, BackendCall, BackendExchange
 from jacinthmount.records import parse_json, replaced, serialize_json
-from jacinthmount.request_digest import digest_request
 from jacinthmount.routing import EndpointState
 from jacinthmount.stores import new_write_id, write_with_retry
 
+from jacinthmount_node.callers.failed_attempts import (
+    close_exchange,
+    end_failed_attempt,
+)
+from jacinthmount_node.callers.plain_calls import PlainAnswer, PlainCall
 from jacinthmount_node.engines.crash_watch import (
     CrashWatch,
-    InFlight,
     refuse_blocked,
 )
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
@@ -51,7 +53,7 @@
 from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
 from jacinthmount_node.node import Node
 
-__all__ = ('PlainAnswer', 'PlainCall', 'PlainRunner')
+__all__ = ('PlainRunner',)
 
 SAFE_METHODS = frozenset(('GET', 'HEAD'))
 # Only these request headers are forwarded, since a caller may have put its key
@@ -60,78 +62,6 @@
 ANSWER_HEADERS = ('content-type', 'cache-control', 'etag', 'last-modified')
 
 
-class PlainCall:
-    """A call to a plain service."""
-
-    __slots__ = (
-        'account',
-        'body',
-        'deadline',
-        'headers',
-        'idempotency_key',
-        'key_id',
-        'method',
-        'request_id',
-        'runs',
-        'service',
-        'suspect',
-        'target',
-    )
-
-    def __init__(
-        self,
-        *,
-        account: str,
-        key_id: str,
-        service: str,
-        method: str,
-        target: str,
-        headers: dict[str, str],
-        body: bytes,
-        request_id: str,
-        idempotency_key: str,
-        deadline: float,
-    ) -> None:
-        """Initialises the call; the deadline is in monotonic seconds."""
-        self.account = account
-        self.key_id = key_id
-        self.service = service
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.request_id = request_id
-        self.idempotency_key = idempotency_key
-        self.deadline = deadline
-        self.suspect = Suspect(
-            request=digest_request(account, service, method, target, body),
-            parts=[],
-        )
-        # Number of endpoints that may have run it.
-        self.runs = 0
-
-
-class PlainAnswer:
-    """A complete answer of a plain service."""
-
-    __slots__ = ('body', 'headers', 'status')
-
-    def __init__(
-        self,
-        *,
-        status: int,
-        headers: list[tuple[str, str]],
-        body: bytes,
-    ) -> None:
-        """Initialises the answer.
-
-        :param headers: headers that are relayed to the caller.
-        """
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 class PlainRunner:
     """Runs calls to plain services."""
 
@@ -351,9 +281,12 @@
                 )
                 answer = await self._exchange(call, exchange)
         except ATTEMPT_ERRORS:
-            return await self._on_failure(call, state, exchange, started_at)
+            state.on_failure(node.now())
+            return await end_failed_attempt(
+                node, self._crashes, call, state, exchange, started_at
+            )
         except BaseException:
-            await _close(exchange)
+            await close_exchange(exchange)
             raise
         finally:
             state.online -= 1
@@ -365,32 +298,6 @@
             await self._crashes.on_answer(call.suspect)
         return answer
 
-    async def _on_failure(
-        self,
-        call: PlainCall,
-        state: EndpointState,
-        exchange: BackendExchange | None,
-        started_at: float,
-    ) -> Stage:
-        now = self._node.now()
-        state.on_failure(now)
-        if now >= call.deadline:
-            self._node.stop.note_run(call.service, now - started_at)
-        if exchange is None:
-            return Stage.CONNECTING
-        await exchange.close()
-        if exchange.stage >= Stage.SENT:
-            call.runs += 1
-            await self._crashes.on_lost(
-                InFlight(
-                    endpoint=state.endpoint,
-                    request_id=call.request_id,
-                    suspect=call.suspect,
-                    sent_at=started_at,
-                )
-            )
-        return exchange.stage
-
     async def _exchange(
         self,
         call: PlainCall,
@@ -421,11 +328,6 @@
         return PlainAnswer(status=exchange.status, headers=relayed, body=body)
 
 
-async def _close(exchange: BackendExchange | None) -> None:
-    if exchange is not None:
-        await exchange.close()
-
-
 def _replay_answer(record: CallRecord) -> PlainAnswer:
     if not record.kept:
         raise AnswerNotKept(detail='the first answer was too large to keep')
--- a/packages/jacinthmount-node/jacinthmount_node/callers/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -19,7 +19,7 @@
 from jacinthmount.routing import prefix_key, read_prompt
 
 from jacinthmount_node.callers.admission import Admission
-from jacinthmount_node.callers.calls import PlainCall, PlainRunner
+from jacinthmount_node.callers.calls import PlainRunner
 from jacinthmount_node.callers.front_batches import (
     BATCHES_PATH,
     BatchRoutes,
@@ -28,6 +28,7 @@
 from jacinthmount_node.callers.front_files import FILES_PATH, FileRoutes
 from jacinthmount_node.callers.gate import OnlineCall
 from jacinthmount_node.callers.online import OnlineRunner
+from jacinthmount_node.callers.plain_calls import PlainCall
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import NO_ACCOUNT
 from jacinthmount_node.net.http_messages import (
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -1,7 +1,5 @@
 """Online requests to model engines: attempts, retries and relayed answers."""
 
-from http import HTTPStatus
-
 import curio
 from jacinthmount.declarations import Profile
 from jacinthmount.dispatch import (
@@ -19,61 +17,27 @@
     JacinthmountError,
     OtherVersion,
 )
-from jacinthmount.ports import BackendCall, BackendExchange, StreamEvent
+from jacinthmount.ports import BackendExchange
 from jacinthmount.routing import EndpointState
 
+from jacinthmount_node.callers.answer_relay import AnswerRelay, RequestProgress
+from jacinthmount_node.callers.failed_attempts import (
+    close_exchange,
+    end_failed_attempt,
+)
 from jacinthmount_node.callers.gate import Gate, OnlineCall
-from jacinthmount_node.engines.backends import REQUEST_ID
-from jacinthmount_node.engines.crash_watch import CrashWatch, InFlight
+from jacinthmount_node.engines.crash_watch import CrashWatch
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
 from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
 from jacinthmount_node.net.http_messages import Responder
-from jacinthmount_node.net.sockets import with_timeout
 from jacinthmount_node.node import Node
 
 __all__ = ('OnlineRunner',)
 
-# Longest time between two events of an answer stream.
-STREAM_EVENT_TIMEOUT_S = 10.0
 # Time between two checks whether the engine of a request is unresponsive.
 ENGINE_CHECK_INTERVAL_S = 0.5
 QUEUE_CHECK_INTERVAL_S = 0.25
-LANE = 'online'
 REPEATED = frozenset((NextAction.RETRY, NextAction.RESUME))
-FORWARDED_HEADERS = ('content-type',)
-SSE_HEADERS = (
-    ('content-type', 'text/event-stream'),
-    ('cache-control', 'no-store'),
-)
-
-
-class _Progress:
-    """Attempts of one request and how much of its answer was relayed.
-
-    ``offset`` counts the characters relayed, from which a stream resumes.
-    ``reserved`` is the endpoint of the next attempt, if a slot was taken there
-    before the last one was given up.
-    """
-
-    __slots__ = (
-        'attempts',
-        'last_token_at',
-        'may_have_run',
-        'offset',
-        'reserved',
-        'tried',
-        'version',
-    )
-
-    def __init__(self, *, now: float) -> None:
-        self.offset = 0
-        self.attempts = 0
-        self.may_have_run = False
-        self.last_token_at = now
-        self.reserved: EndpointState | None = None
-        self.tried: set[str] = set()
-        # Software version of the engine that began the answer.
-        self.version = ''
 
 
 class OnlineRunner:
@@ -84,7 +48,7 @@
         '_crashes',
         '_gates',
         '_node',
-        '_versions',
+        '_relay',
     )
 
     def __init__(
@@ -98,8 +62,7 @@
         self._crashes = crashes
         self._capacity = rooms
         self._gates: dict[str, Gate] = {}
-        # Software version that each engine named last, by its name.
-        self._versions: dict[str, str] = {}
+        self._relay = AnswerRelay(node=node)
 
     async def run(self) -> None:
         """Grants slots of recovered endpoints until cancelled."""
@@ -120,7 +83,7 @@
             any part of an answer was sent.
         """
         call.is_trial = self._crashes.admit(call.suspect)
-        progress = _Progress(now=call.arrived_at)
+        progress = RequestProgress(now=call.arrived_at)
         self._node.budget.on_request()
         try:
             await self._run_attempts(call, profile, responder, progress)
@@ -134,7 +97,7 @@
         call: OnlineCall,
         profile: Profile,
         responder: Responder,
-        progress: _Progress,
+        progress: RequestProgress,
     ) -> None:
         gate = self._gate(call.service)
         while True:
@@ -168,7 +131,7 @@
         call: OnlineCall,
         profile: Profile,
         responder: Responder,
-        progress: _Progress,
+        progress: RequestProgress,
     ) -> EndpointState:
         reserved = progress.reserved
         if reserved is not None:
@@ -183,7 +146,9 @@
                 exc, may_have_run=progress.may_have_run
             ) from exc
 
-    def _fit_deadline(self, call: OnlineCall, progress: _Progress) -> None:
+    def _fit_deadline(
+        self, call: OnlineCall, progress: RequestProgress
+    ) -> None:
         stop = self._node.stop
         if progress.attempts == 1:
             # The stop may have begun while the request waited for a slot.
@@ -200,7 +165,7 @@
         profile: Profile,
         stage: Stage,
         responder: Responder,
-        progress: _Progress,
+        progress: RequestProgress,
     ) -> None:
         router = self._node.router(call.service)
         attempt = self._describe(
@@ -238,7 +203,7 @@
         profile: Profile,
         stage: Stage,
         responder: Responder,
-        progress: _Progress,
+        progress: RequestProgress,
         *,
         is_worth: bool,
     ) -> Attempt:
@@ -262,7 +227,7 @@
         profile: Profile,
         state: EndpointState,
         responder: Responder,
-        progress: _Progress,
+        progress: RequestProgress,
     ) -> Stage | None:
         started_at = self._node.now()
         exchange = None
@@ -284,7 +249,7 @@
         except OtherVersion:
             # Nothing was taken from its answer, so it does not count.
             progress.attempts -= 1
-            await _close(exchange)
+            await close_exchange(exchange)
             return Stage.CONNECTING
         except ATTEMPT_ERRORS:
             if responder.started and responder.broken:
@@ -292,10 +257,11 @@
             if progress.reserved is None:
                 # One that was left for its silence may be sound.
                 state.on_failure(self._node.now())
-            await self._on_failure(call, state, exchange, started_at)
-            return exchange.stage if exchange else Stage.CONNECTING
+            return await end_failed_attempt(
+                self._node, self._crashes, call, state, exchange, started_at
+            )
         except BaseException:
-            await _close(exchange)
+            await close_exchange(exchange)
             raise
         state.on_success(self._node.now() - started_at)
         self._node.stop.note_run(call.service, self._node.now() - started_at)
@@ -305,30 +271,6 @@
             await self._crashes.on_answer(call.suspect)
         return None
 
-    async def _on_failure(
-        self,
-        call: OnlineCall,
-        state: EndpointState,
-        exchange: BackendExchange | None,
-        started_at: float,
-    ) -> None:
-        now = self._node.now()
-        if now >= call.deadline:
-            self._node.stop.note_run(call.service, now - started_at)
-        if exchange is None:
-            return
-        await exchange.close()
-        if exchange.stage >= Stage.SENT:
-            call.runs += 1
-            await self._crashes.on_lost(
-                InFlight(
-                    endpoint=state.endpoint,
-                    request_id=call.request_id,
-                    suspect=call.suspect,
-                    sent_at=started_at,
-                )
-            )
-
     async def _relay_unless_left(
         self,
         call: OnlineCall,
@@ -336,12 +278,12 @@
         state: EndpointState,
         exchange: BackendExchange,
         responder: Responder,
-        progress: _Progress,
+        progress: RequestProgress,
     ) -> None:
         # A frozen endpoint keeps its connections open without sending, but a
         # sound one may do so for a while: it is left for a better one only.
         task = await curio.spawn(
-            self._relay, call, state, exchange, responder, progress
+            self._relay.relay, call, state, exchange, responder, progress
         )
         try:
             while not task.terminated:
@@ -359,7 +301,7 @@
         if task.exception is not None:
             raise task.exception
 
-    def _is_mute(self, state: EndpointState, progress: _Progress) -> bool:
+    def _is_mute(self, state: EndpointState, progress: RequestProgress) -> bool:
         quiet_s = self._node.now() - progress.last_token_at
         return state.silent and quiet_s >= ENGINE_CHECK_INTERVAL_S
 
@@ -369,7 +311,7 @@
         profile: Profile,
         state: EndpointState,
         responder: Responder,
-        progress: _Progress,
+        progress: RequestProgress,
     ) -> None:
         """Takes a slot at another endpoint that can go on with a request.
 
@@ -382,7 +324,11 @@
             return
         avoided = {state.endpoint.name}
         if progress.offset:
-            avoided.update(self._list_other_versions(call, progress))
+            states = self._node.router(call.service).states()
+            names = [other.endpoint.name for other in states]
+            avoided.update(
+                self._relay.list_other_versions(names, progress.version)
+            )
         gate = self._gate(call.service)
         reserved = await gate.take_free(call, avoided)
         if reserved is None:
@@ -392,103 +338,6 @@
         else:
             await gate.release(call, reserved)
 
-    def _list_other_versions(
-        self, call: OnlineCall, progress: _Progress
-    ) -> list[str]:
-        return [
-            other.endpoint.name
-            for other in self._node.router(call.service).states()
-            if self._versions.get(other.endpoint.name) != progress.version
-        ]
-
-    async def _relay(
-        self,
-        call: OnlineCall,
-        state: EndpointState,
-        exchange: BackendExchange,
-        responder: Responder,
-        progress: _Progress,
-    ) -> None:
-        await exchange.send(
-            BackendCall(
-                method='POST',
-                target=call.path,
-                headers=[],
-                body=call.body,
-                request_id=call.request_id,
-                account=call.account,
-                offset=progress.offset,
-            ),
-        )
-        self._versions[state.endpoint.name] = exchange.version
-        if progress.offset and exchange.version != progress.version:
-            raise OtherVersion(detail=f'engine has {exchange.version}')
-        progress.version = exchange.version
-        if call.stream and exchange.status < HTTPStatus.MULTIPLE_CHOICES:
-            await self._relay_stream(call, exchange, responder, progress)
-            return
-        answer = await exchange.read_body()
-        self._record_first_token(call, progress)
-        headers = [
-            (name, exchange.headers[name])
-            for name in FORWARDED_HEADERS
-            if name in exchange.headers
-        ]
-        headers.append((REQUEST_ID, call.request_id))
-        await responder.send(exchange.status, answer, headers)
-
-    async def _relay_stream(
-        self,
-        call: OnlineCall,
-        exchange: BackendExchange,
-        responder: Responder,
-        progress: _Progress,
-    ) -> None:
-        events = exchange.iter_events()
-        while True:
-            event = await with_timeout(
-                STREAM_EVENT_TIMEOUT_S,
-                _next_event,
-                events,
-            )
-            if event is None:
-                break
-            await self._relay_event(call, event, responder, progress)
-        await responder.finish(b'data: [DONE]\n\n')
-
-    async def _relay_event(
-        self,
-        call: OnlineCall,
-        event: StreamEvent,
-        responder: Responder,
-        progress: _Progress,
-    ) -> None:
-        packed = f'data: {event.payload}\n\n'.encode()
-        if responder.started:
-            await responder.write(packed)
-        else:
-            headers = [*SSE_HEADERS, (REQUEST_ID, call.request_id)]
-            await responder.start(HTTPStatus.OK, headers, packed)
-            self._record_first_token(call, progress)
-        progress.offset += len(event.text)
-        self._record_token_gap(progress)
-
-    def _record_first_token(
-        self,
-        call: OnlineCall,
-        progress: _Progress,
-    ) -> None:
-        now = self._node.now()
-        metric = self._node.metrics.first_token_s
-        metric.labels(call.account, LANE).observe(now - call.arrived_at)
-        progress.last_token_at = now
-
-    def _record_token_gap(self, progress: _Progress) -> None:
-        now = self._node.now()
-        metric = self._node.metrics.token_gap_s
-        metric.labels(LANE).observe(now - progress.last_token_at)
-        progress.last_token_at = now
-
     def _gate(self, service: str) -> Gate:
         gate = self._gates.get(service)
         if gate is None:
@@ -499,12 +348,3 @@
     def _abort_if_started(self, responder: Responder) -> None:
         if responder.started:
             responder.abort()
-
-
-async def _close(exchange: BackendExchange | None) -> None:
-    if exchange is not None:
-        await exchange.close()
-
-
-async def _next_event(events):
-    return await anext(events, None)
