--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -154,3 +154,21 @@
     log = (site.folder / f'{HOST}.log').read_text()
     assert 'endpoint_crashed' not in log
     assert 'suspects_blocked' not in log
+
+
+def test_request_moves_although_its_key_was_withdrawn(site):
+    """It stays where it was admitted, and runs nowhere else."""
+    declare_idempotent(site, idempotent=True)
+    key_id, key = site.grant('gin')
+    before = site.engine_runs(*ENGINES)
+    with ThreadPoolExecutor(SLOTS) as pool:
+        with stopped(site, 'engine-1'):
+            futs = start_chats(site, key, pool, stream=True, count=SLOTS)
+            time.sleep(BETWEEN_EVENTS_S)
+            site.withdraw(key_id, HOST)
+            time.sleep(SILENT_S)
+        answers = [fut.result() for fut in futs]
+    assert not find_incomplete(answers)
+    runs = site.engine_runs(*ENGINES) - before
+    assert len(runs) == SLOTS
+    assert max(runs.values()) == 1
