Move no request whose key was withdrawn meanwhile

A request that left a silent engine for another one with a slot was sent there without the checks of a repeat: whether its key is still in force, and whether endpoints crashed on it.

Now the checks are made before the slot is taken, when the request stays at the silent engine, and once more before it is sent.

--- a/packages/jacinthmount-node/jacinthmount_node/callers/gate.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/gate.py
@@ -3,13 +3,14 @@
 import curio
 from jacinthmount.crash_strikes import Suspect
 from jacinthmount.declarations import Profile
-from jacinthmount.errors import DeadlineUnreachable
+from jacinthmount.errors import DeadlineUnreachable, JacinthmountError
 from jacinthmount.fairness import FairQueue
 from jacinthmount.request_digest import digest_request
 from jacinthmount.routing import EndpointState, Router
 
 from jacinthmount_node.engines.crash_watch import refuse_blocked
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.sockets import with_timeout
 from jacinthmount_node.node import Node
 
@@ -136,9 +137,7 @@
         if len(self._queue) or not self._router.capacity_left(now):
             self._refuse_late(call, profile, now)
             await self._wait(call)
-        self._node.keyring.recheck(call.key_id)
-        if not call.is_trial:
-            refuse_blocked(self._node.breaker, call.suspect, call.runs)
+        self.check(call)
         state = self._router.choose(call.prefix, tried, self._node.now())
         if state is None:
             raise DeadlineUnreachable(
@@ -148,14 +147,29 @@
         await self._take(call, state)
         return state
 
+    def check(self, call: OnlineCall) -> None:
+        """Checks that a request may still be sent to an endpoint.
+
+        :raises JacinthmountError: its key was withdrawn, or endpoints crashed
+            on it meanwhile.
+        """
+        self._node.keyring.recheck(call.key_id)
+        if not call.is_trial:
+            refuse_blocked(self._node.breaker, call.suspect, call.runs)
+
     async def take_free(
         self, call: OnlineCall, avoided: set[str]
     ) -> EndpointState | None:
         """Takes a slot that is free now at an endpoint that can be used.
 
         :param avoided: names of endpoints that are not to be used.
-        :returns: None if there is no such slot.
+        :returns: None if there is no such slot, or the request may not be sent.
         """
+        try:
+            self.check(call)
+        except JacinthmountError as exc:
+            log_event('not_moved', request=call.request_id, detail=exc.detail)
+            return None
         now = self._node.now()
         free = [
             state
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -133,18 +133,19 @@
         responder: Responder,
         progress: RequestProgress,
     ) -> EndpointState:
-        reserved = progress.reserved
-        if reserved is not None:
-            progress.reserved = None
-            return reserved
         gate = self._gate(call.service)
         try:
-            return await gate.acquire(call, profile, progress.tried)
+            if progress.reserved is None:
+                return await gate.acquire(call, profile, progress.tried)
+            gate.check(call)
         except JacinthmountError as exc:
             self._abort_if_started(responder)
             raise correct_refusal(
                 exc, may_have_run=progress.may_have_run
             ) from exc
+        reserved = progress.reserved
+        progress.reserved = None
+        return reserved
 
     def _fit_deadline(
         self, call: OnlineCall, progress: RequestProgress
