Measure the processor time that a nested row costs, not that of others

test_deeply_nested_row_holds_a_host_up[objects] failed in a whole check at load 22 (0.143 s, the best of three), as [escapes] had once (0.1021 s, listed): it measured time on the wall. Shown by a run beside sixteen busy processes: 0.16 to 0.18 s on the wall and 0.041 s of the processor for objects, 0.20 to 0.25 s and 0.051 s for escapes; without them wall and processor time are the same. The parser reads in one thread without waiting, so its processor time is what it holds a host up; the bound of 0.1 s stays, and is as strict on a machine that is idle.

--- a/tests/test_json_rows.py
+++ b/tests/test_json_rows.py
@@ -13,7 +13,7 @@
 EXAMPLES = 300
 LEVELS = 3
 DEPTH = 100_000
-# Time within which an answer is read, so that streams go on meanwhile.
+# Processor time in which an answer is read, so that streams go on meanwhile.
 READ_S = 0.1
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(),
@@ -68,9 +68,9 @@
     answer = b'{"items":[{"spec":1},{"spec":%b}]}' % spec
     took_s = []
     for _ in range(3):
-        started_at = time.perf_counter()
+        started_at = time.process_time()
         items = parse_rows(answer, LEVELS)['items']
-        took_s.append(time.perf_counter() - started_at)
+        took_s.append(time.process_time() - started_at)
     assert items[0] == {'spec': 1}
     assert isinstance(items[1]['spec'], Unreadable)
     assert min(took_s) < READ_S
