--- a/tests/test_withdrawn_keys.py
+++ b/tests/test_withdrawn_keys.py
@@ -44,10 +44,20 @@
 
 
 def withdraw_key(site):
-    """Returns once the front refuses the key."""
+    """Returns once the front has the configuration without the key."""
     rows = [{**row, 'api_keys': ['another']} for row in site.config['tenants']]
     site.write_config(tenants=rows)
-    wait_until(lambda: ask(site, 'probe', 1).status == 401)
+    version = site.config['version']
+    wait_until(lambda: version in list_versions(site))
+
+
+def list_versions(site):
+    """Lists the versions of configurations that the front has applied."""
+    return [
+        line['version']
+        for line in site.read_lines('front-1')
+        if line['message_type'] == 'jacinthmount:config_in_force'
+    ]
 
 
 def begin(site, event_s):
