Review case 3: an item whose engine sends without end is never listed

An engine has made all events of an item and then sends an empty comment each half second in place of the end of the answer. The runner reads on; 18 s after trouble and work have ended the item is not listed.

The client of the scripts takes an answer in chunks that is cut off for a broken channel; it raised an error before, so that a script could have ended with 2 instead of 0.

--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -343,9 +343,13 @@
             event = f'id: {number}\ndata: {text}\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
+        await self.finish(request_id, writer)
+        self.finished.append((time.monotonic(), request_id, tenant))
+
+    async def finish(self, request_id, writer):
+        """Ends the answer to a request whose events have been sent."""
         writer.write(b'0\r\n\r\n')
         await writer.drain()
-        self.finished.append((time.monotonic(), request_id, tenant))
 
 
 def batch_route(name, *, cap, max_attempts=3):
@@ -492,7 +496,8 @@
                     return int(first.split(' ')[1]), answer
                 finally:
                     writer.transport.abort()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        except (OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
+            # The channel broke, or the answer is not whole.
             return 0, b''
 
     async def submit(self, front, route, batch_id, items, *, key):
