Review case 5: the same bales in lots of two tenants

The items are named by the bale, as two tenants that audit the same bales would do, forty a lot, with 8 slots an engine; the rule and the check are as before.

Run: review/build.sh, review/5/run.sh.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,8 +6,8 @@
 
 import stage
 
-TENANTS = {'ansah': 'key-of-ansah', 'kumasi-desk': 'key-of-kumasi'}
-ITEMS = 12
+TENANTS = {'spinner': 'key-of-spinner', 'auditor': 'key-of-auditor'}
+ITEMS = 40
 FINISH_S = 18
 EVENTS = 60
 
@@ -19,18 +19,18 @@
 async def case(record, trouble):
     site = stage.Stage(
         record, fronts=2, runners=2, tenants=TENANTS,
-        routes=[stage.batch_route('summary', cap=1_500_000)],
+        routes=[stage.batch_route('audit', cap=940_000)],
     )
     engines = [
         stage.Engine(
-            record, site.store, n, slots=2, event_s=0.0185,
+            record, site.store, n, slots=8, event_s=0.0185,
             make_text=make_text, count=lambda _: EVENTS,
         )
         for n in range(2)
     ]
-    lots = {'ansah': '5a41e09b52d6a3f8', 'kumasi-desk': '6b41e09b52d6a3f8'}
+    lots = {'spinner': '5a41e09b52d6a3f8', 'auditor': '6b41e09b52d6a3f8'}
     items = [
-        stage.make_item(f'item-{n + 1}', '/summary/1') for n in range(ITEMS)
+        stage.make_item(f'bale-{n + 1}', '/audit/1') for n in range(ITEMS)
     ]
     rows = {}
 
@@ -52,7 +52,7 @@
         await site.start(engines)
         for tenant in TENANTS:
             status = await site.submit(
-                'front-1', 'summary', lots[tenant], items, key=TENANTS[tenant]
+                'front-1', 'audit', lots[tenant], items, key=TENANTS[tenant]
             )
             if status != 202:
                 raise RuntimeError('the batch was not accepted')
