Keep the stand-ins of the review beside its cases

review/common would count as a case by its place; stage.py is in review/ now. Nothing in it has changed but the depth of the repository's root.

--- a/review/common/stage.py
+++ b/review/stage.py
@@ -1,4 +1,4 @@
-"""A small deployment on loopback for the scripts beside this folder.
+"""A small deployment on loopback for the scripts of the cases.
 
 The programs of the deploy file run as processes. The platform's store, the
 engines and the clients are stand-ins in the process of the script. They follow
@@ -18,7 +18,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, quote, unquote
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HOST = 'scans.example'
 SERVICE = 'provenance'
