--- a/review/stage.py
+++ b/review/stage.py
@@ -11,6 +11,7 @@
 import os
 import shutil
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -23,6 +24,9 @@
 HOST = 'scans.example'
 SERVICE = 'provenance'
 VALUE_BYTES = 1_048_576
+HEARTBEAT_S = 1.2
+# An entry is removed after so many check-in intervals of silence.
+SILENT_BEATS = 3
 ZONES = ('east', 'west', 'north')
 REASONS = {
     200: 'OK', 202: 'Accepted', 404: 'Not Found', 409: 'Conflict', 410: 'Gone',
@@ -74,6 +78,16 @@
     return first, headers, body
 
 
+def reset(writer):
+    """Resets a channel instead of closing it."""
+    sock = writer.get_extra_info('socket')
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    writer.transport.abort()
+
+
 def pack_answer(status, body=b'', **headers):
     rows = [f'HTTP/1.1 {status} {REASONS.get(status, "Status")}']
     rows += [f'{name.replace("_", "-")}: {text}' for name, text in headers.items()]
@@ -94,9 +108,14 @@
             self._serve, '127.0.0.1', self.port, limit=8_000_000
         )
 
+    async def shut(self):
+        """The process ends: its channels are reset, new ones are refused."""
+        self._server.close()
+        self.reset_channels()
+
     def reset_channels(self):
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -123,21 +142,34 @@
         self.objects = {}
         self.events = []
         self.down = False
+        self.silent = False
+        self.gates = []
         self._changed = asyncio.Condition()
 
     async def go_down(self):
         """The store is down: it resets all channels, old and new."""
         self.down = True
         self._record.note('store: down, resets every channel')
-        self.reset_channels()
+        for server in [self, *self.gates]:
+            server.reset_channels()
 
     def come_back(self):
         self.down = False
         self._record.note('store: back')
 
+    async def be_silent(self, for_s):
+        """No call is answered; channels with a lost answer stay dead."""
+        self.silent = True
+        self._record.note('store: silent')
+        await asyncio.sleep(for_s)
+        self.silent = False
+        self._record.note('store: answers again')
+
     async def handle(self, method, target, headers, body, reader, writer):
         if self.down:
             raise ConnectionResetError
+        if self.silent:
+            await asyncio.Event().wait()
         path, _, query = target.partition('?')
         query = {name: texts[-1] for name, texts in parse_qs(query).items()}
         parts = [unquote(part) for part in path.split('/')[3:]]
@@ -145,6 +177,8 @@
         status, answer = await self.answer(method, parts, query, raw)
         if self.down:
             raise ConnectionResetError
+        if self.silent:
+            await asyncio.Event().wait()
         packed = json.dumps(answer).encode()
         writer.write(
             pack_answer(status, packed, Content_Type='application/json')
@@ -258,6 +292,27 @@
         return 200, {'events': news(), 'as_of': self.revision}
 
 
+class Gate(Server):
+    """The store's address for one machine, which the store may turn away.
+
+    A machine that is turned away has its channels reset, old and new.
+    """
+
+    def __init__(self, store):
+        super().__init__()
+        self._store = store
+        self.turned_away = False
+
+    def turn_away(self):
+        self.turned_away = True
+        self.reset_channels()
+
+    async def handle(self, method, target, headers, body, reader, writer):
+        if self.turned_away:
+            raise ConnectionResetError
+        await self._store.handle(method, target, headers, body, reader, writer)
+
+
 class Engine(Server):
     """A model engine that streams numbered events.
 
@@ -265,12 +320,15 @@
     :param count: gives the number of events of a request, by its id.
     """
 
-    def __init__(self, record, store, number, *, slots, event_s, make_text, count):
+    def __init__(
+        self, record, store, number, *, slots, event_s, make_text, count,
+        zones=ZONES,
+    ):
         super().__init__()
         self._record = record
         self._store = store
         self.engine_id = f'i-{os.urandom(4).hex()}'
-        self.zone = ZONES[number % len(ZONES)]
+        self.zone = zones[number % len(zones)]
         self._slots = asyncio.Semaphore(slots)
         self.slots = slots
         self._event_s = event_s
@@ -280,12 +338,50 @@
         self.runs = []
         self.finished = []
         self._born = int(time.time() * 1000)
+        self.beat_at = 0.0
+        # An engine that is dark sends nothing any more, on any channel.
+        self.dark = False
+        self.crashed = False
+
+    async def go_dark(self):
+        """The engine is lost for good; its entry goes after three beats."""
+        self.dark = True
+        self._record.note(
+            f'engine {self.engine_id}: dark for good, '
+            f'{time.monotonic() - self.beat_at:.2f} s after its check-in'
+        )
+        await asyncio.sleep(
+            self.beat_at + SILENT_BEATS * HEARTBEAT_S - time.monotonic()
+        )
+        await self._store.change('DELETE', 'servers', self.engine_id, [], {}, {})
+        self._record.note(f'store: entry of {self.engine_id} removed')
+
+    async def crash(self, for_s):
+        """The engine crashes, and is back under a new id after a while."""
+        self._record.note(f'engine {self.engine_id}: crashes')
+        self.crashed = True
+        beat_at, old_id = self.beat_at, self.engine_id
+        await self.shut()
+        await asyncio.sleep(
+            beat_at + SILENT_BEATS * HEARTBEAT_S - time.monotonic()
+        )
+        await self._store.change('DELETE', 'servers', old_id, [], {}, {})
+        await asyncio.sleep(max(0, for_s - SILENT_BEATS * HEARTBEAT_S))
+        self.engine_id = f'i-{os.urandom(4).hex()}'
+        self._born = int(time.time() * 1000)
+        self._slots = asyncio.Semaphore(self.slots)
+        self.busy = 0
+        await self.open()
+        self.crashed = False
+        self._record.note(f'engine {old_id}: back as {self.engine_id}')
 
     async def register(self):
         sequence = 0
-        while True:
+        while not self.dark:
             sequence += 1
-            if not self._store.down:
+            if not self.crashed:
+                self.beat_at = time.monotonic()
+            if not (self.crashed or self._store.down or self._store.silent):
                 await self._store.put('servers', self.engine_id, {
                     'service': SERVICE,
                     'address': f'127.0.0.1:{self.port}',
@@ -297,9 +393,11 @@
                     'sequence': sequence,
                     'born': self._born,
                 })
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(HEARTBEAT_S)
 
     async def handle(self, method, target, headers, body, reader, writer):
+        if self.dark:
+            await asyncio.Event().wait()
         if method == 'GET':
             writer.write(pack_answer(
                 200, b'{}', Instance_Id=self.engine_id,
@@ -333,20 +431,29 @@
             f'Server-Load: {self.busy},0,{self.slots}\r\n'
             'Keep-Alive: timeout=10\r\n'
             'Content-Type: text/event-stream\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'
+            f'{self.start_headers()}'
         ).encode())
         for number in range(first, self._count(request_id) + 1):
             await asyncio.sleep(self._event_s)
+            if self.dark:
+                await asyncio.Event().wait()
             if writer.is_closing():
                 raise ConnectionResetError
             text = self._make_text(request_id, number)
             event = f'id: {number}\ndata: {text}\n\n'.encode()
-            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            writer.write(self.pack_event(event))
             await writer.drain()
-        await self.finish(request_id, writer)
+        await self.finish(request_id, writer, first)
         self.finished.append((time.monotonic(), request_id, tenant))
 
-    async def finish(self, request_id, writer):
+    def start_headers(self):
+        """The framing of an answer, and the end of its head."""
+        return 'Transfer-Encoding: chunked\r\n\r\n'
+
+    def pack_event(self, event):
+        return b'%x\r\n%s\r\n' % (len(event), event)
+
+    async def finish(self, request_id, writer, first):
         """Ends the answer to a request whose events have been sent."""
         writer.write(b'0\r\n\r\n')
         await writer.drain()
@@ -376,7 +483,9 @@
 class Stage:
     """Fronts, runners, engines and the store."""
 
-    def __init__(self, record, *, fronts, runners, tenants, routes):
+    def __init__(
+        self, record, *, fronts, runners, tenants, routes, zones=ZONES
+    ):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.store = Store(record)
@@ -386,11 +495,14 @@
         self.fronts = {f'front-{n + 1}': free_port() for n in range(fronts)}
         self.runners = [f'runner-{n + 1}' for n in range(runners)]
         names = [*self.fronts, *self.runners]
+        self.gates = {name: Gate(self.store) for name in names}
+        self.store.gates = list(self.gates.values())
         self.ready = {name: free_port() for name in self.fronts}
         self.control = {name: free_port() for name in names}
+        self._all_zones = zones
         self.metrics = {name: free_port() for name in names}
         self.zones = {
-            name: ZONES[n % len(ZONES)]
+            name: zones[n % len(zones)]
             for group in (self.fronts, self.runners)
             for n, name in enumerate(group)
         }
@@ -420,6 +532,8 @@
 
     async def start(self, engines):
         await self.store.open()
+        for gate in self.gates.values():
+            await gate.open()
         await self.write_config()
         self.engines = engines
         for engine in engines:
@@ -455,6 +569,20 @@
             )
         self.record.note(f'start {name}')
 
+    def spawn(self, coro):
+        self._tasks.append(asyncio.create_task(coro))
+
+    def turn_away(self, names):
+        """The store turns some machines away and serves the others."""
+        for name in names:
+            self.gates[name].turn_away()
+        self.record.note(f'store: turns away {", ".join(names)}')
+
+    def serve_again(self, names):
+        for name in names:
+            self.gates[name].turned_away = False
+        self.record.note(f'store: serves {", ".join(names)} again')
+
     async def kill(self, name):
         """SIGKILL to one process."""
         self._procs[name].kill()
@@ -553,7 +681,7 @@
             listen.append(f'front = "127.0.0.1:{self.fronts[name]}"')
             listen.append(f'ready = "127.0.0.1:{self.ready[name]}"')
         seeds = [f'127.0.0.1:{port}' for port in self.control.values()][:3]
-        zones = '\n'.join(f'{zone} = "coast"' for zone in ZONES)
+        zones = '\n'.join(f'{zone} = "coast"' for zone in self._all_zones)
         return '\n'.join([
             f'node_name = "{name}"', f'role = "{role}"',
             f'machine_class = "{serves[0]}"', f'serves = {json.dumps(serves)}',
@@ -567,7 +695,7 @@
             'quota_window_s = 5', 'quota_overshoot = 0.1', 'quota_slack = 20',
             'recovery_s = 12', 'finish_s = 18', 'status_s = 120',
             'cancel_ms = 3000', 'settle_ms = 1000',
-            '[platform]', f'address = "127.0.0.1:{self.store.port}"',
+            '[platform]', f'address = "127.0.0.1:{self.gates[name].port}"',
             'form = "objects"', 'writes_per_s = 400', 'reads_per_s = 2000',
             'history_s = 20', f'value_bytes = {VALUE_BYTES}', '',
         ])
