--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""The text of a result ends at a line separator inside an event."""
+"""The store is silent for a moment, and the end of a batch goes unnoticed."""
 
 import asyncio
 import time
@@ -7,23 +7,23 @@
 from stage import Engine, Stage, batch_route, make_item, play
 
 KEY = 'key-of-auditor'
-BATCH = '7c41e09b52d6a3f8'
-ITEMS = 10
-EVENTS = 30
-# Characters that end no line of an event stream: only CR and LF do.
-ODD = ('\u2028', '\u2029', '\x85', '\x0b', '\x0c', '\x1c', '\x1d', '\x1e')
-
-
-def make_odd_text(request_id, number):
-    return f'page {number}{ODD[number % len(ODD)]}bale {request_id}'
+ROUNDS = 10
+ENGINES = 2
+ITEMS = 64
+EVENTS = 60
+EVENT_S = 0.05
+SILENT_S = 0.3
+# Bounds of the rule: cancel_ms, and contact_ms after the end of the silence.
+CANCEL_S = 3.0
+CONTACT_S = 3.0
+ROUND_S = 8.0
 
 
 def make_text(request_id, number):
-    return f'page {number} bale {request_id}'
+    return f'{request_id}.{number}'
 
 
 async def case(record, trouble):
-    text = make_odd_text if trouble else make_text
     stage = Stage(
         record, fronts=2, runners=2, tenants={'auditor': KEY},
         routes=[batch_route('audits', cap=0)],
@@ -31,38 +31,59 @@
     try:
         engines = [
             Engine(
-                record, stage.store, number, slots=8, event_s=0.02,
-                make_text=text, count=lambda _: EVENTS,
+                record, stage.store, number, slots=8, event_s=EVENT_S,
+                make_text=make_text, count=lambda _: EVENTS,
             )
-            for number in range(3)
+            for number in range(ENGINES)
         ]
         await stage.start(engines)
-        items = [
-            make_item(f'e5b2907c-{n}', '/audits/run') for n in range(ITEMS)
-        ]
-        status = await stage.submit('front-1', 'audits', BATCH, items, key=KEY)
-        if status != 202:
-            raise RuntimeError(f'not accepted: {status}')
-        until = time.monotonic() + 20
-        rows = []
-        while time.monotonic() < until and len(rows) < ITEMS:
-            await asyncio.sleep(1)
-            status, rows = await stage.results('front-2', BATCH, key=KEY)
-            record.note(f'GET results -> {status}, {len(rows)} of {ITEMS}')
-        broken = []
-        for row in rows:
-            whole = '\n'.join(
-                text(row['id'], number) for number in range(1, EVENTS + 1)
-            )
-            if row['state'] == 'completed' and row['text'] != whole:
-                broken.append(
-                    f'MIXED: {row["id"]} is completed with '
-                    f'{len(row["text"])} of {len(whole)} characters'
-                )
-        record.note(f'text begins {rows[0]["text"][:60]!r}' if rows else 'none')
-        return broken
+        for number in range(ROUNDS):
+            broken = await play_round(stage, number, trouble)
+            if broken:
+                return broken
+        return []
     finally:
         await stage.stop()
 
 
+async def play_round(stage, number, trouble):
+    batch_id = f'{number}c41e09b52d6a3f8'
+    items = [
+        make_item(f'{batch_id}-{n}', '/audits/run') for n in range(ITEMS)
+    ]
+    status = await stage.submit('front-1', 'audits', batch_id, items, key=KEY)
+    if status != 202:
+        raise RuntimeError(f'not accepted: {status}')
+    started_at = time.monotonic()
+    await asyncio.sleep(0.15)
+    if trouble:
+        await stage.store.be_silent(SILENT_S)
+    else:
+        await asyncio.sleep(SILENT_S)
+    calm_at = time.monotonic() + CONTACT_S
+    await asyncio.sleep(0.6)
+    status, _ = await stage.call(
+        'front-2', 'DELETE', f'/api/lots/{batch_id}', key=KEY
+    )
+    acked_at = time.monotonic()
+    stage.record.note(f'DELETE {batch_id} at front-2 -> {status}')
+    if status != 200:
+        raise RuntimeError(f'no ack: {status}')
+    await asyncio.sleep(started_at + ROUND_S - time.monotonic())
+    late = [
+        moment - acked_at
+        for engine in stage.engines
+        for moment, request_id, _, _, _ in engine.runs
+        if request_id.startswith(f'{batch_id}-')
+        and moment > max(acked_at + CANCEL_S, calm_at)
+    ]
+    stage.record.note(f'round {number}: {len(late)} items sent too late')
+    if not late:
+        return []
+    return [
+        f'UNASKED: {len(late)} items of {batch_id} reached an engine and ran '
+        f'{min(late):.2f} to {max(late):.2f} s after the ack of its end'
+    ]
+
+
 play(Path(__file__).parent, case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""An engine goes dark while it runs items of a batch."""
+"""The text of a result ends at a line separator inside an event."""
 
 import asyncio
 import time
@@ -8,20 +8,22 @@
 
 KEY = 'key-of-auditor'
 BATCH = '7c41e09b52d6a3f8'
-ENGINES = 6
-ITEMS = 36
-EVENTS = 80
-EVENT_S = 0.05
-# Age of the last check-in as the engine goes dark; it checks in each 1.2 s.
-DARK_AFTER_BEAT_S = 1.15
-FINISH_S = 18.0
+ITEMS = 10
+EVENTS = 30
+# Characters that end no line of an event stream: only CR and LF do.
+ODD = ('\u2028', '\u2029', '\x85', '\x0b', '\x0c', '\x1c', '\x1d', '\x1e')
+
+
+def make_odd_text(request_id, number):
+    return f'page {number}{ODD[number % len(ODD)]}bale {request_id}'
 
 
 def make_text(request_id, number):
-    return f'{request_id}.{number}'
+    return f'page {number} bale {request_id}'
 
 
 async def case(record, trouble):
+    text = make_odd_text if trouble else make_text
     stage = Stage(
         record, fronts=2, runners=2, tenants={'auditor': KEY},
         routes=[batch_route('audits', cap=0)],
@@ -29,10 +31,10 @@
     try:
         engines = [
             Engine(
-                record, stage.store, number, slots=8, event_s=EVENT_S,
-                make_text=make_text, count=lambda _: EVENTS,
+                record, stage.store, number, slots=8, event_s=0.02,
+                make_text=text, count=lambda _: EVENTS,
             )
-            for number in range(ENGINES)
+            for number in range(3)
         ]
         await stage.start(engines)
         items = [
@@ -41,43 +43,26 @@
         status = await stage.submit('front-1', 'audits', BATCH, items, key=KEY)
         if status != 202:
             raise RuntimeError(f'not accepted: {status}')
-        await asyncio.sleep(1.5)
-        if trouble:
-            lost = max(engines, key=lambda engine: engine.busy)
-            beat_at = lost.beat_at
-            while lost.beat_at == beat_at:
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(DARK_AFTER_BEAT_S)
-            await lost.go_dark()
-        until = time.monotonic() + FINISH_S + 4
+        until = time.monotonic() + 20
         rows = []
         while time.monotonic() < until and len(rows) < ITEMS:
             await asyncio.sleep(1)
             status, rows = await stage.results('front-2', BATCH, key=KEY)
             record.note(f'GET results -> {status}, {len(rows)} of {ITEMS}')
-        return check(record, engines, rows)
+        broken = []
+        for row in rows:
+            whole = '\n'.join(
+                text(row['id'], number) for number in range(1, EVENTS + 1)
+            )
+            if row['state'] == 'completed' and row['text'] != whole:
+                broken.append(
+                    f'MIXED: {row["id"]} is completed with '
+                    f'{len(row["text"])} of {len(whole)} characters'
+                )
+        record.note(f'text begins {rows[0]["text"][:60]!r}' if rows else 'none')
+        return broken
     finally:
         await stage.stop()
 
 
-def check(record, engines, rows):
-    listed = {row['id'] for row in rows}
-    sound = [engine for engine in engines if not engine.dark]
-    busy = sum(engine.busy for engine in sound)
-    last_s = time.monotonic() - max(
-        moment for engine in sound for moment, _, _ in engine.finished
-    )
-    record.note(
-        f'{len(listed)} of {ITEMS} listed; sound engines run {busy} requests '
-        f'and finished the last one {last_s:.1f} s ago'
-    )
-    broken = []
-    if len(listed) < ITEMS and not busy and last_s > 5:
-        broken.append(
-            f'LOST: {ITEMS - len(listed)} of {ITEMS} accepted items are '
-            f'neither completed nor dead letters, and no engine runs them'
-        )
-    return broken
-
-
 play(Path(__file__).parent, case)
