--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,65 +1,98 @@
-"""The text of a result ends at a line separator inside an event."""
+"""A stream that a front takes away from a silent engine ends as complete."""
 
 import asyncio
 import time
 from pathlib import Path
 
-from stage import Engine, Stage, batch_route, make_item, play
+from stage import Engine, Stage, play, stream_route
 
-KEY = 'key-of-auditor'
-BATCH = '7c41e09b52d6a3f8'
-ITEMS = 10
-EVENTS = 30
-# Characters that end no line of an event stream: only CR and LF do.
-ODD = ('\u2028', '\u2029', '\x85', '\x0b', '\x0c', '\x1c', '\x1d', '\x1e')
+KEY = 'key-of-ansah'
+ENGINES = 4
+STREAMS = 16
+EVENTS = 60
+EVENT_S = 0.04
+SILENT_S = 1.2
 
 
-def make_odd_text(request_id, number):
-    return f'page {number}{ODD[number % len(ODD)]}bale {request_id}'
+def make_text(request_id, number):
+    return f'point {number} of {request_id}'
 
 
-def make_text(request_id, number):
-    return f'page {number} bale {request_id}'
+class UnframedEngine(Engine):
+    """An engine whose answers have no length and end with their channel."""
+
+    silent_until = 0.0
+
+    def start_headers(self):
+        return 'Connection: close\r\n\r\n'
+
+    def pack_event(self, event):
+        return event
+
+    async def pause(self):
+        await asyncio.sleep(EVENT_S)
+        while time.monotonic() < self.silent_until:
+            await asyncio.sleep(0.01)
+
+    async def finish(self, request_id, writer, first):
+        await writer.drain()
+        writer.close()
+        raise ConnectionResetError
+
+
+async def read_stream(stage, number, broken):
+    request_id = f'{number:02x}f2907c14da6f38'
+    front = f'front-{number % 2 + 1}'
+    status, body = await stage.call(
+        front, 'POST', '/check/1', key=KEY, body=b'term',
+        Attempt_Id=request_id, Deadline_Remaining='5000', Model='m',
+        Token_Usage='350,60', Prompt_Prefix=f'aa{number:02x}:350',
+    )
+    read = [
+        line.removeprefix('data: ')
+        for line in body.decode().split('\n') if line.startswith('data: ')
+    ]
+    stage.record.note(
+        f'stream {request_id} at {front} -> {status}, '
+        f'{len(read)} of {EVENTS} events'
+    )
+    whole = [make_text(request_id, n) for n in range(1, EVENTS + 1)]
+    if status == 200 and read != whole:
+        broken.append(
+            f'ORDER: the stream {request_id} ends as complete with '
+            f'{len(read)} of {EVENTS} events'
+        )
+    return status
 
 
 async def case(record, trouble):
-    text = make_odd_text if trouble else make_text
     stage = Stage(
-        record, fronts=2, runners=2, tenants={'auditor': KEY},
-        routes=[batch_route('audits', cap=0)],
+        record, fronts=2, runners=2, tenants={'ansah': KEY},
+        routes=[stream_route('check', resumable=True)],
     )
+    broken = []
     try:
         engines = [
-            Engine(
-                record, stage.store, number, slots=8, event_s=0.02,
-                make_text=text, count=lambda _: EVENTS,
+            UnframedEngine(
+                record, stage.store, number, slots=8, event_s=EVENT_S,
+                make_text=make_text, count=lambda _: EVENTS,
             )
-            for number in range(3)
+            for number in range(ENGINES)
         ]
         await stage.start(engines)
-        items = [
-            make_item(f'e5b2907c-{n}', '/audits/run') for n in range(ITEMS)
-        ]
-        status = await stage.submit('front-1', 'audits', BATCH, items, key=KEY)
-        if status != 202:
-            raise RuntimeError(f'not accepted: {status}')
-        until = time.monotonic() + 20
-        rows = []
-        while time.monotonic() < until and len(rows) < ITEMS:
-            await asyncio.sleep(1)
-            status, rows = await stage.results('front-2', BATCH, key=KEY)
-            record.note(f'GET results -> {status}, {len(rows)} of {ITEMS}')
-        broken = []
-        for row in rows:
-            whole = '\n'.join(
-                text(row['id'], number) for number in range(1, EVENTS + 1)
+        streams = asyncio.gather(*(
+            read_stream(stage, number, broken) for number in range(STREAMS)
+        ))
+        await asyncio.sleep(1)
+        if trouble:
+            silent = max(engines, key=lambda engine: engine.busy)
+            record.note(
+                f'engine {silent.engine_id} is silent for {SILENT_S} s, with '
+                f'{silent.busy} streams'
             )
-            if row['state'] == 'completed' and row['text'] != whole:
-                broken.append(
-                    f'MIXED: {row["id"]} is completed with '
-                    f'{len(row["text"])} of {len(whole)} characters'
-                )
-        record.note(f'text begins {rows[0]["text"][:60]!r}' if rows else 'none')
+            silent.silent_until = time.monotonic() + SILENT_S
+        if 200 not in await streams:
+            raise RuntimeError('no stream was served')
         return broken
     finally:
         await stage.stop()
--- a/review/stage.py
+++ b/review/stage.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import socket
 import struct
@@ -28,6 +29,8 @@
 # An entry is removed after so many check-in intervals of silence.
 SILENT_BEATS = 3
 ZONES = ('east', 'west', 'north')
+# Below the ports that the kernel gives to outgoing connections.
+OWN_PORTS = (20_000, 32_000)
 REASONS = {
     200: 'OK', 202: 'Accepted', 404: 'Not Found', 409: 'Conflict', 410: 'Gone',
     413: 'Too Large', 421: 'Misdirected', 422: 'Unprocessable',
@@ -35,10 +38,22 @@
 }
 
 
+_taken_ports = set()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Finds a free port that no outgoing connection gets by chance."""
+    while True:
+        port = random.randrange(*OWN_PORTS)
+        if port in _taken_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        _taken_ports.add(port)
+        return port
 
 
 class Record:
@@ -434,7 +449,7 @@
             f'{self.start_headers()}'
         ).encode())
         for number in range(first, self._count(request_id) + 1):
-            await asyncio.sleep(self._event_s)
+            await self.pause()
             if self.dark:
                 await asyncio.Event().wait()
             if writer.is_closing():
@@ -446,6 +461,10 @@
         await self.finish(request_id, writer, first)
         self.finished.append((time.monotonic(), request_id, tenant))
 
+    async def pause(self):
+        """Waits until the next event is made."""
+        await asyncio.sleep(self._event_s)
+
     def start_headers(self):
         """The framing of an answer, and the end of its head."""
         return 'Transfer-Encoding: chunked\r\n\r\n'
