Watches bound their own age, so a silence that nobody noticed hides nothing

Cause: a watch call could wait for 20 s, and ended before only if another call showed an outage. A call that is sent within a short silence, or whose answer falls into it, is lost for good, and in most plays no other call meets the silence. Ruled out as the cause: the interval at which OutageRefresh polls; no interval shows an outage that no call has met.

Now each watch asks for an answer within a wait that fits the promise that depends on it (1 s for the batches of the active runner, 2 s for the shared state, more in large fleets, 5 s for retirements), and lists its prefix if the answer is 0.5 s late. That works since it needs no evidence from elsewhere: what was lost is read again within 1.5 s. It counts as no outage, so a slow answer moves no role.

The same elsewhere: a front without a runner kept an old configuration and a host of the first interface old keys for up to 22 s; mended with it.

--- a/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
@@ -34,7 +34,8 @@
 __all__ = ('ConfigSync',)
 
 WATCHERS_PER_DATA_CENTRE = 2
-WATCH_LONG_POLL_S = 20.0
+# A change whose page is lost on the way goes unnoticed for about as long.
+WATCH_LONG_POLL_S = 2.0
 WATCH_RETRY_PAUSE_S = 0.5
 DIGEST_MIN_INTERVAL_S = 1.5
 DIGEST_MAX_INTERVAL_S = 2.5
--- a/packages/jacinthmount-node/jacinthmount_node/net/object_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/object_api.py
@@ -35,7 +35,7 @@
 CALL_TIMEOUT_S = 3.0
 MAX_WHOLE = 9_223_372_036_854_775_807
 # Added to the requested wait of a watch to give its timeout.
-WATCH_MARGIN_S = 3.0
+WATCH_MARGIN_S = 1.0
 ParsedT = TypeVar('ParsedT')
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -42,6 +42,9 @@
 # Time for which new batches are collected into one answer of the store.
 COALESCE_S = 0.25
 STANDBY_COALESCE_S = 1.5
+# Longest wait of a watch call of the active runner. An ended batch has to stop
+# within 3 s, also if a call is lost.
+ACTIVE_WAIT_S = 1.0
 MS = 1000
 # Less than another runner needs to take over and write.
 STORE_ANSWER_VALID_S = 1.0
@@ -361,7 +364,8 @@
         if active:
             self._capacity.delay_batch()
             await self._announce()
-            # The watch of a standby may be behind.
+            # The watch of a standby may be behind, and its call waits longer.
+            await self._watch.end_call()
             await self._watch.refresh()
             await self._progress.read()
             self.mark_logs_shared()
@@ -394,5 +398,6 @@
 
 
 def _make_delays(state: RelayState) -> WatchDelays:
-    active = state.leadership.active
-    return WatchDelays(coalesce_s=COALESCE_S if active else STANDBY_COALESCE_S)
+    if state.leadership.active:
+        return WatchDelays(coalesce_s=COALESCE_S, wait_s=ACTIVE_WAIT_S)
+    return WatchDelays(coalesce_s=STANDBY_COALESCE_S)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -16,6 +16,8 @@
 __all__ = ('ObjectWatch', 'PrefixSnapshot', 'WatchDelays')
 
 WATCH_WAIT_S = 20.0
+# Time for the answer of a watch call to arrive once its wait is over.
+ANSWER_MARGIN_S = 0.5
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
 # Factors between which retry delays are randomised.
@@ -42,13 +44,14 @@
 class WatchDelays:
     """Delays of a watch, to bound the load of many hosts on the store."""
 
-    __slots__ = ('coalesce_s', 'update_grace_s')
+    __slots__ = ('coalesce_s', 'update_grace_s', 'wait_s')
 
     def __init__(
         self,
         *,
         update_grace_s: float = 0.0,
         coalesce_s: float = 0.0,
+        wait_s: float = WATCH_WAIT_S,
     ) -> None:
         """Keeps the delays.
 
@@ -56,7 +59,10 @@
             the last one is lost, before this host watches the store itself.
         :param coalesce_s: seconds to wait after a page of changes, so that the
             next page holds several.
+        :param wait_s: seconds for which the store may hold a watch call back.
+            A call or an answer that is lost goes unnoticed for about as long.
         """
+        self.wait_s = wait_s
         self.update_grace_s = update_grace_s
         self.coalesce_s = coalesce_s
 
@@ -67,7 +73,9 @@
     The callback gets the changed objects; a removed object has no body. If it
     fails, it gets each of them once more alone, so that an object that can't be
     handled does not cost the others. While another host is the update source
-    of this one, the watch makes no calls. A watch with ``is_probed`` relies on
+    of this one, the watch makes no calls. A watch call without an answer in
+    time shows no outage, but a change may be lost with it, so the prefix is
+    listed. A watch with ``is_probed`` relies on
     its owner to detect the end of an outage. ``last_reply_at`` is when the last
     listing that succeeded was requested.
     """
@@ -153,6 +161,8 @@
                 await self._follow()
             except HistoryGone:
                 log_event('history_gone', prefix=self.prefix)
+            except TimeoutError:
+                log_event('watch_unanswered', prefix=self.prefix)
             except StoreUnavailable as exc:
                 self._note_outage(exc)
             else:
@@ -212,16 +222,18 @@
         """Makes one watch call.
 
         :returns: None if the call was ended.
+        :raises TimeoutError: the call was not answered in time.
         """
+        wait_s = self._make_delays().wait_s
         call = await curio.spawn(
             self._store.watch_page,
             self.prefix,
             self.revision,
-            WATCH_WAIT_S,
+            wait_s,
         )
         self._call = call
         try:
-            await call.wait()
+            await with_timeout(wait_s + ANSWER_MARGIN_S, call.wait)
         finally:
             self._call = None
             await call.cancel()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/retirement.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/retirement.py
@@ -6,13 +6,15 @@
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
-from jacinthmount_node.relay.object_watch import ObjectWatch
+from jacinthmount_node.relay.object_watch import ObjectWatch, WatchDelays
 from jacinthmount_node.relay.protocols import RetirementRequests
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('Retirement',)
 
 RETRY_S = 0.5
+# A request that is lost on the way goes unnoticed for about as long.
+WATCH_WAIT_S = 5.0
 
 
 class Retirement:
@@ -38,6 +40,7 @@
             prefix=self._requests.prefix,
             on_change=self._on_change,
             rng=self._state.rng,
+            make_delays=lambda: WatchDelays(wait_s=WATCH_WAIT_S),
         )
         await watch.run()
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -15,6 +15,7 @@
 from jacinthmount.list_freshness import ListFreshness
 from jacinthmount.ports import ABSENT, Stored
 from jacinthmount.records import serialize_json
+from jacinthmount.report_pace import MIN_WATCH_WAIT_S
 
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.parts import PartGroup
@@ -266,7 +267,10 @@
     def _make_delays(self, coalesce_s: float) -> WatchDelays:
         if self._state.settings.runs_batches:
             # Runners have to discover each other without delay.
-            return WatchDelays(coalesce_s=min(coalesce_s, COALESCE_S))
+            return WatchDelays(
+                coalesce_s=min(coalesce_s, COALESCE_S),
+                wait_s=MIN_WATCH_WAIT_S,
+            )
         just_started = self._state.now() - self._started_at < START_GRACE_S
         pace = self._state.pace
         return WatchDelays(
@@ -274,6 +278,7 @@
                 START_GRACE_S if just_started else pace.update_grace_s
             ),
             coalesce_s=coalesce_s,
+            wait_s=pace.watch_wait_s,
         )
 
     def _watches(self) -> tuple[ObjectWatch, ...]:
--- a/packages/jacinthmount-standin/jacinthmount_standin/platform.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/platform.py
@@ -25,6 +25,8 @@
 OBJECTS_PREFIX = '/objects/'
 WEIGHTS_PREFIX = '/weights/'
 MAX_BODY_BYTES = 1_100_000
+# A call that is lost gets no answer for longer than any test takes.
+LOST_S = 600.0
 
 
 class Platform:
@@ -55,6 +57,8 @@
             slow_s=0.0,
             lose_answers=0,
             lose_requests=0,
+            # Whether watch calls get no answer.
+            lose_watches=False,
             weights={},
             reads_per_s=0,
             writes_per_s=0,
@@ -209,6 +213,9 @@
         request: HttpRequest,
         responder: Responder,
     ) -> None:
+        if self._switches.read('lose_watches'):
+            await curio.sleep(LOST_S)
+            return
         prefix = request.query['prefix']
         after = int(request.query['after'])
         changes: list[Stored] = []
--- a/packages/jacinthmount/jacinthmount/report_pace.py
+++ b/packages/jacinthmount/jacinthmount/report_pace.py
@@ -4,7 +4,7 @@
 so that one process can handle them in a fleet of any size.
 """
 
-__all__ = ('ReportPace',)
+__all__ = ('MIN_WATCH_WAIT_S', 'ReportPace')
 
 MIN_INTERVAL_S = 0.3
 MIN_CHANGE_PAUSE_S = 0.01
@@ -15,6 +15,10 @@
 STORE_CALLS_PER_S = 25
 MIN_STORE_RETRY_S = 0.5
 MAX_STORE_RETRY_S = 6.0
+MIN_WATCH_WAIT_S = 2.0
+MAX_WATCH_WAIT_S = 20.0
+# Hosts that watch the store themselves for each second that a call may wait.
+WATCH_HOSTS_PER_S = 50
 # Hosts that watch the store themselves for each second that they wait before.
 GRACE_HOSTS_PER_S = 60
 MAX_GRACE_S = 1.0
@@ -78,6 +82,15 @@
         spread_s = 2 * self._hosts / STORE_CALLS_PER_S
         return min(MAX_STORE_RETRY_S, max(MIN_STORE_RETRY_S, spread_s))
 
+    @property
+    def watch_wait_s(self) -> float:
+        """Longest wait of a watch call of a host without a source of updates.
+
+        A change that is lost on the way goes unnoticed for about as long.
+        """
+        wait_s = self._hosts / WATCH_HOSTS_PER_S
+        return min(MAX_WATCH_WAIT_S, max(MIN_WATCH_WAIT_S, wait_s))
+
     @property
     def active_valid_s(self) -> float:
         """Time for which a runner counts as active after its last report."""
--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -342,3 +342,46 @@
 
     curio.run(play)
     assert reported == [('things/b', 'two')]
+
+
+class _LossyStore(_Store):
+    """A store that loses the first watch call, or the page that answers it."""
+
+    __slots__ = ('lost',)
+
+    def __init__(self, lost):
+        super().__init__()
+        self.lost = lost
+
+    async def watch(self, prefix, after, wait_s):
+        """Returns changes, but for the first call, which is lost."""
+        if 'watch' in self.calls:
+            return await MemoryStore.watch(self, prefix, after, wait_s)
+        self.calls.append('watch')
+        if self.lost == 'answer':
+            await MemoryStore.watch(self, prefix, after, wait_s)
+        await curio.sleep(60)
+        return []
+
+
+@pytest.mark.parametrize('lost', ['call', 'answer'])
+def test_change_is_hidden_by_an_outage_that_nobody_noticed(lost):
+    """A watch call is lost in a silence that no other call met.
+
+    Guards against items that ran seconds after the end of their batch.
+    """
+    store = _LossyStore(lost)
+    reported = []
+
+    async def play():
+        watch = make_watch(
+            store, reported, make_delays=lambda: WatchDelays(wait_s=0.5)
+        )
+        await curio.spawn(watch.run, daemon=True)
+        await curio.sleep(0.2)
+        await store.write('things/b', 'two', ABSENT)
+        await curio.sleep(END_S / 2)
+        assert not watch.in_outage
+
+    curio.run(play)
+    assert reported == [('things/b', 'two')]
