An abort of our own is not the end of an answer without a length

Cause: a front that gives up an attempt shuts its connection down, and the task that reads from it takes the end of the connection for that of the answer. With a length or chunks that is an error; without, it is the proper end. The exchange now records its own abort, and such an end fails then. It works since an answer with an end of its own is still taken as it came, and the peer's own close still ends one without.

The same elsewhere: the largest answer of a host over its memory budget is aborted in the same way, online and items, so a cut text counted as whole; mended with it.

--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -34,6 +34,7 @@
     """One request and its answer on a connection."""
 
     __slots__ = (
+        '_is_aborted',
         '_is_over_budget',
         '_memory',
         '_reader',
@@ -63,6 +64,7 @@
         """
         self._memory = memory
         self._reader = WireReader(sock=sock, wire=wire)
+        self._is_aborted = False
         self._is_over_budget = False
         self.address = address
         self.reused = reused
@@ -220,7 +222,11 @@
         )
 
     def abort(self) -> None:
-        """Shuts the connection down, which ends the read of another task."""
+        """Shuts the connection down, which ends the read of another task.
+
+        That read fails, unless the answer was complete before.
+        """
+        self._is_aborted = True
         abort_socket(self._sock)
 
     async def close(self) -> None:
@@ -230,7 +236,7 @@
 
     async def _next_event(self) -> Any:
         try:
-            return await self._reader.next_event()
+            event = await self._reader.next_event()
         except FramingTooLong as exc:
             raise EndlessAnswer(
                 kind=GarbageKind.FRAMING,
@@ -241,6 +247,23 @@
             if self._is_over_budget:
                 self._raise_over_budget()
             raise
+        if isinstance(event, h11.EndOfMessage):
+            self._check_end()
+        return event
+
+    def _check_end(self) -> None:
+        """Checks that the end of an answer is not that of an own abort.
+
+        Without framing, the end of the connection is the end of the answer,
+        whichever side has shut it down.
+
+        :raises EndpointFailed: this host has aborted the answer.
+        """
+        if self.framed or not self._is_aborted:
+            return
+        if self._is_over_budget:
+            self._raise_over_budget()
+        raise EndpointFailed(detail='this host has aborted the answer')
 
     def _check_size(self, size: int, limit: int) -> None:
         if size > limit:
