Answers that go on remove the record of blocked prompt parts

Cause: the verdict of strikes is written to the store within a second. Answers of the other engines, one second later, clear the strikes, but nothing removed the record, and what is blocked by a record can bring no answer that speaks for it. The verdict itself is no fault: at that moment it could not be told from a part that crashes engines.

Now a host that sees answers go on with each part of a record removes it, also if they went on in the 5 s before the record came. That works since it is the same evidence that clears strikes, so a part that does crash engines never brings it; strikes against what is no longer recorded are cleared by all hosts, as before. Removal is repeated until the change is known.

Who takes back a stored verdict: a request, the host with the complete answer to a trial; parts, now hosts; either, an operator.

--- a/packages/jacinthmount-node/jacinthmount_node/blocked_store.py
+++ b/packages/jacinthmount-node/jacinthmount_node/blocked_store.py
@@ -87,15 +87,12 @@
 
         :param request: its digest.
         """
-        try:
-            stored = await self._store.read(
-                f'{self._prefix}{REQUEST_MARK}{request}'
-            )
-            if stored is not None:
-                await self._store.delete(stored.name, stored.version)
-        except (StoreConflict, StoreUnavailable) as exc:
-            # The next complete answer, or an operator, removes it.
-            log_event('block_kept', request=request, detail=exc.detail)
+        await self._remove(f'{self._prefix}{REQUEST_MARK}{request}')
+
+    async def remove_parts(self, blocked: BlockedParts) -> None:
+        """Removes the record of parts that crash no endpoints."""
+        log_blocked('block_refuted', blocked)
+        await self._remove(self.make_name(blocked))
 
     async def read_all(self) -> list[Blocked]:
         """Reads the records.
@@ -142,6 +139,15 @@
         key = '\n'.join([blocked.service, *blocked.parts])
         return f'{self._prefix}{xxhash.xxh3_64_hexdigest(key.encode())}'
 
+    async def _remove(self, name: str) -> None:
+        try:
+            stored = await self._store.read(name)
+            if stored is not None:
+                await self._store.delete(stored.name, stored.version)
+        except (StoreConflict, StoreUnavailable) as exc:
+            # The caller tries again, or an operator removes it.
+            log_event('block_kept', name=name, detail=exc.detail)
+
 
 def log_blocked(event: str, blocked: Blocked) -> None:
     """Logs what is blocked, with the crashes that led to it."""
--- a/packages/jacinthmount-node/jacinthmount_node/relay/blocked_records.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/blocked_records.py
@@ -16,6 +16,7 @@
     'log_blocked',
     'read_blocked',
     'remove_record',
+    'remove_refuted',
 )
 
 BLOCKED_PREFIX = 'blocked-parts/'
@@ -91,6 +92,16 @@
     await _open(state.store).remove_request(request)
 
 
+async def remove_refuted(state: RelayState) -> None:
+    """Removes the records of parts that are known not to crash endpoints.
+
+    They are listed until the change of the store is known here, so a removal
+    that fails is repeated by the next call.
+    """
+    for blocked in state.breaker.refuted_parts():
+        await _open(state.store).remove_parts(blocked)
+
+
 async def read_blocked(store: ObjectStore) -> list[Blocked]:
     """Reads the records of what is blocked.
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/crash_evidence.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/crash_evidence.py
@@ -17,6 +17,7 @@
 from jacinthmount_node.relay.blocked_records import (
     log_blocked,
     remove_record,
+    remove_refuted,
 )
 from jacinthmount_node.relay.host_news import HostNews
 from jacinthmount_node.relay.reach_checks import ReachChecks
@@ -123,6 +124,7 @@
             await curio.sleep(EXCHANGE_INTERVAL_S)
             if self._state.breaker.has_suspects():
                 await self._exchange()
+            await remove_refuted(self._state)
             for request in list(self._answered):
                 # Repeated until the change of the store is known here.
                 await remove_record(self._state, request)
--- a/packages/jacinthmount/jacinthmount/crash_breaker.py
+++ b/packages/jacinthmount/jacinthmount/crash_breaker.py
@@ -17,6 +17,8 @@
 whose prompts have all of them are refused.
 """
 
+from collections.abc import Iterable
+
 from jacinthmount.crash_strikes import (
     CrashStrike,
     PartKey,
@@ -96,11 +98,52 @@
         return has_trials and now - self.seen_at >= TRIAL_PAUSE_S
 
 
+class _RecordedParts:
+    """Parts that are blocked by a record, and those that were answered."""
+
+    __slots__ = ('_answered', 'blocked')
+
+    def __init__(self) -> None:
+        self.blocked: list[BlockedParts] = []
+        # Recorded parts of which an answer went on at this host.
+        self._answered: set[PartKey] = set()
+
+    def keys(self) -> set[tuple[str, ...]]:
+        """Returns the service and the parts of each record."""
+        return {(one.service, *one.parts) for one in self.blocked}
+
+    def replace(self, blocked: list[BlockedParts]) -> list[BlockedParts]:
+        """Replaces the records, and returns those that are gone."""
+        before = self.blocked
+        self.blocked = blocked
+        self._answered &= self._part_keys()
+        kept = self.keys()
+        return [one for one in before if (one.service, *one.parts) not in kept]
+
+    def note_answered(self, service: str, parts: Iterable[str]) -> None:
+        """Records that an answer to a prompt with some parts went on."""
+        if self.blocked:
+            answered = {(service, part) for part in parts}
+            self._answered |= answered & self._part_keys()
+
+    def refuted(self) -> list[BlockedParts]:
+        """Lists the records of which each part was answered."""
+        return [
+            one
+            for one in self.blocked
+            if self._answered.issuperset(_list_keys(one))
+        ]
+
+    def _part_keys(self) -> set[PartKey]:
+        return {key for one in self.blocked for key in _list_keys(one)}
+
+
 class CrashBreaker:
     """What is blocked because endpoints crashed on it.
 
     It is blocked by the strikes known here, or by a record in the store, which
-    outlives the hosts and which operators can remove.
+    outlives the hosts. A record is removed by a host that has seen it refuted,
+    or by an operator.
     """
 
     __slots__ = (
@@ -115,7 +158,7 @@
         self._table = StrikeTable()
         self._parts_by_strikes: list[BlockedParts] = []
         self._requests_by_strikes: dict[str, BlockedRequest] = {}
-        self._recorded_parts: list[BlockedParts] = []
+        self._recorded_parts = _RecordedParts()
         self._recorded_requests: dict[str, RecordedRequest] = {}
 
     @property
@@ -124,7 +167,7 @@
         return not (
             self._parts_by_strikes
             or self._requests_by_strikes
-            or self._recorded_parts
+            or self._recorded_parts.blocked
             or self._recorded_requests
         )
 
@@ -140,6 +183,7 @@
 
         :returns: the strikes that lose parts by this.
         """
+        self._recorded_parts.note_answered(service, suspect.parts)
         return self._updated(self._table.note_progress(service, suspect, now))
 
     def note_answer(self, suspect: Suspect, now: float) -> list[CrashStrike]:
@@ -207,7 +251,8 @@
     ) -> BlockedParts | None:
         """Finds the blocked parts that a prompt has, or None."""
         given = set(parts)
-        for blocked in (*self._parts_by_strikes, *self._recorded_parts):
+        recorded = self._recorded_parts.blocked
+        for blocked in (*self._parts_by_strikes, *recorded):
             if blocked.service == service and given.issuperset(blocked.parts):
                 return blocked
         return None
@@ -232,9 +277,16 @@
         """Lists what is blocked by the strikes known here."""
         return [*self._parts_by_strikes, *self._requests_by_strikes.values()]
 
+    def refuted_parts(self) -> list[BlockedParts]:
+        """Lists the recorded parts that crash no endpoints.
+
+        An answer to a prompt with each of them went on at this host.
+        """
+        return self._recorded_parts.refuted()
+
     def unrecorded(self) -> list[BlockedParts | BlockedRequest]:
         """Lists what is blocked by strikes, but not by a record."""
-        recorded = {(one.service, *one.parts) for one in self._recorded_parts}
+        recorded = self._recorded_parts.keys()
         found: list[BlockedParts | BlockedRequest] = [
             blocked
             for blocked in self._parts_by_strikes
@@ -257,13 +309,16 @@
 
         The strikes against what is no longer recorded are cleared.
         """
-        kept = {(one.service, *one.parts) for one in parts}
-        for blocked in self._recorded_parts:
-            if (blocked.service, *blocked.parts) not in kept:
-                self._table.remove_parts(
-                    blocked.service, frozenset(blocked.parts), now
-                )
-        self._recorded_parts = parts
+        for blocked in self._recorded_parts.replace(parts):
+            self._table.remove_parts(
+                blocked.service, frozenset(blocked.parts), now
+            )
+        for blocked in parts:
+            # An answer may have gone on shortly before the record came.
+            answered = self._table.find_answered_parts(
+                blocked.service, blocked.parts, now
+            )
+            self._recorded_parts.note_answered(blocked.service, answered)
         known = self._recorded_requests
         self._recorded_requests = {
             recorded.blocked.request: recorded for recorded in requests
@@ -330,6 +385,10 @@
         return not _are_explained(causes, MAX_EXPLAINING_REQUESTS)
 
 
+def _list_keys(blocked: BlockedParts) -> list[PartKey]:
+    return [(blocked.service, part) for part in blocked.parts]
+
+
 def _are_explained(crashes: list[set[str]], count: int) -> bool:
     """Returns whether some few requests were in flight at all of some crashes.
 
--- a/packages/jacinthmount/jacinthmount/crash_strikes.py
+++ b/packages/jacinthmount/jacinthmount/crash_strikes.py
@@ -210,6 +210,16 @@
         self._update()
         return changed
 
+    def find_answered_parts(
+        self, service: str, parts: list[str], now: float
+    ) -> set[str]:
+        """Finds the parts of which an answer went on a short time ago."""
+        return {
+            part
+            for part in parts
+            if self._answered_parts.has((service, part), now)
+        }
+
     def crashes(self, request: str) -> frozenset[str]:
         """Returns the crashes in which a request is a suspect."""
         return frozenset(
--- a/tests/test_crash_breaker.py
+++ b/tests/test_crash_breaker.py
@@ -244,6 +244,44 @@
     assert not is_refused(breaker, 'first')
 
 
+def test_record_stays_after_answers_refute_it(breaker):
+    """Endpoints crashed together, and the others answer a moment later.
+
+    Guards against a sound part that is blocked until an operator clears it.
+    """
+    block(breaker, ['a', 'b'])
+    record = BlockedParts(service=SERVICE, parts=['a', 'b'], crashes=['e1'])
+    breaker.apply_recorded([record], [], 101.0)
+    progress(breaker, ['a'], 102.0)
+    assert not breaker.refuted_parts()
+    progress(breaker, ['b', 'own'], 103.0)
+    assert breaker.refuted_parts() == [record]
+    breaker.apply_recorded([], [], 104.0)
+    assert not breaker.refuted_parts()
+    assert not is_refused(breaker, 'a', 'b')
+    assert not breaker.unrecorded()
+
+
+def test_record_that_comes_after_the_answers_stays(breaker):
+    """The host that wrote it had not heard of them yet."""
+    progress(breaker, ['a'], 100.0)
+    record = BlockedParts(service=SERVICE, parts=['a'], crashes=['e1'])
+    breaker.apply_recorded([record], [], 100.0 + ANSWER_VALID_S / 2)
+    assert breaker.refuted_parts() == [record]
+
+
+def test_old_answer_refutes_a_record(breaker):
+    """The part may have turned bad since, so the record stays."""
+    progress(breaker, ['a'], 100.0)
+    record = BlockedParts(service=SERVICE, parts=['a'], crashes=['e1'])
+    breaker.apply_recorded([record], [], 100.0 + ANSWER_VALID_S)
+    assert not breaker.refuted_parts()
+    breaker.apply_recorded([], [], 110.0)
+    progress(breaker, ['a'], 111.0)
+    breaker.apply_recorded([record], [], 130.0)
+    assert not breaker.refuted_parts()
+
+
 def block_request(breaker, request, parts=(), now=100.0):
     """Lets as many endpoints crash as it takes to block a request."""
     for number in range(MIN_CRASHES):
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -20,6 +20,8 @@
 REQUESTS = 12
 PAUSE_S = 0.1
 WAIT_S = 10.0
+# An answer goes on after twice this time, when the part is recorded.
+SLOW_EVENT_S = 1.5
 RECORDS = '/api/objects/blocked-parts'
 
 
@@ -34,7 +36,7 @@
         found.stop()
 
 
-def ask(site, front, request_id, parts, path='/scan/1'):
+def ask(site, front, request_id, parts, path='/scan/1', count=5):
     """Sends a request whose prompt has shared parts and one of its own.
 
     No two are alike: their bodies differ.
@@ -48,16 +50,16 @@
             path,
             request_id.encode(),
             attempt_id=request_id,
-            token_usage='10,5',
+            token_usage=f'10,{count}',
             deadline_remaining='5000',
             prompt_prefix=f'{parts},{request_id}:10',
         )[0]
     return 0
 
 
-def eventually(holds):
+def eventually(holds, timeout_s=WAIT_S):
     """Waits until a condition holds."""
-    until = time.monotonic() + WAIT_S
+    until = time.monotonic() + timeout_s
     while not holds():
         assert time.monotonic() < until, 'the condition did not come to hold'
         time.sleep(PAUSE_S)
@@ -87,13 +89,13 @@
     return [one['metadata']['name'] for one in json.loads(answer)['items']]
 
 
-def make_item(item_id, parts):
+def make_item(item_id, parts, events=5):
     """Builds a batch item whose prompt has shared parts."""
     return {
         'id': item_id,
         'path': '/audit/1',
         'headers': {
-            'Token-Usage': '10,5',
+            'Token-Usage': f'10,{events}',
             'Prompt-Prefix': f'{parts},{item_id}:10',
         },
         'body': base64.b64encode(b'bale').decode(),
@@ -177,6 +179,37 @@
         assert ask(site, front, f'e-{front}', BAD) == 503
 
 
+@pytest.fixture
+def slow_site(tmp_path):
+    """A site of two fronts, two runners and six engines that read slowly."""
+    found = PlatformSite(folder=tmp_path, fronts=2, runners=2)
+    try:
+        found.start(engines=6, slots=4)
+        for port in found.engines.values():
+            found.switch(port, event_s=SLOW_EVENT_S)
+        yield found
+    finally:
+        found.stop()
+
+
+def test_sound_part_is_blocked_for_good_after_a_crash(slow_site):
+    """Three endpoints crash together while all read prompts with one part.
+
+    Guards against items that wait for ever, and live requests that are refused,
+    although the other endpoints answer prompts with that part.
+    """
+    site = slow_site
+    items = [make_item(f's{one}', SOUND, events=2) for one in range(40)]
+    site.call('front-1', 'POST', '/audit/x', {'items': items}, attempt_id='b1')
+    time.sleep(SLOW_EVENT_S / 2)
+    for name in list(site.engines)[:3]:
+        site.kill(name)
+    eventually(lambda: read_records(site))
+    eventually(lambda: not read_records(site))
+    eventually(lambda: ask(site, 'front-1', 'f1', SOUND, count=1) == 200)
+    eventually(lambda: count_results(site, 'b1') == len(items), 60.0)
+
+
 def test_repeated_request_crashes_two_engines_at_most(site):
     """A resumable request may be sent to another engine once more."""
     assert ask(site, 'front-1', 'r1', BAD, path='/check/1') == 502
