Sizes of stored objects are counted in bytes, and a refused one stops nothing

Characters were counted where the store counts bytes: one outside ASCII takes six in JSON, so segments and the progress object became larger than the store takes. And nothing expected that refusal: the task that writes the results of the batch ended and met the same object again, and the part of the runner that works on batches was restarted every 0.7 s.

Now sizes are those in JSON, so objects fit; and a segment or progress object that is refused all the same is made smaller until it is accepted. A result that is refused alone becomes a failure, as its batch would never end otherwise.

The same elsewhere: files and result segments of the first interface (uploads in other scripts refused with 413, a chunk that never ended), the limit of one item's answer, and a progress in which one large item hid all others.

--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_chunks.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_chunks.py
@@ -21,6 +21,8 @@
     ChunkResults,
     ResultRecord,
     Segment,
+    limit_record,
+    record_bytes,
     segment_name,
 )
 from jacinthmount.routing import prefix_key, read_prompt
@@ -35,7 +37,6 @@
 FLUSH_INTERVAL_S = 5.0
 STORE_PAUSE_S = 1.0
 MAX_BUFFER_BYTES = 4 * 1024 * 1024
-RECORD_OVERHEAD_BYTES = 100
 
 
 class BatchItem:
@@ -217,8 +218,9 @@
             record.line
         ):
             return
+        record = limit_record(record)
         self._buffer[record.line] = record
-        self._buffer_bytes += len(record.body) + RECORD_OVERHEAD_BYTES
+        self._buffer_bytes += record_bytes(record)
         full = self._buffer_bytes >= MAX_SEGMENT_BYTES
         if full or not (self.pending or self.running):
             await self._wake.set()
@@ -258,7 +260,7 @@
         records: list[ResultRecord] = []
         size = 0
         for record in self._buffer.values():
-            size += len(record.body) + RECORD_OVERHEAD_BYTES
+            size += record_bytes(record)
             if records and size > MAX_SEGMENT_BYTES:
                 break
             records.append(record)
@@ -297,8 +299,7 @@
             if self._results.is_terminal(record.line):
                 written = self._buffer.pop(record.line, None)
                 if written is not None:
-                    size = len(written.body) + RECORD_OVERHEAD_BYTES
-                    self._buffer_bytes -= size
+                    self._buffer_bytes -= record_bytes(written)
 
     async def _check_claim(self) -> None:
         name = claim_name(self.batch.batch_id, self.chunk)
@@ -336,4 +337,4 @@
             code=OutcomeUnknown.code,
         )
         self._buffer[line] = record
-        self._buffer_bytes += len(record.body) + RECORD_OVERHEAD_BYTES
+        self._buffer_bytes += record_bytes(record)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -6,7 +6,12 @@
 
 import curio
 from jacinthmount.batch_order import ItemRun
-from jacinthmount.errors import MalformedRecord, StoreConflict, StoreRefused
+from jacinthmount.errors import (
+    MalformedRecord,
+    StoreConflict,
+    StoreRefused,
+    ValueTooLarge,
+)
 from jacinthmount.item_batches import (
     BatchItem,
     BatchLog,
@@ -20,10 +25,12 @@
 )
 from jacinthmount.ports import ABSENT, ObjectStore, Stored
 from jacinthmount.recent_objects import RecentObjects
-from jacinthmount.records import parse_json, serialize_json
+from jacinthmount.records import parse_json, replaced, serialize_json
 from jacinthmount.run_progress import ItemProgress
 from jacinthmount.stores import new_write_id, write_with_retry
 
+from jacinthmount_node.logs import log_event
+
 __all__ = (
     'BatchJob',
     'list_finished',
@@ -35,6 +42,7 @@
     'write_results',
 )
 
+# Quotes and backslashes may count twice in the size of a value of the store.
 SEGMENT_BYTES = 500_000
 READ_RETRY_S = 0.3
 
@@ -57,6 +65,7 @@
         'pending',
         'ready',
         'runs',
+        'segment_bytes',
         'writing',
     )
 
@@ -66,6 +75,7 @@
         self.log = BatchLog(total=len(manifest.item_ids))
         self.runs: dict[str, ItemRun] = {}
         self.pending: list[ItemResult] = []
+        self.segment_bytes = SEGMENT_BYTES
         self.ready = False
         self.has_unconfirmed_write = False
         self.is_shared = False
@@ -120,12 +130,25 @@
         taken: list[ItemResult] = []
         size = 0
         for result in self.pending:
-            size += len(result.text)
-            if taken and size > SEGMENT_BYTES:
+            size += len(serialize_json(result))
+            if taken and size > self.segment_bytes:
                 break
             taken.append(result)
         return taken
 
+    def shrink_segment(self, refused: list[ItemResult]) -> None:
+        """Makes smaller segments, after the store refused one for its size.
+
+        A result that is too large alone becomes a failure, as its batch would
+        never be complete.
+        """
+        if len(refused) > 1:
+            size = sum(len(serialize_json(result)) for result in refused)
+            self.segment_bytes = size // 2
+            return
+        index = self.pending.index(refused[0])
+        self.pending[index] = replaced(refused[0], completed=False, text='')
+
 
 def _make_run(
     key: str,
@@ -239,7 +262,17 @@
         pending.
     """
     while job.pending:
-        await _append(store, job, job.next_segment(), copies)
+        taken = job.next_segment()
+        try:
+            await _append(store, job, taken, copies)
+        except ValueTooLarge as exc:
+            log_event(
+                'results_too_large',
+                batch=job.manifest.batch_id,
+                items=','.join(result.item_id for result in taken),
+                detail=exc.detail,
+            )
+            job.shrink_segment(taken)
         job.pending = [
             result
             for result in job.pending
@@ -277,7 +310,7 @@
         version = await write_with_retry(store, name, body, ABSENT)
     except StoreConflict:
         await _read_next(store, job)
-    except StoreRefused:
+    except (StoreRefused, ValueTooLarge):
         # This write had no effect, but an earlier one at this index may have.
         job.has_unconfirmed_write = had_unconfirmed_write
         raise
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -8,6 +8,7 @@
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 from jacinthmount.event_stream import EventChecker
 from jacinthmount.placement import EndpointUse
+from jacinthmount.records import count_json_bytes
 from jacinthmount.request_digest import digest_item
 
 from jacinthmount_node.logs import log_event
@@ -39,7 +40,7 @@
 # Items that wait because endpoints crashed and whose wait was logged.
 MAX_LOGGED_WAITS = 4096
 # Size limit of one value of the object API, less the enclosing field names.
-MAX_RESULT_CHARS = 1_000_000
+MAX_RESULT_BYTES = 1_000_000
 
 
 class RunEnd(enum.Enum):
@@ -235,7 +236,7 @@
         suspect = self._suspect(run)
         progressed = False
         events_before = len(run.texts)
-        chars = sum(len(text) for text in run.texts)
+        size = sum(map(count_json_bytes, run.texts))
         async for events in iter_events(exchange, checker):
             run.last_seen_at = self._state.now()
             self._state.centres.on_contact(
@@ -249,8 +250,8 @@
                         make_origin(use, run.last_seen_at), run.last_seen_at
                     )
                 text = event.read_data()
-                chars += len(text)
-                _check_result_size(chars)
+                size += count_json_bytes(text)
+                _check_result_size(size)
                 run.texts.append(text)
                 run.last_event = event.number
             if not progressed:
@@ -259,12 +260,12 @@
                 )
 
 
-def _check_result_size(chars: int) -> None:
-    if chars > MAX_RESULT_CHARS:
+def _check_result_size(size: int) -> None:
+    if size > MAX_RESULT_BYTES:
         raise EndlessAnswer(
             kind=GarbageKind.RESULT,
-            taken=chars,
-            allowed=MAX_RESULT_CHARS,
+            taken=size,
+            allowed=MAX_RESULT_BYTES,
         )
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/progress_log.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/progress_log.py
@@ -8,10 +8,12 @@
     MalformedRecord,
     StoreConflict,
     StoreUnavailable,
+    ValueTooLarge,
 )
 from jacinthmount.ports import ABSENT, ObjectStore
 from jacinthmount.records import parse_json, serialize_json
 from jacinthmount.run_progress import (
+    MAX_BYTES,
     PROGRESS_PREFIX,
     ItemProgress,
     RunnerProgress,
@@ -44,6 +46,7 @@
         '_find_finished',
         '_find_runs',
         '_loaded',
+        '_max_bytes',
         '_name',
         '_store',
         '_version',
@@ -62,6 +65,7 @@
         self._find_runs = find_runs
         self._find_finished = find_finished
         self._version = ABSENT
+        self._max_bytes = MAX_BYTES
         # Number of events and of finished items in the last write.
         self._written = (0, 0)
         self._loaded: list[RunnerProgress] = []
@@ -80,13 +84,13 @@
         :returns: seconds to wait before the next write.
         """
         runs, finished = self._find_runs(), self._find_finished()
-        progress = make_progress(runs, finished, new_write_id())
+        body = serialize_json(
+            make_progress(runs, finished, new_write_id(), self._max_bytes)
+        )
         count = _count(runs, finished)
         try:
             self._version = await self._store.write(
-                self._name,
-                serialize_json(progress),
-                self._version,
+                self._name, body, self._version
             )
         except StoreConflict as exc:
             # An earlier process of this host wrote it, or the answer to an
@@ -94,9 +98,12 @@
             self._version = exc.version
         except StoreUnavailable as exc:
             log_event('progress_unwritten', detail=exc.detail)
+        except ValueTooLarge as exc:
+            self._max_bytes = len(body) // 2
+            log_event('progress_too_large', size=len(body), detail=exc.detail)
         else:
             self._written = count
-        return write_interval_s(progress)
+        return write_interval_s(len(body))
 
     async def read(self) -> None:
         """Loads the progress objects of all runners."""
--- a/packages/jacinthmount/jacinthmount/files.py
+++ b/packages/jacinthmount/jacinthmount/files.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from jacinthmount.errors import BatchFileInvalid
-from jacinthmount.records import Record
+from jacinthmount.records import Record, count_json_bytes
 
 __all__ = (
     'ChunkBuilder',
@@ -19,6 +19,7 @@
 
 FILE_PREFIX = 'files/'
 MAX_LINE_BYTES = 262_144
+# In JSON; one line may exceed it.
 MAX_CHUNK_BYTES = 400_000
 MAX_CHUNK_LINES = 250
 MAX_FILE_LINES = 100_000
@@ -192,12 +193,18 @@
             return []
         self._custom_ids.add(line.custom_id)
         self.targets.add(line_target(line))
+        return self._add_text(text)
+
+    def _add_text(self, text: str) -> list[FileChunk]:
+        chunks = []
+        size = count_json_bytes(text)
+        if self._lines and self._chunk_bytes + size > MAX_CHUNK_BYTES:
+            chunks.append(self._end_chunk())
         self._lines.append(text)
-        self._chunk_bytes += len(raw)
-        full = self._chunk_bytes >= MAX_CHUNK_BYTES
-        if full or len(self._lines) >= MAX_CHUNK_LINES:
-            return [self._end_chunk()]
-        return []
+        self._chunk_bytes += size
+        if len(self._lines) >= MAX_CHUNK_LINES:
+            chunks.append(self._end_chunk())
+        return chunks
 
     def _add_invalid_line(self) -> None:
         if len(self._invalid_lines) < MAX_REPORTED_LINES:
--- a/packages/jacinthmount/jacinthmount/records.py
+++ b/packages/jacinthmount/jacinthmount/records.py
@@ -21,6 +21,7 @@
 __all__ = (
     'UNPACK_ERRORS',
     'Record',
+    'count_json_bytes',
     'make_unpacker',
     'parse_json',
     'parse_msgpack',
@@ -111,6 +112,14 @@
     )
 
 
+def count_json_bytes(text: str) -> int:
+    """Returns the bytes of a text in JSON.
+
+    A character outside ASCII takes six or twelve, a quote takes two.
+    """
+    return len(json.dumps(text))
+
+
 def parse_json(record_type: type[RecordT], text: str | bytes) -> RecordT:
     """Decodes and validates a record from JSON.
 
--- a/packages/jacinthmount/jacinthmount/results.py
+++ b/packages/jacinthmount/jacinthmount/results.py
@@ -3,15 +3,20 @@
 Of several terminal records of an item the first one is valid.
 """
 
-from jacinthmount.records import Record
+from jacinthmount.errors import ValueTooLarge
+from jacinthmount.records import Record, count_json_bytes, replaced
 
 __all__ = (
     'DONE',
     'FAILED',
+    'MAX_SEGMENT_BYTES',
+    'RECORD_OVERHEAD_BYTES',
     'STARTED',
     'ChunkResults',
     'ResultRecord',
     'Segment',
+    'limit_record',
+    'record_bytes',
     'result_prefix',
     'segment_name',
 )
@@ -21,7 +26,10 @@
 FAILED = 'failed'
 # States after which an item has its final result.
 TERMINAL = frozenset((DONE, FAILED))
+# Sizes in JSON.
 MAX_SEGMENT_BYTES = 600_000
+MAX_RESULT_BYTES = 900_000
+RECORD_OVERHEAD_BYTES = 100
 
 
 class ResultRecord(Record):
@@ -46,6 +54,24 @@
     write_id: str
 
 
+def record_bytes(record: ResultRecord) -> int:
+    """Returns the size of a record in a segment."""
+    return count_json_bytes(record.body) + RECORD_OVERHEAD_BYTES
+
+
+def limit_record(record: ResultRecord) -> ResultRecord:
+    """Returns a record, or a failure if the store can't take its body."""
+    size = record_bytes(record)
+    if size <= MAX_RESULT_BYTES:
+        return record
+    return replaced(
+        record,
+        state=FAILED,
+        body=f'the answer takes {size} bytes, {MAX_RESULT_BYTES} allowed',
+        code=ValueTooLarge.code,
+    )
+
+
 def result_prefix(batch_id: str, chunk: int) -> str:
     """Returns the prefix of the names of all segments of a chunk."""
     return f'results/{batch_id}/{chunk:06d}/'
--- a/packages/jacinthmount/jacinthmount/run_progress.py
+++ b/packages/jacinthmount/jacinthmount/run_progress.py
@@ -10,11 +10,12 @@
 from itertools import chain
 
 from jacinthmount.batch_order import ItemRun
-from jacinthmount.records import Record
+from jacinthmount.records import Record, serialize_json
 from jacinthmount.stream_origins import StreamOrigin
 
 __all__ = (
     'PROGRESS_PREFIX',
+    'MAX_BYTES',
     'ItemProgress',
     'RunnerProgress',
     'adopt_progress',
@@ -24,10 +25,11 @@
 )
 
 PROGRESS_PREFIX = 'batch-progress/'
-# A value in the store may have at most a megabyte, including name and quoting.
-MAX_CHARS = 600_000
+# A value in the store may have at most a megabyte, in which quotes and
+# backslashes may count twice.
+MAX_BYTES = 500_000
 MIN_INTERVAL_S = 0.8
-CHARS_PER_S = 500_000
+BYTES_PER_S = 500_000
 
 
 class ItemProgress(Record):
@@ -76,22 +78,24 @@
     runs: Iterable[ItemRun],
     finished: Iterable[ItemProgress],
     write_id: str,
+    max_bytes: int = MAX_BYTES,
 ) -> RunnerProgress:
     """Creates the progress of a runner.
 
     :param runs: unfinished items; those with most events come first.
     :param finished: items whose results wait to be written; they come before
-        the others. What does not fit into ``MAX_CHARS`` is left out.
+        the others.
+    :param max_bytes: size limit in JSON; items that do not fit are left out.
     """
     started = [run for run in runs if run.texts or run.failures]
     started.sort(key=lambda run: -len(run.texts))
     items = []
-    chars = 0
+    free_bytes = max_bytes
     for item in chain(finished, map(_make_item, started)):
-        chars += _count_chars(item.texts)
-        if chars > MAX_CHARS:
-            break
-        items.append(item)
+        size = len(serialize_json(item))
+        if size <= free_bytes:
+            items.append(item)
+            free_bytes -= size
     return RunnerProgress(write_id=write_id, items=items)
 
 
@@ -114,10 +118,9 @@
     )
 
 
-def write_interval_s(progress: RunnerProgress) -> float:
+def write_interval_s(size: int) -> float:
     """Returns the pause after a write, which bounds the bytes per second."""
-    chars = sum(_count_chars(item.texts) for item in progress.items)
-    return max(MIN_INTERVAL_S, chars / CHARS_PER_S)
+    return max(MIN_INTERVAL_S, size / BYTES_PER_S)
 
 
 def _make_item(run: ItemRun) -> ItemProgress:
@@ -147,7 +150,3 @@
     run.is_finished = item.finished
     run.origin = item.origin
     return max(0, gained)
-
-
-def _count_chars(texts: list[str]) -> int:
-    return sum(len(text) for text in texts)
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -23,6 +23,7 @@
 )
 
 from tests.relay_builders import make_item, make_manifest, make_segment
+from tests.small_store import SMALL_BYTES, URDU, SmallStore
 
 KEY = 'k'
 ITEMS = ('a', 'b', 'c', 'd')
@@ -142,6 +143,41 @@
     assert read_all(store) == ['a']
 
 
+def test_results_beyond_ascii_pile_up_in_an_outage(store):
+    """Together they are larger than a value of the store.
+
+    Guards against results that are never listed.
+    """
+    job = open_job(store)
+    for item_id in ITEMS:
+        job.runs[item_id].texts = [URDU * 2000]
+        job.finish(job.runs[item_id], completed=True)
+    write(store, job)
+    assert read_all(store) == list(ITEMS)
+
+
+def test_refused_result_stops_the_others():
+    """The store takes less than this host assumes.
+
+    Guards against one result that keeps others of its batch from readers; it
+    becomes a failure, so that the batch is complete.
+    """
+    store = SmallStore()
+    job = BatchJob(key=KEY, manifest=make_manifest())
+    job.fill([make_item(item_id) for item_id in ITEMS], due_at=18.0)
+    job.runs['b'].texts = ['x' * SMALL_BYTES]
+    job.runs['c'].texts = ['x' * (SMALL_BYTES // 2)]
+    for item_id in ITEMS:
+        job.finish(job.runs[item_id], completed=True)
+    write(store, job)
+    log = BatchLog(total=len(ITEMS))
+    curio.run(read_log, store, KEY, log)
+    assert [one.item_id for one in log.results] == list(ITEMS)
+    failed = [one.item_id for one in log.results if not one.completed]
+    assert failed == ['b']
+    assert job.is_log_current
+
+
 def test_waiting_tokens_fall_as_items_end(store):
     """A batch counts in full until its input is read, and not once ended."""
     unread = BatchJob(key=KEY, manifest=make_manifest())
--- a/tests/test_results.py
+++ b/tests/test_results.py
@@ -7,28 +7,41 @@
 from hypothesis import strategies as st
 from jacinthmount.batches import derive_batch_id, order_batches
 from jacinthmount.claims import LEASE_S, HeartbeatMonitor, may_claim, next_claim
-from jacinthmount.errors import BatchFileInvalid
+from jacinthmount.errors import BatchFileInvalid, ValueTooLarge
 from jacinthmount.files import (
     MAX_CHUNK_LINES,
     MAX_LINE_BYTES,
     ChunkBuilder,
     parse_line,
 )
-from jacinthmount.records import replaced
-from jacinthmount.results import STARTED, ChunkResults
+from jacinthmount.ports import MAX_VALUE_BYTES
+from jacinthmount.records import replaced, serialize_json
+from jacinthmount.results import (
+    DONE,
+    FAILED,
+    RECORD_OVERHEAD_BYTES,
+    STARTED,
+    ChunkResults,
+    ResultRecord,
+    Segment,
+    limit_record,
+    record_bytes,
+)
 from jacinthmount_node.batches.batch_chunks import BatchItem, ChunkRun
 
 from tests.builders import make_batch, make_segment
+from tests.small_store import URDU
 
 
-def make_line(custom_id):
+def make_line(custom_id, prompt=''):
     """Builds one line of a batch file."""
-    return json.dumps({
+    line = {
         'custom_id': custom_id,
         'method': 'POST',
         'url': '/v1/chat/completions',
-        'body': {'model': 'model-a'},
-    }).encode()
+        'body': {'model': 'model-a', 'prompt': prompt},
+    }
+    return json.dumps(line, ensure_ascii=False).encode()
 
 
 def test_first_terminal_record_wins():
@@ -140,6 +153,38 @@
     assert builder.targets == {'model-a'}
 
 
+def test_lines_beyond_ascii_make_a_chunk_that_the_store_refuses():
+    """A character takes six bytes in the store.
+
+    Guards against uploads in other scripts that are refused as too large.
+    """
+    packed = b'\n'.join(
+        make_line(str(number), URDU * 2000) for number in range(40)
+    )
+    builder = ChunkBuilder()
+    chunks = [*builder.feed(packed), *builder.finish()]
+    assert sum(len(chunk.lines) for chunk in chunks) == 40
+    for chunk in chunks:
+        assert len(serialize_json(chunk)) <= MAX_VALUE_BYTES
+
+
+@pytest.mark.parametrize('character', ['"', URDU[0], 'x'])
+def test_segment_of_large_records_is_refused(character):
+    """Sizes are those in the store, where a body is JSON inside JSON.
+
+    Guards against a result that ends the work on its whole chunk.
+    """
+    body = json.dumps(character * 1_000_000)
+    record = ResultRecord(line=0, state=DONE, status=200, body=body, code=0)
+    limited = limit_record(record)
+    assert limited.state == FAILED
+    assert limited.code == ValueTooLarge.code
+    small = replaced(record, body=json.dumps(character * 1000))
+    assert limit_record(small) == small
+    packed = serialize_json(Segment(holder='h', records=[small], write_id=''))
+    assert len(packed) <= record_bytes(small) + RECORD_OVERHEAD_BYTES
+
+
 @pytest.mark.parametrize(
     'bad',
     [
--- a/tests/test_run_progress.py
+++ b/tests/test_run_progress.py
@@ -6,8 +6,8 @@
 from jacinthmount.ports import ABSENT
 from jacinthmount.records import parse_json, serialize_json
 from jacinthmount.run_progress import (
-    CHARS_PER_S,
-    MAX_CHARS,
+    BYTES_PER_S,
+    MAX_BYTES,
     MIN_INTERVAL_S,
     ItemProgress,
     RunnerProgress,
@@ -21,6 +21,10 @@
 from jacinthmount_node.relay.progress_log import ProgressLog
 
 from tests.relay_builders import make_run
+from tests.small_store import URDU, SmallStore
+
+# More than an item takes beside its texts.
+FIELD_BYTES = 300
 
 ORIGIN = StreamOrigin(
     service='model-a', endpoint_id='e1', started_at_ms=1, version='v1'
@@ -138,7 +142,7 @@
 def test_finished_items_come_before_the_others():
     """A repeated run costs more than the rest of one."""
     long = make_begun('i1', 3)
-    long.texts = ['x' * MAX_CHARS]
+    long.texts = ['x' * MAX_BYTES]
     kept = make_progress([long], [make_finished('i2', 'whole')], 'w')
     assert [item.item_id for item in kept.items] == ['i2']
 
@@ -167,7 +171,7 @@
 
 def test_size_is_bounded_and_longest_runs_come_first():
     """Runs that do not fit into one object are left out."""
-    part = 'x' * (MAX_CHARS // 4)
+    part = 'x' * (MAX_BYTES // 4)
     big = make_run('big')
     big.texts = [part, part, part]
     more = make_run('more')
@@ -180,10 +184,46 @@
     """The bytes per second stay about the same."""
     small = make_progress([make_begun('i1', 3)], [], 'w')
     big = make_run('big')
-    big.texts = ['x' * (MAX_CHARS - 1)]
-    assert write_interval_s(small) == pytest.approx(MIN_INTERVAL_S)
-    large_s = write_interval_s(make_progress([big], [], 'w'))
-    assert large_s * CHARS_PER_S >= MAX_CHARS - 1
+    big.texts = ['x' * (MAX_BYTES - FIELD_BYTES)]
+    large = make_progress([big], [], 'w')
+    small_s, large_s = (
+        write_interval_s(len(serialize_json(one))) for one in (small, large)
+    )
+    assert small_s == pytest.approx(MIN_INTERVAL_S)
+    assert large_s * BYTES_PER_S >= MAX_BYTES - FIELD_BYTES
+
+
+def test_texts_beyond_ascii_make_a_progress_that_the_store_refuses(store):
+    """A character takes six bytes or twelve in the store.
+
+    Guards against a part of the runner that ends at each write.
+    """
+    runs = [make_begun(f'i{number}', 0) for number in range(30)]
+    for run in runs:
+        run.texts = [URDU * 1000]
+    log = make_log(store, runs)
+    curio.run(log.write)
+    written = curio.run(store.read, progress_name('s1'))
+    assert len(written.body) <= MAX_BYTES + FIELD_BYTES
+    assert parse_json(RunnerProgress, written.body).items
+
+
+def test_item_that_does_not_fit_costs_the_others_their_progress():
+    """Guards against one large item that stops what comes after it."""
+    large = make_finished('large', 'x' * MAX_BYTES)
+    kept = make_progress([make_begun('i1', 3)], [large], 'w')
+    assert [item.item_id for item in kept.items] == ['i1']
+
+
+def test_refused_progress_is_made_smaller():
+    """The store takes less than this host assumes."""
+    store = SmallStore()
+    runs = [make_begun(f'i{number}', 100) for number in range(20)]
+    log = make_log(store, runs)
+    for _ in range(4):
+        curio.run(log.write)
+    written = curio.run(store.read, progress_name('s1'))
+    assert parse_json(RunnerProgress, written.body).items
 
 
 def test_another_runner_reads_the_written_progress(store, loaded_runs):
