All unfinished answers share a budget from the memory in the settings

Operators reported engines that send bytes without end, until the host that had called them ran out of memory, with the requests of others.

Cause: the budget was a quarter of the memory that the system reports, not of what the settings allow, and it counted incomplete events only. Whole events are kept as well; at its limit the item went on after them at a sound engine, which had nothing to add, and was complete.

Now the budget is 15 % of the memory in the settings, what readers keep counts in it, and gauges show it. The largest answer is ended with the coded error, so those of usual size go on, and its endpoint is ejected. An item whose events exceed a limit begins anew, and prefers other endpoints.

The first interface had no bound at all on a line without end, nor on the text of an item; both have one now, in the same budget (option memory_mb).

--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_items.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_items.py
@@ -9,13 +9,20 @@
 from jacinthmount.declarations import Endpoint, Profile
 from jacinthmount.dispatch import Stage
 from jacinthmount.errors import (
+    EndlessAnswer,
     EndpointFailed,
     EndpointLost,
+    GarbageKind,
     OtherVersion,
     OutcomeUnknown,
 )
 from jacinthmount.ports import BackendCall, BackendExchange
-from jacinthmount.results import DONE, FAILED, ResultRecord
+from jacinthmount.results import (
+    DONE,
+    FAILED,
+    MAX_RESULT_BYTES,
+    ResultRecord,
+)
 
 from jacinthmount_node.batches.batch_chunks import BatchItem
 from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
@@ -79,6 +86,9 @@
             await exchange.close()
         return ItemOutcome(record=None, endpoint_lost=False)
     except ATTEMPT_ERRORS as exc:
+        if isinstance(exc, EndlessAnswer):
+            # No other answer could go on after this text.
+            item.text = ''
         if exchange is not None:
             stage = exchange.stage
             await exchange.close()
@@ -148,6 +158,8 @@
         if event is None:
             break
         item.text += event.text
+        _check_text(item)
+        exchange.held_bytes = len(item.text)
     return ResultRecord(
         line=item.line,
         state=DONE,
@@ -157,6 +169,19 @@
     )
 
 
+def _check_text(item: BatchItem) -> None:
+    """Checks the size of the text received so far.
+
+    :raises EndlessAnswer: the store could not take it.
+    """
+    if len(item.text) > MAX_RESULT_BYTES:
+        raise EndlessAnswer(
+            kind=GarbageKind.RESULT,
+            taken=len(item.text),
+            allowed=MAX_RESULT_BYTES,
+        )
+
+
 async def _run_plain(
     item: BatchItem,
     exchange: BackendExchange,
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -30,7 +30,7 @@
 from jacinthmount_node.members.membership import Membership
 from jacinthmount_node.members.share_task import ShareTask
 from jacinthmount_node.messages import Hello
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.endpoint_pools import make_pool
 from jacinthmount_node.net.http_server import HttpServer
 from jacinthmount_node.net.object_api import HttpHostList
 from jacinthmount_node.net.peers import PeerLinks, PeerServer, make_contexts
@@ -75,8 +75,9 @@
 
         :raises OSError: an address is in use or a file can't be read.
         """
-        pool = ClientPool()
+        pool = make_pool(settings.memory_mb)
         node = make_node(settings, pool)
+        node.metrics.show_answer_memory(pool.memory)
         self._node = node
         server_context, client_context = make_contexts(
             settings.tls_ca,
--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
@@ -4,7 +4,13 @@
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 
-from jacinthmount.errors import EndpointFailed, PeerUnavailable
+from jacinthmount.errors import (
+    EndlessAnswer,
+    EndpointFailed,
+    GarbageKind,
+    PeerUnavailable,
+)
+from jacinthmount.event_stream import MAX_EVENT_BYTES
 from jacinthmount.ports import (
     BackendCall,
     CacheEvents,
@@ -83,6 +89,7 @@
             async for piece in self.http.iter_body():
                 for payload in self._split_payloads(piece):
                     yield payload
+                self._check_size()
 
     def _split_payloads(self, piece: bytes) -> list[str]:
         *lines, rest = (self._partial + piece).split(b'\n')
@@ -96,6 +103,19 @@
         except UnicodeDecodeError as exc:
             raise EndpointFailed(detail='stream event is not UTF-8') from exc
 
+    def _check_size(self) -> None:
+        """Checks the size of the incomplete line, and of all that is kept.
+
+        :raises EndlessAnswer: it is too large.
+        """
+        size = len(self._partial)
+        if size > MAX_EVENT_BYTES:
+            raise EndlessAnswer(
+                kind=GarbageKind.EVENT, taken=size, allowed=MAX_EVENT_BYTES
+            )
+        self.http.held_bytes = self.held_bytes
+        self.http.track_event_bytes(size)
+
     def _parse(self, payload: str) -> StreamEvent:
         try:
             parsed = json.loads(payload)
--- a/packages/jacinthmount-node/jacinthmount_node/metrics.py
+++ b/packages/jacinthmount-node/jacinthmount_node/metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of a node."""
 
+from jacinthmount.answer_memory import AnswerMemory
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -57,6 +58,8 @@
         'blocked_parts',
         'blocked_requests',
         'crash_suspects',
+        'answer_bytes',
+        'answer_limit_bytes',
         'endless_answers',
         'first_token_s',
         'orders',
@@ -121,6 +124,16 @@
             ['service'],
             registry=registry,
         )
+        self.answer_bytes = Gauge(
+            'jacinthmount_answer_bytes',
+            'Bytes of all unfinished answers.',
+            registry=registry,
+        )
+        self.answer_limit_bytes = Gauge(
+            'jacinthmount_answer_limit_bytes',
+            'Bytes that all unfinished answers may have together.',
+            registry=registry,
+        )
         self.endless_answers = Counter(
             'jacinthmount_endless_answers',
             'Answers of endpoints broken off, by what there was too much of.',
@@ -189,6 +202,11 @@
             registry=registry,
         )
 
+    def show_answer_memory(self, memory: AnswerMemory) -> None:
+        """Shows the memory budget of the answers of this process."""
+        self.answer_bytes.set_function(lambda: memory.total)
+        self.answer_limit_bytes.set(memory.limit_bytes)
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
@@ -6,28 +6,47 @@
 
 from jacinthmount_node.net.http_client import ClientPool
 
-__all__ = ('EndpointPools',)
+__all__ = ('EndpointPools', 'make_answer_memory', 'make_pool')
 
-# Fraction of the host's memory that incomplete answers may use.
-ANSWERS_MEMORY_FRACTION = 0.25
+# Fraction of the host's memory that unfinished answers may use. They take up to
+# twice their bytes while events are split.
+ANSWERS_MEMORY_FRACTION = 0.15
 MAX_ANSWERS_BYTES = 1_073_741_824
+MB = 1_048_576
 
 
 class EndpointPools:
     """Separate connection pools for online requests and batch items.
 
-    ``helpers`` are the fronts of other hosts.
+    ``helpers`` are the fronts of other hosts. ``memory`` is the memory budget
+    of the answers of all pools.
     """
 
-    __slots__ = ('helpers', 'items', 'online')
+    __slots__ = ('helpers', 'items', 'memory', 'online')
 
-    def __init__(self) -> None:
-        """Creates pools; the memory limit depends on the host's memory."""
-        host_bytes = os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
-        limit_bytes = min(
-            int(host_bytes * ANSWERS_MEMORY_FRACTION), MAX_ANSWERS_BYTES
-        )
-        memory = AnswerMemory(limit_bytes=limit_bytes)
+    def __init__(self, *, memory: AnswerMemory) -> None:
+        """Creates pools without connections."""
+        self.memory = memory
         self.online = ClientPool(memory=memory)
         self.items = ClientPool(memory=memory)
         self.helpers = ClientPool(memory=memory)
+
+
+def make_pool(memory_mb: int) -> ClientPool:
+    """Creates one pool for all connections of a host.
+
+    :param memory_mb: see :func:`make_answer_memory`.
+    """
+    return ClientPool(memory=make_answer_memory(memory_mb))
+
+
+def make_answer_memory(memory_mb: int) -> AnswerMemory:
+    """Creates the memory budget of a host.
+
+    :param memory_mb: memory of the host in MB; 0 if only the system knows.
+    """
+    host_bytes = memory_mb * MB
+    if not host_bytes:
+        host_bytes = os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
+    limit_bytes = int(host_bytes * ANSWERS_MEMORY_FRACTION)
+    return AnswerMemory(limit_bytes=min(limit_bytes, MAX_ANSWERS_BYTES))
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -21,8 +21,8 @@
 MAX_HEADER_BYTES = 32_768
 MAX_ANSWER_BYTES = 33_554_432
 MAX_INTERIM_ANSWERS = 16
-# Incomplete events up to this size are not counted against the memory budget.
-SMALL_EVENT_BYTES = 16_384
+# Events up to this size are not counted against the memory budget.
+SMALL_ANSWER_BYTES = 16_384
 MAX_IDLE_PER_ADDRESS = 32
 UNLIMITED_S = math.inf
 
@@ -42,6 +42,7 @@
         '_wire',
         'address',
         'headers',
+        'held_bytes',
         'reused',
         'stage',
         'status',
@@ -67,6 +68,8 @@
         self._is_aborted = False
         self._is_over_budget = False
         self.address = address
+        # Bytes of whole events that the reader keeps.
+        self.held_bytes = 0
         self.reused = reused
         self.unusable_at = UNLIMITED_S
         self._sock = sock
@@ -178,10 +181,12 @@
     def track_event_bytes(self, size: int) -> None:
         """Sets the number of buffered bytes of an incomplete event.
 
+        Those of the whole events that are kept are added.
+
         :raises EndlessAnswer: see ``track_bytes``.
         """
-        if size > SMALL_EVENT_BYTES:
-            self.track_bytes(size)
+        if self.held_bytes + size > SMALL_ANSWER_BYTES:
+            self.track_bytes(self.held_bytes + size)
         else:
             self._memory.release(self)
 
@@ -288,7 +293,7 @@
     Only the connection of a complete exchange is reused.
     """
 
-    __slots__ = ('_idle', '_memory')
+    __slots__ = ('_idle', 'memory')
 
     def __init__(self, *, memory: AnswerMemory | None = None) -> None:
         """Creates a pool without connections.
@@ -296,7 +301,7 @@
         :param memory: memory budget of all answers that are being received.
         """
         self._idle: dict[str, list[Exchange]] = {}
-        self._memory = memory or AnswerMemory()
+        self.memory = memory or AnswerMemory()
 
     async def open(
         self,
@@ -330,7 +335,7 @@
             address=address,
             sock=sock,
             wire=wire,
-            memory=self._memory,
+            memory=self.memory,
         )
 
     async def accepts(self, address: str, timeout_s: float) -> bool:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -7,7 +7,10 @@
 from jacinthmount.held_shares import HeldShares
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.net.endpoint_pools import EndpointPools
+from jacinthmount_node.net.endpoint_pools import (
+    EndpointPools,
+    make_answer_memory,
+)
 from jacinthmount_node.net.http_messages import ServerLimits
 from jacinthmount_node.net.http_server import HttpServer
 from jacinthmount_node.net.peers import PeerServer
@@ -82,7 +85,9 @@
         self._state = state
         self._ports = ports
         self._limits = ServerLimits()
-        self._pools = EndpointPools()
+        memory = make_answer_memory(settings.memory_mb)
+        self._pools = EndpointPools(memory=memory)
+        state.metrics.show_answer_memory(memory)
         self._front_server: HttpServer | None = None
         self._runner: RelayBatchRunner | None = None
         links = open_links(state)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -2,6 +2,7 @@
 
 import enum
 from http import HTTPStatus
+from sys import getsizeof
 
 from jacinthmount.batch_order import ItemRun
 from jacinthmount.crash_strikes import Suspect
@@ -41,6 +42,8 @@
 MAX_LOGGED_WAITS = 4096
 # Size limit of one value of the object API, less the enclosing field names.
 MAX_RESULT_BYTES = 1_000_000
+# Limits that whole events, one after the other, can exceed.
+EVENT_KINDS = frozenset((GarbageKind.RESULT, GarbageKind.MEMORY))
 
 
 class RunEnd(enum.Enum):
@@ -98,6 +101,7 @@
             use.on_failure(self._state.now())
             count_endless(self._state.metrics, exc)
             new_events = len(run.texts) - events_before
+            _note_endless(run, use, exc)
             log_event(
                 'item_lost',
                 item=run.item_id,
@@ -237,6 +241,7 @@
         progressed = False
         events_before = len(run.texts)
         size = sum(map(count_json_bytes, run.texts))
+        exchange.held_bytes = _count_held(run)
         async for events in iter_events(exchange, checker):
             run.last_seen_at = self._state.now()
             self._state.centres.on_contact(
@@ -253,6 +258,7 @@
                 size += count_json_bytes(text)
                 _check_result_size(size)
                 run.texts.append(text)
+                exchange.held_bytes += getsizeof(text)
                 run.last_event = event.number
             if not progressed:
                 progressed = await self._notices.crashes.on_events(
@@ -269,5 +275,19 @@
         )
 
 
+def _count_held(run: ItemRun) -> int:
+    """Returns the bytes that the events of a run take in memory."""
+    return sum(map(getsizeof, run.texts))
+
+
+def _note_endless(run: ItemRun, use: EndpointUse, exc: Exception) -> None:
+    if not isinstance(exc, EndlessAnswer):
+        return
+    run.avoided.add(use.entry.endpoint_id)
+    if exc.kind in EVENT_KINDS:
+        # No other answer could go on after these events.
+        run.begin_anew()
+
+
 async def _read_head(exchange: Exchange) -> None:
     await exchange.read_head(framed=False)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -247,6 +247,7 @@
         return max(
             uses,
             key=lambda use: (
+                use.entry.endpoint_id not in run.avoided,
                 not use.limit.is_named,
                 self._capacity.free(use.entry.endpoint_id),
                 self._state.centres.is_own(use.entry.data_centre),
--- a/packages/jacinthmount-node/jacinthmount_node/relay/settings.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/settings.py
@@ -14,6 +14,8 @@
     ``rate_slack`` is how many requests of an account are tolerated beyond its
     rate and burst, over all hosts and in any ``rate_window_s`` seconds; 0
     disables admission on credit.
+    ``memory_mb`` is the memory that the process may use, in MB; 0 if only the
+    system knows.
     ``config_object`` is the store object of the operator's configuration,
     ``endpoint_prefix`` the prefix of the endpoint registrations, and
     ``evacuation_prefix`` that of the objects named by evacuated data centres.
@@ -31,6 +33,7 @@
         'platform',
         'runs_batches',
         'stop_s',
+        'memory_mb',
         'rate_slack',
         'rate_window_s',
         'config_object',
@@ -49,6 +52,7 @@
     platform: str
     runs_batches: bool
     stop_s: float
+    memory_mb: int
     rate_slack: float
     rate_window_s: float
     config_object: str
--- a/packages/jacinthmount/jacinthmount/batch_order.py
+++ b/packages/jacinthmount/jacinthmount/batch_order.py
@@ -27,11 +27,13 @@
 
     ``batch`` is the key of its batch and ``batch_id`` the id in the API. All
     ``_at`` and ``_since`` attributes are monotonic seconds. ``failures`` counts
-    the responses in which an endpoint reported a failure.
+    the responses in which an endpoint reported a failure. ``avoided`` has the
+    ids of endpoints whose answers to it had no end.
     """
 
     __slots__ = (
         'account',
+        'avoided',
         'batch',
         'batch_id',
         'body',
@@ -85,6 +87,7 @@
         self.endpoint_id = ''
         self.texts: list[str] = []
         self.failures = 0
+        self.avoided: set[str] = set()
         # What tells it from others if an endpoint crashes.
         self.suspect: Suspect | None = None
         # The events are complete, but the result is not in the log yet.
--- a/packages/jacinthmount/jacinthmount/event_stream.py
+++ b/packages/jacinthmount/jacinthmount/event_stream.py
@@ -4,7 +4,7 @@
 
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 
-__all__ = ('EventChecker', 'ServerEvent')
+__all__ = ('MAX_EVENT_BYTES', 'EventChecker', 'ServerEvent')
 
 ID_LINE = re.compile(rb'^id:[ ]?(\d{1,18})\s*$', re.MULTILINE)
 EVENT_END = re.compile(rb'\r?\n\r?\n')
--- a/packages/jacinthmount/jacinthmount/ports.py
+++ b/packages/jacinthmount/jacinthmount/ports.py
@@ -314,10 +314,18 @@
 
     ``stage`` is the progress of the call, also after an error. ``usage`` holds
     the token counts that a streamed answer reported, ``version`` the software
-    version that the endpoint named, or an empty string.
+    version that the endpoint named, or an empty string. The reader sets
+    ``held_bytes`` to the bytes of the events that it keeps.
     """
 
-    __slots__ = ('headers', 'stage', 'status', 'usage', 'version')
+    __slots__ = (
+        'headers',
+        'held_bytes',
+        'stage',
+        'status',
+        'usage',
+        'version',
+    )
 
     def __init__(self) -> None:
         self.stage = Stage.CONNECTING
@@ -325,6 +333,7 @@
         self.headers: dict[str, str] = {}
         self.usage: dict[str, Any] | None = None
         self.version = ''
+        self.held_bytes = 0
 
     async def send(self, call: BackendCall) -> None:
         """Sends a call and reads the status and headers of the answer.
--- a/packages/jacinthmount/jacinthmount/results.py
+++ b/packages/jacinthmount/jacinthmount/results.py
@@ -9,6 +9,7 @@
 __all__ = (
     'DONE',
     'FAILED',
+    'MAX_RESULT_BYTES',
     'MAX_SEGMENT_BYTES',
     'RECORD_OVERHEAD_BYTES',
     'STARTED',
--- a/packages/jacinthmount/jacinthmount/settings.py
+++ b/packages/jacinthmount/jacinthmount/settings.py
@@ -31,6 +31,7 @@
         'log_file',
         'drain_delay_s',
         'stop_s',
+        'memory_mb',
         'batch_streams',
         'batch_look_ahead',
     )
@@ -51,6 +52,7 @@
     log_file: str
     drain_delay_s: float
     stop_s: float
+    memory_mb: int
     batch_streams: int
     batch_look_ahead: int
 
@@ -88,6 +90,15 @@
             low=1,
             high=3600,
         ),
+        make_option(
+            'memory_mb',
+            'int',
+            'MB',
+            'Memory that the process may use; 0 for that of the machine.',
+            default='0',
+            low=0,
+            high=16_777_216,
+        ),
         make_option(
             'batch_streams',
             'int',
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -1,11 +1,13 @@
 """Answers of model engines on the first interface."""
 
+import itertools
 import types
 
 import curio
 import pytest
 from jacinthmount.dispatch import Stage
-from jacinthmount.errors import EndpointFailed
+from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
+from jacinthmount.event_stream import MAX_EVENT_BYTES
 from jacinthmount_node.engines.engine import EngineExchange
 
 END = b'data: [DONE]\n\n'
@@ -16,18 +18,25 @@
 
     stage = Stage.ANSWERING
 
-    def __init__(self, *, body):
-        """Holds the body."""
-        self._body = body
+    def __init__(self, *, pieces):
+        """Holds the pieces of the body."""
+        self._pieces = pieces
+        self.held_bytes = 0
+        self.tracked = []
 
     async def iter_body(self):
-        """Yields the body."""
-        yield self._body
+        """Yields the pieces."""
+        for piece in self._pieces:
+            yield piece
+
+    def track_event_bytes(self, size):
+        """Records the bytes that the answer takes in memory."""
+        self.tracked.append(self.held_bytes + size)
 
 
 async def read_events(body):
     """Reads the events of an answer."""
-    exchange = EngineExchange(http=_Http(body=body))
+    exchange = EngineExchange(http=_Http(pieces=[body]))
     return [event async for event in exchange.iter_events()]
 
 
@@ -62,3 +71,34 @@
     )
     events = curio.run(read_events, body + END)
     assert [event.text for event in events] == ['', '', 'a', 'b']
+
+
+def test_line_without_end_is_kept():
+    """It ends with an error once it is longer than an event may be.
+
+    Guards against an engine that fills the memory of a host.
+    """
+    http = _Http(pieces=itertools.repeat(b'x' * 65_536))
+
+    async def read():
+        async for _ in EngineExchange(http=http).iter_events():
+            pytest.fail('a line without end has no event')
+
+    with pytest.raises(EndlessAnswer) as caught:
+        curio.run(read)
+    assert caught.value.kind is GarbageKind.EVENT
+    assert max(http.tracked) <= MAX_EVENT_BYTES
+
+
+def test_text_that_is_kept_is_not_counted():
+    """The budget of all answers counts what the reader keeps of each."""
+    event = b'data: {"choices": [{"text": "abcd"}]}\n\n'
+    http = _Http(pieces=[event, event, END])
+
+    async def read():
+        exchange = EngineExchange(http=http)
+        async for one in exchange.iter_events():
+            exchange.held_bytes += len(one.text)
+
+    curio.run(read)
+    assert http.tracked == [4, 8, 8]
--- a/tests/test_item_versions.py
+++ b/tests/test_item_versions.py
@@ -15,6 +15,8 @@
 
 WORDS = ('one ', 'two ', 'three ', 'four ')
 OLD, NEW = 'v1', 'v2'
+PIECE_CHARS = 10_000
+LONG_PIECES = 1000
 
 
 class _Event:
@@ -151,3 +153,25 @@
         _Exchange(version=OLD, words=None),
     ]
     assert run_until_done(item, answers) == make_text(OLD)
+
+
+class _LongExchange(_Exchange):
+    """An answer that is longer than the store can take."""
+
+    def __init__(self):
+        """Answers at the old version."""
+        super().__init__(version=OLD, words=None)
+
+    async def iter_events(self):
+        """Yields far more than any sound answer has."""
+        for _ in range(LONG_PIECES):
+            yield _Event('x' * PIECE_CHARS)
+
+
+def test_text_without_end_is_the_result_of_an_item(item):
+    """It is dropped, and another engine begins anew.
+
+    Guards against a text that grows until its host has no memory left.
+    """
+    answers = [_LongExchange(), _Exchange(version=NEW, words=None)]
+    assert run_until_done(item, answers) == make_text(NEW)
