Blocked prompt parts get two trials, as requests have

Now one request at a time with the parts, an item too, may be sent to an endpoint 8 s after the verdict, and once more; the store counts them for all hosts. A prompt that is blocked for several reasons is no trial, as it would prove nothing of one of them. An item takes its trial only once it is connected: before that, both trials went to engines that were gone but still registered.

The count is kept in a record of the kind that requests have, so that hosts of earlier builds can read it.

Three new cases of test_crash_breaker.

--- a/packages/jacinthmount-node/jacinthmount_node/blocked_store.py
+++ b/packages/jacinthmount-node/jacinthmount_node/blocked_store.py
@@ -1,10 +1,11 @@
 """Records in the object API of what crashes endpoints."""
 
-import xxhash
 from jacinthmount.crash_breaker import (
+    PARTS_MARK,
     BlockedParts,
     BlockedRequest,
     CrashBreaker,
+    digest_parts,
 )
 from jacinthmount.errors import (
     MalformedRecord,
@@ -62,7 +63,7 @@
         The record counts the trials, so all hosts together make no more than
         are allowed, whatever happens to the hosts.
 
-        :param request: its digest.
+        :param request: its digest, or that of the parts that block it.
         :returns: whether this host may send it.
         """
         recorded = breaker.find_recorded(request)
@@ -93,6 +94,7 @@
         """Removes the record of parts that crash no endpoints."""
         log_blocked('block_refuted', blocked)
         await self._remove(self.make_name(blocked))
+        await self.remove_request(digest_parts(blocked))
 
     async def read_all(self) -> list[Blocked]:
         """Reads the records.
@@ -113,8 +115,11 @@
         listing = await self._store.list_names(self._prefix)
         for stored in listing.objects:
             blocked = self.parse(stored)
-            if blocked is not None and suspect in _list_suspects(blocked):
-                await self._store.delete(stored.name, stored.version)
+            if blocked is None or suspect not in _list_suspects(blocked):
+                continue
+            await self._store.delete(stored.name, stored.version)
+            if isinstance(blocked, BlockedParts):
+                await self.remove_request(digest_parts(blocked))
 
     def parse(self, stored: Stored) -> Blocked | None:
         """Reads a record; one that is malformed is logged and left out."""
@@ -136,8 +141,7 @@
         """Returns the name of the record of what is blocked."""
         if isinstance(blocked, BlockedRequest):
             return f'{self._prefix}{REQUEST_MARK}{blocked.request}'
-        key = '\n'.join([blocked.service, *blocked.parts])
-        return f'{self._prefix}{xxhash.xxh3_64_hexdigest(key.encode())}'
+        return f'{self._prefix}{digest_parts(blocked).removeprefix(PARTS_MARK)}'
 
     async def _remove(self, name: str) -> None:
         try:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/blocked_records.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/blocked_records.py
@@ -53,7 +53,9 @@
                 )
         self._state.breaker.apply_recorded(parts, requests, now)
         self._state.metrics.blocked_parts.set(len(parts))
-        self._state.metrics.blocked_requests.set(len(requests))
+        self._state.metrics.blocked_requests.set(
+            sum(not recorded.counts_parts for recorded in requests)
+        )
 
     async def run(self) -> None:
         """Writes records while this host is the active runner.
@@ -77,7 +79,7 @@
 async def begin_trial(state: RelayState, request: str) -> bool:
     """Asks to send a blocked request to an endpoint once more.
 
-    :param request: its digest.
+    :param request: its digest, or that of the parts that block it.
     :returns: whether this host may send it.
     """
     records = _open(state.store)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -202,13 +202,11 @@
     exc = find_blocked_error(state, online.service, online.suspect, 0)
     if exc is None:
         return
-    breaker, suspect = state.breaker, online.suspect
-    online.is_trial = (
-        # What follows a part of an answer would show nothing.
-        online.last_event is None
-        and breaker.find_blocked_parts(online.service, suspect.parts) is None
-        and breaker.may_try(suspect.request, state.now())
+    trial = state.breaker.find_trial(
+        online.service, online.suspect, state.now()
     )
+    # What follows a part of an answer would show nothing.
+    online.is_trial = online.last_event is None and bool(trial)
     if not online.is_trial:
         raise exc
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -19,6 +19,7 @@
     Exchange,
 )
 from jacinthmount_node.net.sockets import with_timeout
+from jacinthmount_node.relay.blocked_records import begin_trial
 from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_responses import (
     count_endless,
@@ -133,15 +134,19 @@
         """Returns whether an item waits because endpoints crashed under it.
 
         An item is owed, so it runs again, each time after a longer pause. One
-        whose prompt is blocked waits until the parts are cleared.
+        whose prompt is blocked waits until the parts are cleared, or for a
+        trial.
         """
         breaker = self._state.breaker
         suspect = self._suspect(run)
+        now = self._state.now()
         is_undecided = self._notices.crashes.is_undecided(suspect)
         if breaker.is_idle and not is_undecided:
             return False
-        wait_s = breaker.rerun_wait_s(suspect.request, self._state.now())
+        wait_s = breaker.rerun_wait_s(suspect.request, now)
         parts = breaker.find_blocked_parts(service, suspect.parts)
+        if parts and breaker.find_trial(service, suspect, now):
+            parts = None
         is_blocked = wait_s > 0 or is_undecided or parts is not None
         if is_blocked and run.item_id not in self._blocked:
             if len(self._blocked) >= MAX_LOGGED_WAITS:
@@ -159,6 +164,15 @@
             self._blocked.discard(run.item_id)
         return is_blocked
 
+    async def _may_send(self, run: ItemRun, service: str) -> bool:
+        """Returns whether no part is blocked, or a trial was begun."""
+        breaker = self._state.breaker
+        suspect = self._suspect(run)
+        if breaker.find_blocked_parts(service, suspect.parts) is None:
+            return True
+        trial = breaker.find_trial(service, suspect, self._state.now())
+        return bool(trial) and await begin_trial(self._state, trial)
+
     def _suspect(self, run: ItemRun) -> Suspect:
         if run.suspect is None:
             run.suspect = Suspect(
@@ -174,6 +188,8 @@
         use: EndpointUse,
         exchange: Exchange,
     ) -> tuple[RunEnd, float]:
+        if not await self._may_send(run, use.entry.service):
+            return RunEnd.REFUSED, 0.0
         request = EndpointRequest(
             request_id=run.item_id,
             endpoint_id=use.entry.endpoint_id,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -290,7 +290,10 @@
         if exc is None:
             return
         if call.is_trial and await begin_trial(
-            self._state, call.suspect.request
+            self._state,
+            self._state.breaker.find_trial(
+                call.service, call.suspect, self._state.now()
+            ),
         ):
             return
         if responder.started:
--- a/packages/jacinthmount/jacinthmount/crash_breaker.py
+++ b/packages/jacinthmount/jacinthmount/crash_breaker.py
@@ -17,7 +17,9 @@
 whose prompts have all of them are refused.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+
+import xxhash
 
 from jacinthmount.crash_strikes import (
     CrashStrike,
@@ -28,10 +30,12 @@
 from jacinthmount.records import Record
 
 __all__ = (
+    'PARTS_MARK',
     'BlockedParts',
     'BlockedRequest',
     'CrashBreaker',
     'RecordedRequest',
+    'digest_parts',
 )
 
 # Endpoints that may crash on a request, or on a part, before it is blocked.
@@ -44,6 +48,9 @@
 # and for as long as its record exists.
 MAX_TRIALS = 2
 TRIAL_PAUSE_S = 30.0
+# Shorter, as sound requests of many callers may have the parts.
+PARTS_TRIAL_PAUSE_S = 8.0
+PARTS_MARK = 'parts-'
 # Pause before work that is still owed runs again, doubled with each crash.
 RERUN_PAUSE_S = 1.0
 MAX_RERUN_PAUSE_S = 8.0
@@ -66,7 +73,8 @@
     """A request that crashes endpoints, by its digest.
 
     ``crashes`` are the lifetimes of endpoints that ended under it. ``trials``
-    counts how often it was sent again since it is blocked.
+    counts how often it was sent again since it is blocked. Such a record also
+    counts the trials of blocked parts, by their digest.
     """
 
     __slots__ = ('request', 'crashes', 'trials')
@@ -92,10 +100,16 @@
         self.version = version
         self.seen_at = seen_at
 
+    @property
+    def counts_parts(self) -> bool:
+        """Whether it counts the trials of blocked parts."""
+        return self.blocked.request.startswith(PARTS_MARK)
+
     def may_try(self, now: float) -> bool:
         """Returns whether the request may be sent to an endpoint once more."""
         has_trials = self.blocked.trials < MAX_TRIALS
-        return has_trials and now - self.seen_at >= TRIAL_PAUSE_S
+        pause_s = PARTS_TRIAL_PAUSE_S if self.counts_parts else TRIAL_PAUSE_S
+        return has_trials and now - self.seen_at >= pause_s
 
 
 class _RecordedParts:
@@ -250,12 +264,20 @@
         self, service: str, parts: list[str]
     ) -> BlockedParts | None:
         """Finds the blocked parts that a prompt has, or None."""
-        given = set(parts)
-        recorded = self._recorded_parts.blocked
-        for blocked in (*self._parts_by_strikes, *recorded):
-            if blocked.service == service and given.issuperset(blocked.parts):
-                return blocked
-        return None
+        return next(self._iter_blocked_parts(service, parts), None)
+
+    def find_trial(self, service: str, suspect: Suspect, now: float) -> str:
+        """Finds what a trial of a blocked request would be counted for.
+
+        :returns: the digest of the request, or of its blocked parts; an empty
+            string if it may not be sent, or if several reasons block it.
+        """
+        blocked = self._iter_blocked_parts(service, suspect.parts)
+        digests = set(map(digest_parts, blocked))
+        if self.find_blocked_request(suspect.request) is not None:
+            digests.add(suspect.request)
+        digest = digests.pop() if len(digests) == 1 else ''
+        return digest if self.may_try(digest, now) else ''
 
     def find_blocked_request(self, request: str) -> BlockedRequest | None:
         """Finds the block of a request, or None."""
@@ -292,9 +314,15 @@
             for blocked in self._parts_by_strikes
             if (blocked.service, *blocked.parts) not in recorded
         ]
+        requests = {**self._requests_by_strikes}
+        for parts in self._recorded_parts.blocked:
+            digest = digest_parts(parts)
+            requests[digest] = BlockedRequest(
+                request=digest, crashes=parts.crashes, trials=0
+            )
         found.extend(
             blocked
-            for request, blocked in self._requests_by_strikes.items()
+            for request, blocked in requests.items()
             if request not in self._recorded_requests
         )
         return found
@@ -349,6 +377,15 @@
             self._update()
         return strikes
 
+    def _iter_blocked_parts(
+        self, service: str, parts: list[str]
+    ) -> Iterator[BlockedParts]:
+        given = set(parts)
+        recorded = self._recorded_parts.blocked
+        for blocked in (*self._parts_by_strikes, *recorded):
+            if blocked.service == service and given.issuperset(blocked.parts):
+                yield blocked
+
     def _update(self) -> None:
         self._requests_by_strikes = {
             request: BlockedRequest(
@@ -385,6 +422,12 @@
         return not _are_explained(causes, MAX_EXPLAINING_REQUESTS)
 
 
+def digest_parts(blocked: BlockedParts) -> str:
+    """Returns the digest by which the trials of blocked parts are counted."""
+    key = '\n'.join([blocked.service, *blocked.parts])
+    return f'{PARTS_MARK}{xxhash.xxh3_64_hexdigest(key.encode())}'
+
+
 def _list_keys(blocked: BlockedParts) -> list[PartKey]:
     return [(blocked.service, part) for part in blocked.parts]
 
--- a/tests/test_crash_breaker.py
+++ b/tests/test_crash_breaker.py
@@ -8,11 +8,13 @@
     MAX_RERUN_PAUSE_S,
     MAX_TRIALS,
     MIN_CRASHES,
+    PARTS_TRIAL_PAUSE_S,
     TRIAL_PAUSE_S,
     BlockedParts,
     BlockedRequest,
     CrashBreaker,
     RecordedRequest,
+    digest_parts,
 )
 from jacinthmount.crash_strikes import (
     ANSWER_VALID_S,
@@ -230,7 +232,7 @@
     record = BlockedParts(service=SERVICE, parts=['bad'], crashes=['e1'])
     assert breaker.unrecorded()
     breaker.apply_recorded([record], [], 101.0)
-    assert not breaker.unrecorded()
+    assert all(isinstance(one, BlockedRequest) for one in breaker.unrecorded())
     assert is_refused(breaker, 'bad')
     breaker.apply_recorded([], [], 102.0)
     assert not is_refused(breaker, 'bad')
@@ -282,6 +284,53 @@
     assert not breaker.refuted_parts()
 
 
+def record_trials(breaker, now, trials=0, version=1):
+    """Records blocked parts with the trials that were counted for them."""
+    parts = BlockedParts(service=SERVICE, parts=['a'], crashes=['e1'])
+    trial = RecordedRequest(
+        blocked=BlockedRequest(
+            request=digest_parts(parts), crashes=['e1'], trials=trials
+        ),
+        version=version,
+        seen_at=now,
+    )
+    breaker.apply_recorded([parts], [trial], now)
+    return trial.blocked.request
+
+
+def test_part_that_no_request_speaks_for_is_blocked_for_good(breaker):
+    """One request at a time may be sent again, twice at most.
+
+    Guards against a sound part whose requests all ended in the crash.
+    """
+    suspect = Suspect(request='r', parts=['a', 'own'])
+    digest = record_trials(breaker, 100.0)
+    assert not breaker.find_trial(SERVICE, suspect, 100.0)
+    after = 100.0 + PARTS_TRIAL_PAUSE_S
+    assert breaker.find_trial(SERVICE, suspect, after) == digest
+    record_trials(breaker, after, trials=MAX_TRIALS, version=2)
+    assert not breaker.find_trial(SERVICE, suspect, after + PARTS_TRIAL_PAUSE_S)
+
+
+def test_trial_is_counted_for_one_of_two_reasons(breaker):
+    """A prompt with a second blocked part would prove nothing of the first."""
+    block(breaker, ['bad'])
+    record_trials(breaker, 100.0)
+    suspect = Suspect(request='r', parts=['a', 'bad'])
+    after = 100.0 + PARTS_TRIAL_PAUSE_S
+    assert not breaker.find_trial(SERVICE, suspect, after)
+
+
+def test_trials_of_parts_are_not_counted(breaker):
+    """The record that counts them is written beside that of the parts."""
+    parts = BlockedParts(service=SERVICE, parts=['a'], crashes=['e1'])
+    breaker.apply_recorded([parts], [], 100.0)
+    found = breaker.unrecorded()
+    assert [one.request for one in found] == [digest_parts(parts)]
+    record_trials(breaker, 101.0)
+    assert not breaker.unrecorded()
+
+
 def block_request(breaker, request, parts=(), now=100.0):
     """Lets as many endpoints crash as it takes to block a request."""
     for number in range(MIN_CRASHES):
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import threading
 import time
 from http.client import HTTPException
 
@@ -210,6 +211,51 @@
     eventually(lambda: count_results(site, 'b1') == len(items), 60.0)
 
 
+def test_sound_part_has_nobody_left_to_speak_for_it(tmp_path):
+    """All requests with the part end in the crash of their endpoints.
+
+    Guards against items that wait for ever; one of them is sent as a trial.
+    """
+    site = PlatformSite(folder=tmp_path, fronts=2, runners=2)
+    try:
+        run_after_crash(site)
+    finally:
+        site.stop()
+
+
+def run_after_crash(site):
+    """Kills the engines of all items, and waits for their results."""
+    site.start(engines=3, slots=4)
+    ended = list(site.engines)
+    for port in site.engines.values():
+        site.switch(port, event_s=SLOW_EVENT_S)
+    items = [make_item(f's{one}', SOUND, events=2) for one in range(12)]
+    site.call('front-1', 'POST', '/audit/x', {'items': items}, attempt_id='b1')
+    eventually(lambda: len(site.ran()) == len(items))
+    other = occupy_one_more(site, len(items))
+    for name in ended:
+        site.kill(name)
+    eventually(lambda: read_records(site))
+    other.join()
+    eventually(lambda: count_results(site, 'b1') == len(items), 60.0)
+
+
+def occupy_one_more(site, ran):
+    """Starts an engine that hosts reach, but that is busy for a while.
+
+    :param ran: number of requests that engines run.
+    :returns: the thread of the caller that keeps it busy.
+    """
+    site.start_engine('engine-4', 1)
+    time.sleep(1.0)
+    other = threading.Thread(
+        target=ask, args=(site, 'front-1', 'other', 'c3:100', '/scan/1', 200)
+    )
+    other.start()
+    eventually(lambda: len(site.ran()) == ran + 1)
+    return other
+
+
 def test_repeated_request_crashes_two_engines_at_most(site):
     """A resumable request may be sent to another engine once more."""
     assert ask(site, 'front-1', 'r1', BAD, path='/check/1') == 502
