--- a/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
@@ -9,7 +9,7 @@
 __all__ = ('EndpointPools', 'make_answer_memory', 'make_pool')
 
 # Fraction of the host's memory that unfinished answers may use. They take up to
-# twice their bytes while events are split.
+# three times their bytes while events are split.
 ANSWERS_MEMORY_FRACTION = 0.15
 MAX_ANSWERS_BYTES = 1_073_741_824
 MB = 1_048_576
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -103,20 +103,7 @@
     def start(script):
         engine = RawEngine(script=script)
         engines.append(engine)
-        spec = {
-            'service': SERVICE,
-            'address': f'127.0.0.1:{engine.port}',
-            'zone': 'east',
-            'version': 'v1',
-            'slots': 8,
-            'state': 'ready',
-            'cold_left_ms': 0,
-            'sequence': 1,
-            'born': 1,
-        }
-        body = {'metadata': {'name': f'raw-{engine.port}'}, 'spec': spec}
-        call_http(site.store, 'POST', '/api/objects/servers', body)
-        wait_usable(site, f'raw-{engine.port}')
+        register(site, engine.port, slots=8)
         return engine
 
     yield start
@@ -124,6 +111,24 @@
         engine.close()
 
 
+def register(site, port, slots):
+    """Registers an engine, and waits until the front knows it."""
+    spec = {
+        'service': SERVICE,
+        'address': f'127.0.0.1:{port}',
+        'zone': 'east',
+        'version': 'v1',
+        'slots': slots,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'sequence': 1,
+        'born': 1,
+    }
+    body = {'metadata': {'name': f'raw-{port}'}, 'spec': spec}
+    call_http(site.store, 'POST', '/api/objects/servers', body)
+    wait_usable(site, f'raw-{port}')
+
+
 def wait_usable(site, endpoint_id):
     """Waits until the front knows an endpoint."""
     until = time.monotonic() + WAIT_S
--- a/tests/test_own_aborts.py
+++ b/tests/test_own_aborts.py
@@ -12,11 +12,10 @@
 from jacinthmount.answer_memory import AnswerMemory
 from jacinthmount.errors import EndlessAnswer, EndpointFailed
 from jacinthmount_node.net.http_client import Exchange
-from jacinthmount_platform_standin.site import SERVICE, PlatformSite
-from jacinthmount_standin.callers import call_http
+from jacinthmount_platform_standin.site import PlatformSite
 
 from tests.silences import EVENT_S, begin, check_whole, join, wait_events
-from tests.test_faulty_answers import wait_usable
+from tests.test_faulty_answers import register
 
 SILENCE_S = 1.2
 SLOTS = 12
@@ -141,20 +140,7 @@
     """Two registered engines whose answers have no length."""
     made = [UnframedEngine() for _ in range(2)]
     for engine in made:
-        spec = {
-            'service': SERVICE,
-            'address': f'127.0.0.1:{engine.port}',
-            'zone': 'east',
-            'version': 'v1',
-            'slots': SLOTS,
-            'state': 'ready',
-            'cold_left_ms': 0,
-            'sequence': 1,
-            'born': 1,
-        }
-        body = {'metadata': {'name': f'raw-{engine.port}'}, 'spec': spec}
-        call_http(site.store, 'POST', '/api/objects/servers', body)
-        wait_usable(site, f'raw-{engine.port}')
+        register(site, engine.port, SLOTS)
     yield made
     for engine in made:
         engine.close()
