One check for the limits of an answer, one way to begin a trial

Behaviour is the same.

- The bytes that a reader of the first interface keeps were copied into its connection at each piece; they are passed on instead.
- Callers looked for a trial and then began it; begin_trial does both.
- Two stand-ins lost calls in their own way; Switches.lose_call serves both.
- The raw engine without framing had copied the listener of another test; two tests had the same fixture of one host.

One assertion is strict again: test_removed_record_unblocks_the_part accepted any record of a request since trials of parts are recorded. It names the one record that is to be written now. Two tests got plainer names.

--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_items.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_items.py
@@ -158,8 +158,10 @@
         if event is None:
             break
         item.text += event.text
-        _check_text(item)
         exchange.held_bytes = len(item.text)
+        EndlessAnswer.check(
+            GarbageKind.RESULT, exchange.held_bytes, MAX_RESULT_BYTES
+        )
     return ResultRecord(
         line=item.line,
         state=DONE,
@@ -169,19 +171,6 @@
     )
 
 
-def _check_text(item: BatchItem) -> None:
-    """Checks the size of the text received so far.
-
-    :raises EndlessAnswer: the store could not take it.
-    """
-    if len(item.text) > MAX_RESULT_BYTES:
-        raise EndlessAnswer(
-            kind=GarbageKind.RESULT,
-            taken=len(item.text),
-            allowed=MAX_RESULT_BYTES,
-        )
-
-
 async def _run_plain(
     item: BatchItem,
     exchange: BackendExchange,
--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
@@ -109,12 +109,8 @@
         :raises EndlessAnswer: it is too large.
         """
         size = len(self._partial)
-        if size > MAX_EVENT_BYTES:
-            raise EndlessAnswer(
-                kind=GarbageKind.EVENT, taken=size, allowed=MAX_EVENT_BYTES
-            )
-        self.http.held_bytes = self.held_bytes
-        self.http.track_event_bytes(size)
+        EndlessAnswer.check(GarbageKind.EVENT, size, MAX_EVENT_BYTES)
+        self.http.track_event_bytes(self.held_bytes + size)
 
     def _parse(self, payload: str) -> StreamEvent:
         try:
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -111,12 +111,9 @@
         interim = 0
         while isinstance(event, h11.InformationalResponse):
             interim += 1
-            if interim > MAX_INTERIM_ANSWERS:
-                raise EndlessAnswer(
-                    kind=GarbageKind.INTERIM,
-                    taken=interim,
-                    allowed=MAX_INTERIM_ANSWERS,
-                )
+            EndlessAnswer.check(
+                GarbageKind.INTERIM, interim, MAX_INTERIM_ANSWERS
+            )
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise EndpointFailed(detail='connection closed without an answer')
@@ -271,12 +268,7 @@
         raise EndpointFailed(detail='this host has aborted the answer')
 
     def _check_size(self, size: int, limit: int) -> None:
-        if size > limit:
-            raise EndlessAnswer(
-                kind=GarbageKind.BODY,
-                taken=size,
-                allowed=limit,
-            )
+        EndlessAnswer.check(GarbageKind.BODY, size, limit)
         self.track_bytes(size)
 
     def _raise_over_budget(self) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/blocked_records.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/blocked_records.py
@@ -2,6 +2,7 @@
 
 import curio
 from jacinthmount.crash_breaker import BlockedParts, RecordedRequest
+from jacinthmount.crash_strikes import Suspect
 from jacinthmount.ports import ObjectStore, Stored
 
 from jacinthmount_node.blocked_store import Blocked, BlockedStore, log_blocked
@@ -76,14 +77,16 @@
             self._waiting = set(found)
 
 
-async def begin_trial(state: RelayState, request: str) -> bool:
+async def begin_trial(
+    state: RelayState, service: str, suspect: Suspect
+) -> bool:
     """Asks to send a blocked request to an endpoint once more.
 
-    :param request: its digest, or that of the parts that block it.
     :returns: whether this host may send it.
     """
-    records = _open(state.store)
-    return await records.begin_trial(state.breaker, request, state.now())
+    now = state.now()
+    trial = state.breaker.find_trial(service, suspect, now)
+    return await _open(state.store).begin_trial(state.breaker, trial, now)
 
 
 async def remove_record(state: RelayState, request: str) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -166,12 +166,11 @@
 
     async def _may_send(self, run: ItemRun, service: str) -> bool:
         """Returns whether no part is blocked, or a trial was begun."""
-        breaker = self._state.breaker
         suspect = self._suspect(run)
-        if breaker.find_blocked_parts(service, suspect.parts) is None:
-            return True
-        trial = breaker.find_trial(service, suspect, self._state.now())
-        return bool(trial) and await begin_trial(self._state, trial)
+        blocked = self._state.breaker.find_blocked_parts(service, suspect.parts)
+        return blocked is None or await begin_trial(
+            self._state, service, suspect
+        )
 
     def _suspect(self, run: ItemRun) -> Suspect:
         if run.suspect is None:
@@ -257,7 +256,7 @@
         progressed = False
         events_before = len(run.texts)
         size = sum(map(count_json_bytes, run.texts))
-        exchange.held_bytes = _count_held(run)
+        exchange.held_bytes = sum(map(getsizeof, run.texts))
         async for events in iter_events(exchange, checker):
             run.last_seen_at = self._state.now()
             self._state.centres.on_contact(
@@ -272,7 +271,7 @@
                     )
                 text = event.read_data()
                 size += count_json_bytes(text)
-                _check_result_size(size)
+                EndlessAnswer.check(GarbageKind.RESULT, size, MAX_RESULT_BYTES)
                 run.texts.append(text)
                 exchange.held_bytes += getsizeof(text)
                 run.last_event = event.number
@@ -282,20 +281,6 @@
                 )
 
 
-def _check_result_size(size: int) -> None:
-    if size > MAX_RESULT_BYTES:
-        raise EndlessAnswer(
-            kind=GarbageKind.RESULT,
-            taken=size,
-            allowed=MAX_RESULT_BYTES,
-        )
-
-
-def _count_held(run: ItemRun) -> int:
-    """Returns the bytes that the events of a run take in memory."""
-    return sum(map(getsizeof, run.texts))
-
-
 def _note_endless(run: ItemRun, use: EndpointUse, exc: Exception) -> None:
     if not isinstance(exc, EndlessAnswer):
         return
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -290,10 +290,7 @@
         if exc is None:
             return
         if call.is_trial and await begin_trial(
-            self._state,
-            self._state.breaker.find_trial(
-                call.service, call.suspect, self._state.now()
-            ),
+            self._state, call.service, call.suspect
         ):
             return
         if responder.started:
--- a/packages/jacinthmount-standin/jacinthmount_standin/platform.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/platform.py
@@ -25,8 +25,6 @@
 OBJECTS_PREFIX = '/objects/'
 WEIGHTS_PREFIX = '/weights/'
 MAX_BODY_BYTES = 1_100_000
-# A call that is lost gets no answer for longer than any test takes.
-LOST_S = 600.0
 
 
 class Platform:
@@ -214,8 +212,7 @@
         responder: Responder,
     ) -> None:
         if self._switches.read('lose_watches'):
-            await curio.sleep(LOST_S)
-            return
+            await self._switches.lose_call()
         prefix = request.query['prefix']
         after = int(request.query['after'])
         changes: list[Stored] = []
--- a/packages/jacinthmount-standin/jacinthmount_standin/switches.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/switches.py
@@ -8,6 +8,8 @@
 
 __all__ = ('Switches',)
 
+LOST_S = 600.0
+
 
 class Switches:
     """Named values that tests set over HTTP at ``/switch``."""
@@ -50,6 +52,10 @@
         await responder.send_json(HTTPStatus.OK, self._settings)
         return True
 
+    async def lose_call(self) -> None:
+        """Gives a call no answer for longer than any test takes."""
+        await curio.sleep(LOST_S)
+
     async def pause(self, name: str) -> None:
         """Sleeps for the number of seconds that a switch is set to."""
         if self._settings[name] > 0:
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -225,6 +225,15 @@
         self.taken = taken
         self.allowed = allowed
 
+    @classmethod
+    def check(cls, kind: GarbageKind, taken: int, allowed: int) -> None:
+        """Checks what was received of a part of an answer.
+
+        :raises EndlessAnswer: it is more than allowed.
+        """
+        if taken > allowed:
+            raise cls(kind=kind, taken=taken, allowed=allowed)
+
 
 class OutcomeUnknown(JacinthmountError):
     """The request may have run and is not retried."""
--- a/packages/jacinthmount/jacinthmount/event_stream.py
+++ b/packages/jacinthmount/jacinthmount/event_stream.py
@@ -81,12 +81,9 @@
             match = EVENT_END.search(self._buffer, start)
         self._buffer = self._buffer[start:]
         self._searched = max(0, len(self._buffer) - END_OVERLAP_BYTES)
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise EndlessAnswer(
-                kind=GarbageKind.EVENT,
-                taken=len(self._buffer),
-                allowed=MAX_EVENT_BYTES,
-            )
+        EndlessAnswer.check(
+            GarbageKind.EVENT, len(self._buffer), MAX_EVENT_BYTES
+        )
         return events
 
     def _check(self, packed: bytes) -> ServerEvent:
@@ -105,9 +102,8 @@
 
     def _count_unnumbered(self, size: int) -> None:
         self._unnumbered_bytes += size
-        if self._unnumbered_bytes > MAX_UNNUMBERED_BYTES:
-            raise EndlessAnswer(
-                kind=GarbageKind.UNNUMBERED,
-                taken=self._unnumbered_bytes,
-                allowed=MAX_UNNUMBERED_BYTES,
-            )
+        EndlessAnswer.check(
+            GarbageKind.UNNUMBERED,
+            self._unnumbered_bytes,
+            MAX_UNNUMBERED_BYTES,
+        )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from jacinthmount.records import replaced, serialize_json
 
 from tests.builders import DECLARATIONS
+from tests.site import Site
 
 KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
@@ -39,3 +40,16 @@
         )
         for number, (name, record) in enumerate(records.items())
     ]
+
+
+@pytest.fixture
+def one_host_site(tmp_path):
+    """One host of the first interface, with one engine."""
+    made = Site(
+        folder=tmp_path,
+        data_centres={'east': 1},
+        engines={'engine-1': 'east'},
+        accounts={'gin': (900, 900)},
+    )
+    yield made
+    made.fleet.stop()
--- a/tests/test_crash_breaker.py
+++ b/tests/test_crash_breaker.py
@@ -232,7 +232,9 @@
     record = BlockedParts(service=SERVICE, parts=['bad'], crashes=['e1'])
     assert breaker.unrecorded()
     breaker.apply_recorded([record], [], 101.0)
-    assert all(isinstance(one, BlockedRequest) for one in breaker.unrecorded())
+    assert [one.request for one in breaker.unrecorded()] == [
+        digest_parts(record)
+    ]
     assert is_refused(breaker, 'bad')
     breaker.apply_recorded([], [], 102.0)
     assert not is_refused(breaker, 'bad')
@@ -298,7 +300,7 @@
     return trial.blocked.request
 
 
-def test_part_that_no_request_speaks_for_is_blocked_for_good(breaker):
+def test_part_without_requests_in_flight_stays_blocked(breaker):
     """One request at a time may be sent again, twice at most.
 
     Guards against a sound part whose requests all ended in the crash.
--- a/tests/test_own_aborts.py
+++ b/tests/test_own_aborts.py
@@ -1,8 +1,6 @@
 """An abort of this host is not taken for the end of an endpoint's answer."""
 
 import contextlib
-import socket
-import threading
 import time
 
 import curio
@@ -15,7 +13,7 @@
 from jacinthmount_platform_standin.site import PlatformSite
 
 from tests.silences import EVENT_S, begin, check_whole, join, wait_events
-from tests.test_faulty_answers import register
+from tests.test_faulty_answers import RawEngine, register
 
 SILENCE_S = 1.2
 SLOTS = 12
@@ -70,7 +68,7 @@
     assert curio.run(read_aborted, FRAMED, Exchange.abort) == body
 
 
-class UnframedEngine:
+class UnframedEngine(RawEngine):
     """Streams events in answers that end with their connections.
 
     While ``silent_until`` lies ahead, in monotonic seconds, it sends nothing.
@@ -78,24 +76,11 @@
 
     def __init__(self):
         """Listens on a free port."""
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        self.port = self._listener.getsockname()[1]
         self.silent_until = 0.0
         self.running = 0
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__(script=None)
 
-    def close(self):
-        """Stops to accept connections."""
-        self._listener.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            for conn, _ in iter(self._listener.accept, None):
-                threading.Thread(
-                    target=self._serve, args=(conn,), daemon=True
-                ).start()
-
-    def _serve(self, conn):
+    def _serve(self, conn, connection):
         with conn, contextlib.suppress(OSError):
             reader = conn.makefile('rb')
             fields = {}
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -211,7 +211,7 @@
     eventually(lambda: count_results(site, 'b1') == len(items), 60.0)
 
 
-def test_sound_part_has_nobody_left_to_speak_for_it(tmp_path):
+def test_sound_part_without_requests_in_flight_stays_blocked(tmp_path):
     """All requests with the part end in the crash of their endpoints.
 
     Guards against items that wait for ever; one of them is sent as a trial.
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -7,7 +7,6 @@
 from jacinthmount_ctl import porcelain
 from jacinthmount_platform_standin.site import PlatformSite
 
-from tests.site import Site
 from tests.site import eventually as within
 from tests.test_platform_site import eventually, make_items, stream, submit
 
@@ -35,19 +34,6 @@
         found.stop()
 
 
-@pytest.fixture
-def fleet_site(tmp_path):
-    """A host of the other interface, with one engine."""
-    made = Site(
-        folder=tmp_path,
-        data_centres={'east': 1},
-        engines={'engine-1': 'east'},
-        accounts={'gin': (900, 900)},
-    )
-    yield made
-    made.fleet.stop()
-
-
 def test_items_run_on_after_a_silence_that_nobody_noticed(make_site):
     """The watch call on batches is lost, and its runner learns of no end.
 
@@ -81,18 +67,18 @@
         eventually(lambda at=front: stream(site, at)[0] == 401, IN_FORCE_S)
 
 
-def test_host_keeps_old_keys_after_a_silence(fleet_site):
+def test_host_keeps_old_keys_after_a_silence(one_host_site):
     """The watch call of a host is lost.
 
     Guards against a new key that a host refuses for long.
     """
-    fleet = fleet_site.fleet
+    fleet = one_host_site.fleet
     fleet.switch(fleet.platform_port, lose_watches=True)
-    fleet_site.grant('gin')
+    one_host_site.grant('gin')
     time.sleep(NEXT_CALL_S)
-    _, key = curio.run(porcelain.grant_key, fleet_site.store(), 'gin')
+    _, key = curio.run(porcelain.grant_key, one_host_site.store(), 'gin')
     fleet.switch(fleet.platform_port, lose_watches=False)
     within(
-        lambda: fleet_site.get('east-h1', '/v1/models', key).status == 200,
+        lambda: one_host_site.get('east-h1', '/v1/models', key).status == 200,
         IN_FORCE_S,
     )
--- a/tests/test_untrue_refusals.py
+++ b/tests/test_untrue_refusals.py
@@ -3,26 +3,12 @@
 import threading
 import time
 
-import pytest
+from tests.site import eventually
 
-from tests.site import Site, eventually
 
-
-@pytest.fixture
-def site(tmp_path):
-    """One host with one engine."""
-    made = Site(
-        folder=tmp_path,
-        data_centres={'east': 1},
-        engines={'engine-1': 'east'},
-        accounts={'gin': (900, 900)},
-    )
-    yield made
-    made.fleet.stop()
-
-
-def test_request_that_ran_is_refused_as_not_run(site):
+def test_request_that_ran_is_refused_as_not_run(one_host_site):
     """Its engine is lost and no other is left for a repeat: 502, not 503."""
+    site = one_host_site
     _, key = site.grant('gin')
     port = site.fleet.engine_port('engine-1')
     eventually(lambda: site.chat('east-h1', key, 'warm').status == 200, 20)
