--- a/packages/jacinthmount-node/jacinthmount_node/assembly.py
+++ b/packages/jacinthmount-node/jacinthmount_node/assembly.py
@@ -2,6 +2,7 @@
 
 import random
 
+from jacinthmount.caller_memory import CallerMemory
 from jacinthmount.settings import Settings
 
 from jacinthmount_node.callers.plain_service import HttpPlainService
@@ -10,13 +11,15 @@
 from jacinthmount_node.engines.engine_control import HttpEngineControl
 from jacinthmount_node.engines.load_slots import LoadSlots
 from jacinthmount_node.engines.order_task import OrderTask
+from jacinthmount_node.metrics import Metrics
+from jacinthmount_node.net.connection_memory import make_caller_memory
 from jacinthmount_node.net.http_client import ClientPool
 from jacinthmount_node.net.object_api import HttpStore, HttpWeightStore
 from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.net.sockets import SystemClock
 from jacinthmount_node.node import Node
 
-__all__ = ('make_node', 'make_orders')
+__all__ = ('make_callers_memory', 'make_node', 'make_orders')
 
 
 def make_node(settings: Settings, pool: ClientPool) -> Node:
@@ -49,3 +52,10 @@
         control=HttpEngineControl(pool=pool),
         slots=LoadSlots(node=node, weights=weights),
     )
+
+
+def make_callers_memory(settings: Settings, metrics: Metrics) -> CallerMemory:
+    """Creates the memory budget of a node's callers, and shows it."""
+    memory = make_caller_memory(settings.memory_mb, 0, metrics.count_eviction)
+    metrics.show_caller_memory(memory)
+    return memory
--- a/packages/jacinthmount-node/jacinthmount_node/batches/files_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/files_api.py
@@ -50,6 +50,9 @@
         chunks = 0
         try:
             async for piece in request.iter_body(MAX_FILE_BYTES):
+                await request.keep(
+                    len(piece) + builder.held_bytes + form.held_bytes
+                )
                 parser.write(piece)
                 for part in form.take():
                     chunks = await self._write_chunks(
--- a/packages/jacinthmount-node/jacinthmount_node/callers/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -183,6 +183,7 @@
     ) -> None:
         arrived_at = self._node.now()
         body = await request.read_body()
+        await request.keep_parsed(body)
         call, profile = self._parse_completion(request, key, body, arrived_at)
         request.request_id = call.request_id
         call.deadline = self._fit_deadline(call.service, call.deadline)
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -7,7 +7,11 @@
 from jacinthmount.shares import SHARE_PREFIX
 
 from jacinthmount_node.admin import Admin
-from jacinthmount_node.assembly import make_node, make_orders
+from jacinthmount_node.assembly import (
+    make_callers_memory,
+    make_node,
+    make_orders,
+)
 from jacinthmount_node.batches.batch_runner import BatchRunner
 from jacinthmount_node.batches.batches_api import BatchApi
 from jacinthmount_node.batches.files_api import FileApi
@@ -34,7 +38,11 @@
 from jacinthmount_node.net.http_server import HttpServer
 from jacinthmount_node.net.object_api import HttpHostList
 from jacinthmount_node.net.peers import PeerLinks, PeerServer, make_contexts
-from jacinthmount_node.net.sockets import listen, parse_address
+from jacinthmount_node.net.sockets import (
+    UNREAD_BYTES,
+    listen,
+    parse_address,
+)
 from jacinthmount_node.parts import ignore_reloads, run_parts, run_process
 
 __all__ = ('Daemon', 'run_daemon')
@@ -78,6 +86,7 @@
         pool = make_pool(settings.memory_mb)
         node = make_node(settings, pool)
         node.metrics.show_answer_memory(pool.memory)
+        caller_memory = make_callers_memory(settings, node.metrics)
         self._node = node
         server_context, client_context = make_contexts(
             settings.tls_ca,
@@ -147,12 +156,6 @@
             ),
             batches=BatchRoutes(admission=admission, batches=batches),
         )
-        admin = Admin(
-            node=node,
-            sync=self._sync,
-            batch=self._batch,
-            token=token,
-        )
         peer_handlers = PeerHandlers(
             sync=self._sync,
             shares=self._shares,
@@ -161,12 +164,19 @@
             crashes=self._crashes,
         )
         self._front_server = HttpServer(
-            sock=listen(settings.listen),
+            sock=listen(settings.listen, unread_bytes=UNREAD_BYTES),
             handler=self._front.handle,
+            memory=caller_memory,
         )
         self._admin_server = HttpServer(
-            sock=listen(settings.admin_listen),
-            handler=admin.handle,
+            sock=listen(settings.admin_listen, unread_bytes=UNREAD_BYTES),
+            handler=Admin(
+                node=node,
+                sync=self._sync,
+                batch=self._batch,
+                token=token,
+            ).handle,
+            memory=caller_memory,
         )
         self._peer_server = PeerServer(
             sock=listen(settings.peer_listen),
--- a/packages/jacinthmount-node/jacinthmount_node/metrics.py
+++ b/packages/jacinthmount-node/jacinthmount_node/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of a node."""
 
 from jacinthmount.answer_memory import AnswerMemory
+from jacinthmount.caller_memory import CallerMemory, HoldState
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -57,6 +58,7 @@
         'batch_preempted',
         'blocked_parts',
         'blocked_requests',
+        'caller_evictions',
         'crash_suspects',
         'answer_bytes',
         'answer_limit_bytes',
@@ -196,6 +198,12 @@
             ['outcome'],
             registry=registry,
         )
+        self.caller_evictions = Counter(
+            'jacinthmount_caller_evictions',
+            'Connections ended to make room for others, by what they did.',
+            ['state'],
+            registry=registry,
+        )
         self.table_revision = Gauge(
             'jacinthmount_config_revision',
             'Newest configuration held.',
@@ -207,6 +215,29 @@
         self.answer_bytes.set_function(lambda: memory.total)
         self.answer_limit_bytes.set(memory.limit_bytes)
 
+    def show_caller_memory(self, memory: CallerMemory) -> None:
+        """Shows the memory budget of the callers of this process."""
+        registry = self._registry
+        Gauge(
+            'jacinthmount_caller_bytes',
+            'Bytes that callers make this process keep.',
+            registry=registry,
+        ).set_function(lambda: memory.total_bytes)
+        Gauge(
+            'jacinthmount_caller_limit_bytes',
+            'Limit on the bytes that callers make this process keep.',
+            registry=registry,
+        ).set(memory.limit_bytes)
+        Gauge(
+            'jacinthmount_caller_connections',
+            'Open connections of callers.',
+            registry=registry,
+        ).set_function(lambda: memory.connections)
+
+    def count_eviction(self, state: HoldState) -> None:
+        """Counts a connection that was ended to make room for others."""
+        self.caller_evictions.labels(state.value).inc()
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/jacinthmount-node/jacinthmount_node/net/forms.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/forms.py
@@ -12,6 +12,9 @@
 
 # Longer values of form fields are truncated.
 MAX_FIELD_BYTES = 1024
+MAX_FIELDS = 64
+# Objects of a field beside its characters.
+FIELD_BYTES = 200
 
 
 class UploadForm:
@@ -47,6 +50,14 @@
             'on_part_data': self._on_part_data,
         }
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the fields, which stay until the form is complete."""
+        return sum(
+            len(name) + len(text) + FIELD_BYTES
+            for name, text in self.fields.items()
+        )
+
     def take(self) -> list[bytes]:
         """Returns and removes the file pieces parsed since the last call."""
         taken = self.pieces
@@ -82,6 +93,8 @@
         if self._field == 'file':
             self.pieces.append(received[start:end])
             return
+        if self._field not in self.fields and len(self.fields) >= MAX_FIELDS:
+            raise MalformedRequest(detail=f'more than {MAX_FIELDS} fields')
         extended = self.fields.get(self._field, '') + received[
             start:end
         ].decode(
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
@@ -4,14 +4,13 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 
 import curio
 import h11
+from jacinthmount.caller_memory import CallerMemory, HoldState
 from jacinthmount.errors import (
-    AmbiguousFraming,
+    CallerMemoryFull,
     DeadlineExceeded,
-    HeadersTooLarge,
     JacinthmountError,
     MalformedRequest,
     RequestTimeout,
@@ -20,6 +19,13 @@
 )
 
 from jacinthmount_node.logs import log_event, log_failure
+from jacinthmount_node.net.answer_writer import AnswerWriter
+from jacinthmount_node.net.body_time import BodyTime
+from jacinthmount_node.net.connection_memory import (
+    ConnectionMemory,
+    make_full_error,
+)
+from jacinthmount_node.net.heads import check_head, make_head_error
 from jacinthmount_node.net.http_messages import (
     Channel,
     HttpRequest,
@@ -38,12 +44,12 @@
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
-BODY_TIMEOUT_S = 30.0
-WRITE_TIMEOUT_S = 30.0
 # Interval at which the end of a body is awaited.
 POLL_S = 0.05
 # Time for which the rest of a refused request is read.
 DISCARD_S = 2.0
+# Bytes of the next request that are read before this one is answered.
+PIPELINED_BYTES = 4096
 # After the body h11 reports MUST_CLOSE instead of DONE if the caller closes
 # the connection after this request, and MIGHT_SWITCH_PROTOCOL until the answer
 # to one that asks for another protocol.
@@ -62,6 +68,10 @@
     """
 
 
+class MemoryCut(AnswerCut):
+    """Cancels the handler of a request that makes room for others."""
+
+
 class CallerConnection(Channel):
     """Reads requests, has them handled, and ends with its caller.
 
@@ -70,15 +80,18 @@
 
     __slots__ = (
         '_answering',
+        '_body_time',
         '_ended',
         '_handler',
         '_idle_since',
         '_reader',
         '_is_closing',
+        '_memory',
         '_sock',
         '_end_reason',
         '_is_answered',
         '_wire',
+        '_writer',
         'busy',
     )
 
@@ -89,8 +102,12 @@
         handler: Handler,
         limits: ServerLimits,
         is_closing: Callable[[], bool],
+        memory: CallerMemory,
     ) -> None:
         super().__init__(limits=limits)
+        self._memory = ConnectionMemory(memory=memory, owner=self)
+        self._body_time = BodyTime()
+        self._writer = AnswerWriter(sock=sock, memory=self._memory)
         self._sock = sock
         self._handler = handler
         self._is_closing = is_closing
@@ -103,6 +120,7 @@
             sock=sock,
             wire=self._wire,
             find_limit=lambda: self.limits.header_bytes,
+            on_incomplete=self._memory.keep_incomplete_head,
         )
         self._end_reason = ''
         self._is_answered = False
@@ -114,14 +132,15 @@
 
     async def run(self) -> None:
         """Answers requests until the connection ends."""
+        if not await self._memory.open():
+            return
         while True:
             try:
                 request = await self._next_request()
                 if request is not None:
                     await self._answer(request)
             finally:
-                self.busy = False
-                self._idle_since = time.monotonic()
+                await self._end_request()
             if request is None or not self._reusable():
                 await self._discard_rest()
                 return
@@ -152,6 +171,22 @@
             return
         await self._answering.cancel(exc=AnswerCut, blocking=False)
 
+    async def evict(self) -> None:
+        """Ends what the connection does, to make room for others."""
+        state = self._memory.state
+        log_event('caller_evicted', state=state.value)
+        if state is HoldState.IDLE:
+            self.close_if_idle(time.monotonic())
+        elif state is HoldState.SENDING or self._answering is None:
+            abort_socket(self._sock)
+        else:
+            await self._answering.cancel(exc=MemoryCut, blocking=False)
+
+    @property
+    def memory(self) -> ConnectionMemory:
+        """Implements :meth:`Channel.memory`."""
+        return self._memory
+
     def fail(self, reason: str) -> None:
         """Implements :meth:`Channel.fail`."""
         self._end_reason = reason
@@ -159,11 +194,16 @@
 
     async def close(self) -> None:
         """Closes the socket."""
+        self._memory.close()
         await self._sock.close()
 
     def connection_headers(self) -> list[tuple[str, str]]:
         """Implements :meth:`Channel.connection_headers`."""
-        if self._is_closing() and not self._has_pipelined():
+        # Bytes before the end of the body belong to this request.
+        has_pipelined = self._wire.their_state is h11.DONE and bool(
+            self._wire.trailing_data[0]
+        )
+        if self._is_closing() and not has_pipelined:
             return [('connection', 'close')]
         return []
 
@@ -171,11 +211,7 @@
         """Implements :meth:`Channel.send`."""
         packed = b''.join(self._wire.send(event) or b'' for event in events)
         try:
-            await with_timeout(
-                WRITE_TIMEOUT_S,
-                self._sock.sendall,
-                packed,
-            )
+            await self._writer.write(packed)
         except (curio.TaskTimeout, OSError) as exc:
             self.fail(f'not sent: {type(exc).__name__}: {exc}')
             raise
@@ -185,9 +221,13 @@
         """Implements :meth:`Channel.next_body_event`."""
         if self._wire.their_state in BODY_ENDED:
             return h11.EndOfMessage()
+        if self._wire.they_are_waiting_for_100_continue:
+            await self.send(
+                h11.InformationalResponse(status_code=100, headers=[]),
+            )
         try:
-            return await with_timeout(
-                BODY_TIMEOUT_S,
+            event = await with_timeout(
+                self._body_time.find_left(self.limits.body_s),
                 self._reader.next_event,
             )
         except TimeoutError:
@@ -198,6 +238,9 @@
         except h11.RemoteProtocolError as exc:
             self.fail(str(exc))
             raise MalformedRequest(detail=str(exc)) from exc
+        if isinstance(event, h11.Data):
+            self._body_time.add(len(event.data))
+        return event
 
     async def _next_request(self) -> HttpRequest | None:
         # The idle timeout applies to the first byte, the header timeout to the
@@ -206,59 +249,34 @@
         if idle and not await self._wait_first_byte():
             return None
         self.busy = True
+        self._memory.begin_head()
         try:
             event = await with_timeout(
                 self.limits.header_s,
                 self._reader.next_event,
             )
-            return self._check_head(event)
+            return await self._accept_head(event)
         except TimeoutError:
             await self._reject(RequestTimeout(detail='headers too slow'))
         except h11.RemoteProtocolError as exc:
-            await self._reject(_make_head_error(exc, self.limits.header_bytes))
-        except MalformedRequest as exc:
+            await self._reject(make_head_error(exc, self.limits.header_bytes))
+        except (MalformedRequest, CallerMemoryFull) as exc:
             await self._reject(exc)
         return None
 
-    async def _wait_first_byte(self) -> bool:
-        # The limit may change while the connection is idle.
-        idle_since = await curio.clock()
-        left_s = self.limits.idle_s
-        while True:
-            async with curio.ignore_after(left_s):
-                received = await self._sock.recv(READ_BYTES)
-                self._reader.take(received)
-                return bool(received) and not self._ended
-            left_s = idle_since + self.limits.idle_s - await curio.clock()
-            if left_s <= 0:
-                return False
-
-    def _check_head(self, event: h11.Event) -> HttpRequest | None:
+    async def _accept_head(self, event: h11.Event) -> HttpRequest | None:
         if not isinstance(event, h11.Request):
             return None
-        size = len(event.target) + sum(
-            len(name) + len(text) for name, text in event.headers
-        )
-        if size > self.limits.header_bytes:
-            # The reader limits only the size of incomplete heads.
-            raise HeadersTooLarge(
-                detail=f'headers exceed {self.limits.header_bytes} bytes',
-            )
-        names = [name for name, _ in event.headers]
-        if b'content-length' in names and b'transfer-encoding' in names:
-            raise AmbiguousFraming(
-                detail='both Content-Length and Transfer-Encoding',
-            )
-        header_rows = [
-            (name.decode('ascii'), content.decode('latin-1'))
-            for name, content in event.headers
-        ]
+        header_rows = check_head(event, self.limits.header_bytes)
+        await self._memory.keep_head(list(event.headers))
         headers = dict(header_rows)
         if headers.get('content-length', '0') == '0' and (
             'transfer-encoding' not in headers
         ):
             # The end of an empty body needs no further bytes from the caller.
             self._wire.next_event()
+            self._memory.end_body()
+        self._body_time.begin()
         return HttpRequest(
             method=event.method.decode('ascii'),
             target=event.target.decode('ascii'),
@@ -266,11 +284,18 @@
             conn=self,
         )
 
-    def _has_pipelined(self) -> bool:
-        # Bytes before the end of the body belong to this request.
-        if self._wire.their_state is not h11.DONE:
-            return False
-        return bool(self._wire.trailing_data[0])
+    async def _wait_first_byte(self) -> bool:
+        # The limit may change while the connection is idle.
+        idle_since = await curio.clock()
+        left_s = self.limits.idle_s
+        while True:
+            async with curio.ignore_after(left_s):
+                received = await self._sock.recv(READ_BYTES)
+                self._reader.take(received)
+                return bool(received) and not self._ended
+            left_s = idle_since + self.limits.idle_s - await curio.clock()
+            if left_s <= 0:
+                return False
 
     async def _answer(self, request: HttpRequest) -> None:
         responder = Responder(conn=self)
@@ -284,23 +309,20 @@
             if not self.broken:
                 self.fail(repr(exc.__cause__))
         finally:
-            await self._end_answer(request, responder, watcher)
+            self._end_handling(request, responder)
+            await watcher.cancel()
 
-    async def _end_answer(
-        self,
-        request: HttpRequest,
-        responder: Responder,
-        watcher: curio.Task,
-    ) -> None:
-        self._answering = None
-        self._log_if_unanswered(request, responder)
-        await watcher.cancel()
+    async def _end_request(self) -> None:
+        self.busy = False
+        self._idle_since = time.monotonic()
+        await self._memory.end_request()
 
-    def _log_if_unanswered(
+    def _end_handling(
         self,
         request: HttpRequest,
         responder: Responder,
     ) -> None:
+        self._answering = None
         if self._is_answered or self._wire.their_state not in BODY_ENDED:
             return
         log_event(
@@ -312,13 +334,6 @@
         )
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
-        if self._wire.they_are_waiting_for_100_continue:
-            await self.send(
-                h11.InformationalResponse(
-                    status_code=100,
-                    headers=[],
-                )
-            )
         try:
             await self._handler(request, responder)
         except JacinthmountError as exc:
@@ -344,27 +359,30 @@
     ) -> None:
         try:
             await self._handle(request, responder)
+        except MemoryCut:
+            await self._answer_cut(responder, make_full_error())
         except AnswerCut:
-            await self._answer_cut(request, responder)
+            log_event(
+                'cut_in_stop',
+                path=shorten(request.path),
+                answered=not responder.started,
+            )
+            exc = ShuttingDown(detail='the host stops')
+            await self._answer_cut(responder, exc)
 
     async def _answer_cut(
         self,
-        request: HttpRequest,
         responder: Responder,
+        not_run: JacinthmountError,
     ) -> None:
-        log_event(
-            'cut_in_stop',
-            path=shorten(request.path),
-            answered=not responder.started,
-        )
         whole = self._wire.their_state in BODY_ENDED
         self.broken = True
         if responder.started:
             return
         # No handler lets a request run before its body is complete.
-        exc: JacinthmountError = ShuttingDown(detail='the host stops')
+        exc = not_run
         if whole:
-            exc = DeadlineExceeded(detail='the host stops before the answer')
+            exc = DeadlineExceeded(detail='the request was ended')
         await responder.send_error(exc)
 
     async def _cancel_on_close(self, task: curio.Task) -> None:
@@ -373,7 +391,7 @@
         while self._wire.their_state not in BODY_ENDED:
             await curio.sleep(POLL_S)
         try:
-            received = await self._sock.recv(READ_BYTES)
+            received = await self._sock.recv(PIPELINED_BYTES)
         except OSError:
             received = b''
         if received:
@@ -404,12 +422,3 @@
         self.fail(str(exc))
         if self._wire.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await Responder(conn=self).send_error(exc)
-
-
-def _make_head_error(
-    exc: h11.RemoteProtocolError,
-    limit: int,
-) -> JacinthmountError:
-    if exc.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
-        return HeadersTooLarge(detail=f'headers exceed {limit} bytes')
-    return MalformedRequest(detail=str(exc))
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_messages.py
@@ -12,6 +12,7 @@
     MalformedRequest,
 )
 
+from jacinthmount_node.net.connection_memory import ConnectionMemory
 from jacinthmount_node.net.header_rows import pack_rows
 
 __all__ = (
@@ -26,7 +27,9 @@
 MAX_HEADER_BYTES = 32_768
 MAX_BODY_BYTES = 2 * 1024 * 1024
 HEADER_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 30.0
 IDLE_TIMEOUT_S = 75.0
+BLOCK_BYTES = 65_536
 
 
 class ServerLimits:
@@ -36,7 +39,7 @@
     read the current limits from this object.
     """
 
-    __slots__ = ('body_bytes', 'header_bytes', 'header_s', 'idle_s')
+    __slots__ = ('body_bytes', 'body_s', 'header_bytes', 'header_s', 'idle_s')
 
     def __init__(
         self,
@@ -44,6 +47,7 @@
         header_bytes: int = MAX_HEADER_BYTES,
         body_bytes: int = MAX_BODY_BYTES,
         header_s: float = HEADER_TIMEOUT_S,
+        body_s: float = BODY_TIMEOUT_S,
         idle_s: float = IDLE_TIMEOUT_S,
     ) -> None:
         """Creates limits.
@@ -51,11 +55,14 @@
         :param header_bytes: size of the request line and headers in bytes.
         :param body_bytes: size of the body in bytes.
         :param header_s: time to receive the headers in seconds.
+        :param body_s: time to receive the body in seconds, beyond that of
+            :class:`~jacinthmount_node.net.body_time.BodyTime`.
         :param idle_s: time until the next request in seconds.
         """
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
         self.header_s = header_s
+        self.body_s = body_s
         self.idle_s = idle_s
 
 
@@ -79,6 +86,11 @@
         """
         raise NotImplementedError
 
+    @property
+    def memory(self) -> ConnectionMemory:
+        """What the connection keeps."""
+        raise NotImplementedError
+
     def connection_headers(self) -> list[tuple[str, str]]:
         """Returns the headers of an answer that tell of the connection."""
         raise NotImplementedError
@@ -142,29 +154,65 @@
         :param limit: size limit in bytes, or None for that of the listener.
         :raises BodyTooLarge: the body exceeds the limit.
         :raises RequestTimeout: the caller sends too slowly.
+        :raises CallerMemoryFull: callers make the host keep too much.
         """
         size = 0
         if limit is None:
             limit = self._conn.limits.body_bytes
+        announced = int(self.headers.get('content-length', limit))
+        if announced > limit:
+            raise BodyTooLarge(detail=f'body exceeds {limit} bytes')
+        memory = self._conn.memory
         while True:
             event = await self._conn.next_body_event()
             if isinstance(event, h11.EndOfMessage):
+                memory.end_body()
                 return
             size += len(event.data)
             if size > limit:
                 raise BodyTooLarge(detail=f'body exceeds {limit} bytes')
+            memory.progress(max(1, announced - size))
             yield bytes(event.data)
 
     async def read_body(self, limit: int | None = None) -> bytes:
         """Reads the whole body; see ``iter_body``."""
-        return b''.join([piece async for piece in self.iter_body(limit)])
+        # Blocks of one size leave no gaps in memory, as a growing buffer does,
+        # and small pieces take no object each.
+        blocks: list[bytes] = []
+        block = bytearray()
+        size = 0
+        async for piece in self.iter_body(limit):
+            size += len(piece)
+            await self.keep(size)
+            block += piece
+            if len(block) >= BLOCK_BYTES:
+                blocks.append(bytes(block))
+                block.clear()
+        return b''.join([*blocks, block])
 
     async def read_json(self) -> dict[str, Any]:
         """Reads the body as a JSON object.
 
         :raises MalformedRequest: the body is not a JSON object.
         """
-        return parse_json_object(await self.read_body())
+        body = await self.read_body()
+        await self.keep_parsed(body)
+        return parse_json_object(body)
+
+    async def keep(self, size: int) -> None:
+        """Sets the bytes of the body that the handler keeps.
+
+        :raises CallerMemoryFull: callers make the host keep too much.
+        """
+        await self._conn.memory.keep_body(size)
+
+    async def keep_parsed(self, body: bytes) -> None:
+        """Counts the parsed form of a JSON body before it is parsed.
+
+        :raises BodyTooLarge: it outgrows the memory for all callers.
+        :raises CallerMemoryFull: callers make the host keep too much.
+        """
+        await self._conn.memory.keep_parsed(body)
 
 
 class Responder:
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -3,6 +3,7 @@
 import time
 
 import curio
+from jacinthmount.caller_memory import CallerMemory
 
 from jacinthmount_node.net.http_connection import (
     CONNECTION_ERRORS,
@@ -10,7 +11,11 @@
     Handler,
 )
 from jacinthmount_node.net.http_messages import ServerLimits
-from jacinthmount_node.net.sockets import accept, accept_queued
+from jacinthmount_node.net.sockets import (
+    SystemClock,
+    accept,
+    accept_queued,
+)
 
 __all__ = ('HttpServer',)
 
@@ -29,6 +34,7 @@
         '_connections',
         '_group',
         '_handler',
+        '_memory',
         '_sock',
         'limits',
     )
@@ -39,14 +45,18 @@
         sock,
         handler: Handler,
         limits: ServerLimits | None = None,
+        memory: CallerMemory | None = None,
     ) -> None:
         """Creates a server on a listening socket.
 
         :param limits: limits for callers, or None for the defaults.
+        :param memory: budget that all listeners of the process share, or None
+            for one of its own.
         """
         self._sock = sock
         self._handler = handler
         self.limits = limits or ServerLimits()
+        self._memory = memory or CallerMemory(clock=SystemClock())
         self._closing = False
         self._accepting: curio.Task | None = None
         self._group: curio.TaskGroup | None = None
@@ -107,6 +117,7 @@
             handler=self._handler,
             limits=self.limits,
             is_closing=self._is_closing,
+            memory=self._memory,
         )
         self._connections.add(conn)
         await group.spawn(self._serve, conn, daemon=True)
--- a/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/sockets.py
@@ -16,6 +16,7 @@
 from jacinthmount_node.logs import log_failure
 
 __all__ = (
+    'UNREAD_BYTES',
     'SystemClock',
     'abort_socket',
     'accept',
@@ -31,6 +32,9 @@
 ADDRESS = re.compile('(?P<ip>[0-9.]{7,15}):(?P<port>[0-9]{1,5})')
 MAX_PORT = 65_535
 LISTEN_BACKLOG = 512
+# Bytes that a connection of a caller may have received and not read. The system
+# would let them grow to megabytes.
+UNREAD_BYTES = 65_536
 # TCP keep-alive closes an idle connection about 3 s after its network failed.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -143,11 +147,13 @@
     return sock
 
 
-def listen(address: str):
+def listen(address: str, *, unread_bytes: int = 0):
     """Opens a listening TCP socket.
 
     The port is not shared, so this fails while another process listens on it.
 
+    :param unread_bytes: limit on the bytes that a connection has received and
+        not read; 0 leaves it to the system.
     :raises OSError: the address is in use.
     """
     sock = curio_socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
@@ -155,6 +161,10 @@
     # Accepted sockets inherit the option. Without it small pieces of a stream
     # would be delayed.
     sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+    if unread_bytes:
+        sock.setsockopt(
+            std_socket.SOL_SOCKET, std_socket.SO_RCVBUF, unread_bytes
+        )
     sock.bind(parse_address(address))
     sock.listen(LISTEN_BACKLOG)
     return sock
--- a/packages/jacinthmount-node/jacinthmount_node/net/wire_reader.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/wire_reader.py
@@ -1,6 +1,6 @@
 """Reader of HTTP events that yields regularly and limits framing bytes."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -19,6 +19,7 @@
 # and the end of a line, and the rest of the request line.
 SEPARATOR_BYTES = 4
 REQUEST_LINE_BYTES = 20
+USUAL_HEAD_BYTES = 2048
 
 
 class FramingTooLong(h11.RemoteProtocolError):
@@ -37,6 +38,7 @@
     __slots__ = (
         '_data_bytes',
         '_find_limit',
+        '_on_incomplete',
         '_sock',
         '_received_bytes',
         '_yield_budget',
@@ -49,16 +51,20 @@
         sock: Any,
         wire: h11.Connection,
         find_limit: Callable[[], int] | None = None,
+        on_incomplete: Callable[[int], Awaitable[None]] | None = None,
     ) -> None:
         """Creates a reader.
 
         :param find_limit: returns the bytes that the target, the names and the
             values of an incomplete head may have now, or None to leave the
             limit to the parser.
+        :param on_incomplete: told the bytes of an incomplete head that are
+            kept, once there are more than most heads have.
         """
         self._sock = sock
         self._wire = wire
         self._find_limit = find_limit
+        self._on_incomplete = on_incomplete
         self._yield_budget = YieldBudget()
         self._received_bytes = 0
         self._data_bytes = 0
@@ -75,7 +81,7 @@
                 await self._yield_budget.spend(0)
                 self._check_framing(event)
                 return event
-            self._check_incomplete()
+            await self._check_incomplete()
             received = await self._sock.recv(READ_BYTES)
             await self._yield_budget.spend(len(received))
             self.take(received)
@@ -85,7 +91,7 @@
         self._received_bytes += len(received)
         self._wire.receive_data(received)
 
-    def _check_incomplete(self) -> None:
+    async def _check_incomplete(self) -> None:
         if self._find_limit is None:
             return
         limit = self._find_limit()
@@ -97,6 +103,8 @@
                 f'{len(incomplete)} bytes without an end',
                 error_status_hint=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
             )
+        if self._on_incomplete and len(incomplete) > USUAL_HEAD_BYTES:
+            await self._on_incomplete(len(incomplete))
 
     def _check_framing(self, event: Any) -> None:
         if isinstance(event, h11.EndOfMessage):
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -7,6 +7,7 @@
 from jacinthmount.held_shares import HeldShares
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.net.connection_memory import make_caller_memory
 from jacinthmount_node.net.endpoint_pools import (
     EndpointPools,
     make_answer_memory,
@@ -14,7 +15,7 @@
 from jacinthmount_node.net.http_messages import ServerLimits
 from jacinthmount_node.net.http_server import HttpServer
 from jacinthmount_node.net.peers import PeerServer
-from jacinthmount_node.net.sockets import listen
+from jacinthmount_node.net.sockets import UNREAD_BYTES, listen
 from jacinthmount_node.parts import Part, run_parts, run_process
 from jacinthmount_node.relay.batch_runner import RelayBatchRunner
 from jacinthmount_node.relay.endpoint_notices import EndpointNotices
@@ -54,6 +55,7 @@
     """All components of one relay process."""
 
     __slots__ = (
+        '_caller_memory',
         '_notices',
         '_front_server',
         '_limits',
@@ -88,6 +90,12 @@
         memory = make_answer_memory(settings.memory_mb)
         self._pools = EndpointPools(memory=memory)
         state.metrics.show_answer_memory(memory)
+        self._caller_memory = make_caller_memory(
+            settings.memory_mb,
+            settings.max_descriptors,
+            state.metrics.count_eviction,
+        )
+        state.metrics.show_caller_memory(self._caller_memory)
         self._front_server: HttpServer | None = None
         self._runner: RelayBatchRunner | None = None
         links = open_links(state)
@@ -217,9 +225,10 @@
         )
         self._parts.update(assembly.parts)
         self._front_server = HttpServer(
-            sock=listen(state.settings.front_listen),
+            sock=listen(state.settings.front_listen, unread_bytes=UNREAD_BYTES),
             handler=assembly.front.handle,
             limits=self._limits,
+            memory=self._caller_memory,
         )
         self._parts['front'] = self._front_server.run
         if state.settings.ready_listen:
@@ -230,7 +239,11 @@
             )
 
     def _add_http(self, name: str, address: str, handler) -> None:
-        server = HttpServer(sock=listen(address), handler=handler)
+        server = HttpServer(
+            sock=listen(address, unread_bytes=UNREAD_BYTES),
+            handler=handler,
+            memory=self._caller_memory,
+        )
         self._parts[name] = server.run
 
     def _on_reload(self, number: int, frame: object) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -163,6 +163,7 @@
         account = front.find_account(call.key)
     body = await request.read_body()
     if route.takes_batches:
+        await request.keep_parsed(body)
         await _submit(call, front, route, account, body, responder)
         return
     online = OnlineCall(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/settings.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/settings.py
@@ -15,7 +15,7 @@
     rate and burst, over all hosts and in any ``rate_window_s`` seconds; 0
     disables admission on credit.
     ``memory_mb`` is the memory that the process may use, in MB; 0 if only the
-    system knows.
+    system knows. ``max_descriptors`` are those that it may open, likewise.
     ``config_object`` is the store object of the operator's configuration,
     ``endpoint_prefix`` the prefix of the endpoint registrations, and
     ``evacuation_prefix`` that of the objects named by evacuated data centres.
@@ -34,6 +34,7 @@
         'runs_batches',
         'stop_s',
         'memory_mb',
+        'max_descriptors',
         'rate_slack',
         'rate_window_s',
         'config_object',
@@ -53,6 +54,7 @@
     runs_batches: bool
     stop_s: float
     memory_mb: int
+    max_descriptors: int
     rate_slack: float
     rate_window_s: float
     config_object: str
--- a/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/fleet.py
@@ -32,6 +32,7 @@
 log_file = {folder}/{host}.log
 drain_delay_s = 0.5
 batch_look_ahead = {look_ahead}
+memory_mb = {memory_mb}
 
 [listen]
 listen = 127.0.0.1:{front}
@@ -73,12 +74,14 @@
         data_centres: dict[str, int],
         relayed: bool = False,
         look_ahead: int = DEFAULT_LOOK_AHEAD,
+        memory_mb: int = 0,
     ) -> None:
         """Writes settings files and certificates; starts no process.
 
         :param data_centres: number of hosts by data centre.
         :param relayed: connect hosts through a relay that can cut and delay.
         :param look_ahead: setting ``batch_look_ahead`` of the hosts.
+        :param memory_mb: setting ``memory_mb`` of the hosts.
         """
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
@@ -104,7 +107,7 @@
             reserve=self._reserve,
             relayed=relayed,
         )
-        self._write_settings(look_ahead)
+        self._write_settings(look_ahead, memory_mb)
 
     @property
     def token_path(self) -> Path:
@@ -341,7 +344,7 @@
                 },
             )
 
-    def _write_settings(self, look_ahead: int) -> None:
+    def _write_settings(self, look_ahead: int, memory_mb: int) -> None:
         self.token_path.write_text(ADMIN_TOKEN)
         authority = CertificateAuthority(folder=self._folder)
         peers = ', '.join(
@@ -355,6 +358,7 @@
                     data_centre=ports.data_centre,
                     folder=self._folder,
                     look_ahead=look_ahead,
+                    memory_mb=memory_mb,
                     front=ports.front,
                     ip=ports.ip,
                     peer=ports.peer,
--- a/packages/jacinthmount/jacinthmount/errors.py
+++ b/packages/jacinthmount/jacinthmount/errors.py
@@ -7,6 +7,7 @@
     'AnswerNotKept',
     'BatchFileInvalid',
     'BodyTooLarge',
+    'CallerMemoryFull',
     'CallInProgress',
     'DeadlineExceeded',
     'DeadlineUnreachable',
@@ -373,6 +374,14 @@
     run_state = NOT_RUN
 
 
+class CallerMemoryFull(JacinthmountError):
+    """Callers make the host keep too much; the request was not read whole."""
+
+    code = 1312
+    http_status = 503
+    run_state = NOT_RUN
+
+
 class StreamOriginUnavailable(JacinthmountError):
     """The version that began the stream can't be looked up yet."""
 
--- a/packages/jacinthmount/jacinthmount/files.py
+++ b/packages/jacinthmount/jacinthmount/files.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from jacinthmount.errors import BatchFileInvalid
+from jacinthmount.hashing import hash_text
 from jacinthmount.records import Record, count_json_bytes
 
 __all__ = (
@@ -24,6 +25,11 @@
 MAX_CHUNK_LINES = 250
 MAX_FILE_LINES = 100_000
 MAX_REPORTED_LINES = 20
+# Copies of the lines of a chunk while it is written.
+LINE_COPIES = 3
+# Integers and texts in sets.
+ID_HASH_BYTES = 80
+TARGET_BYTES = 120
 ROUTE_URL_PREFIX = '/services/'
 ITEM_METHODS = frozenset(('POST',))
 
@@ -122,10 +128,11 @@
 
     __slots__ = (
         '_invalid_lines',
-        '_custom_ids',
+        '_id_hashes',
         '_lines',
         '_partial',
         '_chunk_bytes',
+        '_target_bytes',
         'line_count',
         'size_bytes',
         'targets',
@@ -136,11 +143,20 @@
         self._lines: list[str] = []
         self._chunk_bytes = 0
         self._invalid_lines: list[int] = []
-        self._custom_ids: set[str] = set()
+        # Ids may be as long as lines.
+        self._id_hashes: set[int] = set()
+        self._target_bytes = 0
         self.line_count = 0
         self.size_bytes = 0
         self.targets: set[str] = set()
 
+    @property
+    def held_bytes(self) -> int:
+        """Estimate of the memory that the file takes until it is complete."""
+        lines = len(self._partial) + self._chunk_bytes
+        ids = len(self._id_hashes) * ID_HASH_BYTES
+        return lines * LINE_COPIES + ids + self._target_bytes
+
     def feed(self, piece: bytes) -> list[FileChunk]:
         """Adds the next bytes of the file.
 
@@ -186,13 +202,14 @@
         try:
             text = raw.decode()
             line = parse_line(text)
-            if line.custom_id in self._custom_ids:
+            id_hash = hash_text(line.custom_id)
+            if id_hash in self._id_hashes:
                 raise ValueError('custom_id repeats')
         except (ValueError, RecursionError):
             self._add_invalid_line()
             return []
-        self._custom_ids.add(line.custom_id)
-        self.targets.add(line_target(line))
+        self._id_hashes.add(id_hash)
+        self._add_target(line_target(line))
         return self._add_text(text)
 
     def _add_text(self, text: str) -> list[FileChunk]:
@@ -206,6 +223,11 @@
             chunks.append(self._end_chunk())
         return chunks
 
+    def _add_target(self, target: str) -> None:
+        if target not in self.targets:
+            self.targets.add(target)
+            self._target_bytes += len(target) + TARGET_BYTES
+
     def _add_invalid_line(self) -> None:
         if len(self._invalid_lines) < MAX_REPORTED_LINES:
             self._invalid_lines.append(self.line_count)
--- /dev/null
+++ b/tests/hostile_clients.py
@@ -0,0 +1,367 @@
+"""Crowds of clients that hold bodies, and the process that they call."""
+
+import contextlib
+import os
+import selectors
+import socket
+import threading
+import time
+from pathlib import Path
+
+__all__ = ('CASES', 'Crowd', 'ProcessWatch', 'Target')
+
+LOOPBACK = '127.0.0.1'
+KB_PER_MB = 1024
+MB = 1_048_576
+SAMPLE_S = 0.02
+RECV_BYTES = 65_536
+PIECE_BYTES = 8192
+PIECE_PAUSE_S = 0.005
+LARGE_CHUNK_BYTES = 65_536
+TINY_CHUNK_BYTES = 8
+FAR_OVER_BYTES = 9_999_999_999
+FAR_OVER_PIECES = 100_000
+# States of rows of /proc/net/tcp whose queue does not hold bytes.
+LISTENING = '0A'
+CLIENTS = 60
+# How long the clients send, and how long they stay open after it.
+SEND_S = 4.0
+# Chunks of a few bytes take longer to read.
+TINY_SEND_S = 10.0
+STAY_S = 1.0
+
+
+class Target:
+    """An interface that reads bodies.
+
+    ``make_body`` returns a valid body of a size in bytes.
+    """
+
+    __slots__ = ('head', 'limit_bytes', 'make_body', 'port')
+
+    def __init__(self, *, port, head, limit_bytes, make_body):
+        """Stores the port, the head without framing, and the limit."""
+        self.port = port
+        self.head = head
+        self.limit_bytes = limit_bytes
+        self.make_body = make_body
+
+
+class Sending:
+    """What one client sends: a head, and pieces with a pause after each."""
+
+    __slots__ = ('head', 'pause_s', 'pieces')
+
+    def __init__(self, *, head, pieces, pause_s=0.0):
+        """Stores them."""
+        self.head = head
+        self.pieces = pieces
+        self.pause_s = pause_s
+
+
+class Client:
+    """One connection of a crowd."""
+
+    __slots__ = ('next_at', 'pause_s', 'pieces', 'received', 'sock', 'unsent')
+
+    def __init__(self, *, port, sending):
+        """Connects."""
+        self.sock = socket.create_connection((LOOPBACK, port))
+        self.sock.setblocking(False)
+        self.pieces = iter(sending.pieces)
+        self.pause_s = sending.pause_s
+        self.unsent = memoryview(sending.head)
+        self.next_at = 0.0
+        self.received = b''
+
+    def send(self, now):
+        """Sends what the socket takes.
+
+        :returns: false once there is nothing more to send.
+        :raises OSError: the connection has ended.
+        """
+        if now < self.next_at:
+            return True
+        if not self.unsent:
+            piece = next(self.pieces, None)
+            if piece is None:
+                return False
+            self.unsent = memoryview(piece)
+        with contextlib.suppress(BlockingIOError):
+            self.unsent = self.unsent[self.sock.send(self.unsent) :]
+        if not self.unsent:
+            self.next_at = now + self.pause_s
+        return True
+
+    def receive(self):
+        """Reads what has arrived.
+
+        :returns: false once the connection has ended.
+        """
+        try:
+            received = self.sock.recv(RECV_BYTES)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        self.received = (self.received + received)[:RECV_BYTES]
+        return bool(received)
+
+
+class Crowd:
+    """Many clients at once, which stay open after what they have sent."""
+
+    __slots__ = ('_case', '_clients', '_selector', '_target')
+
+    def __init__(self, *, target, case):
+        """Connects nobody."""
+        self._target = target
+        self._case = case
+        self._clients = []
+        self._selector = selectors.DefaultSelector()
+
+    def send_and_stay(self, clients=CLIENTS):
+        """Connects, sends for a time at most, and stays open for another."""
+        sending = CASES[self._case](self._target)
+        for _ in range(clients):
+            client = Client(port=self._target.port, sending=sending)
+            self._clients.append(client)
+            self._selector.register(
+                client.sock,
+                selectors.EVENT_READ | selectors.EVENT_WRITE,
+                client,
+            )
+        send_s = TINY_SEND_S if 'tiny' in self._case else SEND_S
+        ends_at = time.monotonic() + send_s
+        while self._is_sending() and time.monotonic() < ends_at:
+            self._step()
+        ends_at = time.monotonic() + STAY_S
+        while time.monotonic() < ends_at:
+            self._step()
+
+    def close(self):
+        """Closes all connections."""
+        for client in self._clients:
+            client.sock.close()
+        self._selector.close()
+
+    def _is_sending(self):
+        return any(
+            key.events & selectors.EVENT_WRITE
+            for key in self._selector.get_map().values()
+        )
+
+    def _step(self):
+        now = time.monotonic()
+        for key, events in self._selector.select(PIECE_PAUSE_S):
+            client = key.data
+            if events & selectors.EVENT_READ and not client.receive():
+                self._selector.unregister(client.sock)
+                continue
+            if events & selectors.EVENT_WRITE:
+                self._send(client, now)
+        if all(client.next_at > now for client in self._clients):
+            time.sleep(PIECE_PAUSE_S)
+
+    def _send(self, client, now):
+        try:
+            goes_on = client.send(now)
+        except OSError:
+            self._selector.unregister(client.sock)
+            return
+        if not goes_on:
+            self._selector.modify(client.sock, selectors.EVENT_READ, client)
+
+
+class ProcessWatch:
+    """Records the peaks of a process's memory and descriptors.
+
+    ``memory_mb`` includes the bytes that its connections have received and it
+    has not read.
+    """
+
+    __slots__ = (
+        '_pid',
+        '_port',
+        '_stop',
+        '_thread',
+        'descriptors',
+        'memory_mb',
+    )
+
+    def __init__(self, *, pid, port):
+        """Starts no thread."""
+        self._pid = pid
+        self._port = port
+        self.memory_mb = 0.0
+        self.descriptors = 0
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self):
+        """Starts to watch."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        """Ends the watch."""
+        self._stop.set()
+        self._thread.join()
+
+    def count_descriptors(self):
+        """Counts the open descriptors now."""
+        return len(os.listdir(f'/proc/{self._pid}/fd'))
+
+    def _run(self):
+        while not self._stop.is_set():
+            with contextlib.suppress(OSError):
+                self._sample()
+            time.sleep(SAMPLE_S)
+
+    def _sample(self):
+        used_mb = read_resident_mb(self._pid) + read_unread_mb(self._port)
+        self.memory_mb = max(self.memory_mb, used_mb)
+        self.descriptors = max(self.descriptors, self.count_descriptors())
+
+
+def read_resident_mb(pid):
+    """Returns the resident memory of a process."""
+    rows = Path(f'/proc/{pid}/status').read_text().splitlines()
+    fields = dict(row.split(':', 1) for row in rows)
+    return int(fields['VmRSS'].split()[0]) / KB_PER_MB
+
+
+def read_unread_mb(port):
+    """Returns what the connections of a listener hold unread."""
+    unread = 0
+    for row in Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        fields = row.split()
+        local = int(fields[1].rpartition(':')[2], 16)
+        if local == port and fields[3] != LISTENING:
+            unread += int(fields[4].rpartition(':')[2], 16)
+    return unread / MB
+
+
+def with_length(target, size):
+    """Completes a head with a length."""
+    return b'%bcontent-length: %d\r\n\r\n' % (target.head, size)
+
+
+def with_chunks(target):
+    """Completes a head for chunks."""
+    return b'%btransfer-encoding: chunked\r\n\r\n' % target.head
+
+
+def split_chunks(body, size):
+    """Frames a body in chunks, without their end."""
+    return b''.join(
+        b'%x\r\n%b\r\n' % (len(chunk), chunk)
+        for chunk in split_pieces(body, size)
+    )
+
+
+def split_pieces(packed, size):
+    """Splits bytes into pieces."""
+    return [packed[at : at + size] for at in range(0, len(packed), size)]
+
+
+def repeat_far_over(piece):
+    """Returns more pieces than any client gets to send."""
+    return [piece for _ in range(FAR_OVER_PIECES)]
+
+
+def _length_whole(target):
+    body = target.make_body(target.limit_bytes)
+    return Sending(head=with_length(target, len(body)), pieces=[body[:-1]])
+
+
+def _length_in_pieces(target):
+    body = target.make_body(target.limit_bytes)
+    return Sending(
+        head=with_length(target, len(body)),
+        pieces=split_pieces(body[:-1], PIECE_BYTES),
+        pause_s=PIECE_PAUSE_S,
+    )
+
+
+def _large_chunks_whole(target):
+    body = target.make_body(target.limit_bytes)
+    framed = split_chunks(body, LARGE_CHUNK_BYTES)
+    return Sending(head=with_chunks(target), pieces=[framed])
+
+
+def _large_chunks_in_pieces(target):
+    body = target.make_body(target.limit_bytes)
+    framed = split_chunks(body, LARGE_CHUNK_BYTES)
+    return Sending(
+        head=with_chunks(target),
+        pieces=split_pieces(framed, PIECE_BYTES),
+        pause_s=PIECE_PAUSE_S,
+    )
+
+
+def _one_chunk(target):
+    body = target.make_body(target.limit_bytes)
+    framed = b'%x\r\n%b' % (len(body), body[:-1])
+    return Sending(head=with_chunks(target), pieces=[framed])
+
+
+def _tiny_chunks_whole(target):
+    body = target.make_body(target.limit_bytes)
+    framed = split_chunks(body, TINY_CHUNK_BYTES)
+    return Sending(head=with_chunks(target), pieces=[framed])
+
+
+def _tiny_chunks_in_pieces(target):
+    body = target.make_body(target.limit_bytes)
+    framed = split_chunks(body, TINY_CHUNK_BYTES)
+    return Sending(
+        head=with_chunks(target),
+        pieces=split_pieces(framed, PIECE_BYTES),
+        pause_s=PIECE_PAUSE_S,
+    )
+
+
+def _complete(target):
+    body = target.make_body(target.limit_bytes)
+    return Sending(head=with_length(target, len(body)), pieces=[body])
+
+
+def _announced_far_over(target):
+    return Sending(
+        head=with_length(target, FAR_OVER_BYTES),
+        pieces=repeat_far_over(target.make_body(LARGE_CHUNK_BYTES)),
+    )
+
+
+def _sent_far_over(target):
+    start = split_chunks(target.make_body(LARGE_CHUNK_BYTES), LARGE_CHUNK_BYTES)
+    more = split_chunks(b' ' * LARGE_CHUNK_BYTES, LARGE_CHUNK_BYTES)
+    return Sending(
+        head=with_chunks(target),
+        pieces=[start, *repeat_far_over(more)],
+    )
+
+
+def _sent_far_over_in_tiny_chunks(target):
+    start = split_chunks(target.make_body(PIECE_BYTES), TINY_CHUNK_BYTES)
+    more = split_chunks(b' ' * LARGE_CHUNK_BYTES, TINY_CHUNK_BYTES)
+    return Sending(
+        head=with_chunks(target), pieces=[start, *repeat_far_over(more)]
+    )
+
+
+# What each client of a crowd sends, by the name of the case.
+CASES = {
+    'length, whole': _length_whole,
+    'length, in pieces': _length_in_pieces,
+    'large chunks, whole': _large_chunks_whole,
+    'large chunks, in pieces': _large_chunks_in_pieces,
+    'one chunk': _one_chunk,
+    'tiny chunks, whole': _tiny_chunks_whole,
+    'tiny chunks, in pieces': _tiny_chunks_in_pieces,
+    'complete': _complete,
+    'announced far over': _announced_far_over,
+    'sent far over': _sent_far_over,
+    'sent far over in tiny chunks': _sent_far_over_in_tiny_chunks,
+}
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -64,6 +64,7 @@
         'runs_batches': False,
         'stop_s': 8,
         'memory_mb': 0,
+        'max_descriptors': 0,
         'rate_slack': 0,
         'rate_window_s': 5,
         'config_object': 'config/main',
--- a/tests/site.py
+++ b/tests/site.py
@@ -78,6 +78,7 @@
         slots: int = 8,
         token_s: float = 0.005,
         relayed: bool = False,
+        memory_mb: int = 0,
     ) -> None:
         """Starts all processes and applies the declarations.
 
@@ -86,12 +87,14 @@
         :param token_s: time of one step of an idle engine, in seconds.
         :param relayed: connect the processes through a relay whose routes
             a test can cut.
+        :param memory_mb: memory that a host may use; 0 for the machine's.
         """
         self.folder = folder
         self.fleet = Fleet(
             folder=folder,
             data_centres=data_centres,
             relayed=relayed,
+            memory_mb=memory_mb,
         )
         try:
             self._start(engines, accounts, slots, token_s)
--- /dev/null
+++ b/tests/test_hostile_clients.py
@@ -0,0 +1,297 @@
+"""Crowds of clients that hold bodies at each interface that reads them.
+
+Run one at a time, apart from other load.
+"""
+
+import json
+
+import pytest
+from jacinthmount_platform_standin.site import HOST_NAME, KEY, PlatformSite
+from jacinthmount_standin.fleet import ADMIN_TOKEN
+
+from tests.hostile_clients import CASES, CLIENTS, Crowd, ProcessWatch, Target
+from tests.site import MODEL, Site, eventually
+from tests.test_platform_site import make_items, submit
+
+# Memory that a process has, by its settings.
+FRONT_MEMORY_MB = 64
+HOST_MEMORY_MB = 80
+LIMIT_BYTES = 2_097_152
+# Descriptors beside those of the crowd.
+SPARE_DESCRIPTORS = 64
+WAIT_S = 40.0
+BOUNDARY = b'hostile'
+FORM_HEAD = (
+    b'--%b\r\ncontent-disposition: form-data; name="file"; '
+    b'filename="lot.jsonl"\r\n\r\n' % BOUNDARY
+)
+FORM_END = b'\r\n--%b--\r\n' % BOUNDARY
+LINE_BYTES = 200_000
+CHAT = {
+    'model': MODEL,
+    'max_tokens': 8,
+    'messages': [{'role': 'user', 'content': 'bale 42'}],
+}
+
+
+@pytest.fixture(scope='module')
+def platform_site(tmp_path_factory):
+    """A front, a runner and two engines of the platform."""
+    made = PlatformSite(
+        folder=tmp_path_factory.mktemp('platform'),
+        fronts=1,
+        runners=1,
+        memory_mb=FRONT_MEMORY_MB,
+    )
+    limits = {**made.config['limits'], 'max_body_bytes': LIMIT_BYTES}
+    made.config = {**made.config, 'limits': limits}
+    try:
+        made.start()
+        yield made
+    finally:
+        made.stop()
+
+
+@pytest.fixture(scope='module')
+def fleet_site(tmp_path_factory):
+    """A host of the first interface, with one engine."""
+    made = Site(
+        folder=tmp_path_factory.mktemp('fleet'),
+        data_centres={'east': 1},
+        engines={'engine-1': 'east'},
+        accounts={'gin': (900, 900)},
+        memory_mb=HOST_MEMORY_MB,
+    )
+    yield made
+    made.fleet.stop()
+
+
+@pytest.fixture(scope='module')
+def fleet_key(fleet_site):
+    """A key of the account gin."""
+    return fleet_site.grant('gin')[1]
+
+
+@pytest.fixture
+def front(platform_site):
+    """The front, started anew."""
+    platform_site.kill('front-1')
+    platform_site.start_host('front-1')
+    platform_site.wait_ready('front-1')
+    eventually(lambda: ask_platform(platform_site)[0] == 200, WAIT_S)
+    return platform_site
+
+
+@pytest.fixture
+def host(fleet_site, fleet_key):
+    """The host of the first interface, started anew."""
+    fleet_site.fleet.kill('east-h1')
+    fleet_site.fleet.start_host('east-h1')
+    fleet_site.fleet.wait_ready('east-h1')
+    eventually(lambda: ask_fleet(fleet_site, fleet_key) == 200, WAIT_S)
+    return fleet_site
+
+
+def ask_platform(site):
+    """Sends one ordinary request to the front."""
+    return site.call(
+        'front-1',
+        'POST',
+        '/check/1',
+        b'bale 42',
+        attempt_id='ordinary',
+        token_usage='450,5',
+        deadline_remaining='5000',
+    )
+
+
+def ask_fleet(site, key):
+    """Sends one ordinary request to the host, and returns its status."""
+    return site.chat('east-h1', key, 'bale 42').status
+
+
+def make_head(path, *rows):
+    """Builds a head without framing."""
+    return b''.join([
+        b'POST %b HTTP/1.1\r\n' % path.encode(),
+        *(b'%b\r\n' % row.encode() for row in rows),
+    ])
+
+
+def make_json(start, size):
+    """Builds a JSON object of a size in bytes."""
+    packed = json.dumps({**start, 'pad': ''}).encode()
+    return packed[:-2] + b' ' * (size - len(packed)) + packed[-2:]
+
+
+def make_form(size):
+    """Builds an upload of valid lines, of about a size in bytes."""
+    lines = []
+    left = size - len(FORM_HEAD) - len(FORM_END)
+    while left > 0:
+        line = {
+            'custom_id': f'item-{len(lines)}',
+            'method': 'POST',
+            'url': '/v1/chat/completions',
+            'body': CHAT,
+        }
+        packed = b'%b\n' % make_json(line, min(left, LINE_BYTES) - 1)
+        lines.append(packed)
+        left -= len(packed)
+    return FORM_HEAD + b''.join(lines) + FORM_END
+
+
+def make_batch(size):
+    """Builds a submission of a size in bytes."""
+    return make_json({'items': make_items(1)}, size)
+
+
+def platform_target(site, path, make_body):
+    """Returns a route of the front as a target."""
+    head = make_head(
+        path,
+        f'host: {HOST_NAME}',
+        f'authorization: Bearer {KEY}',
+        'attempt-id: hostile',
+        'token-usage: 450,5',
+        'deadline-remaining: 8000',
+    )
+    return Target(
+        port=site.fronts['front-1'],
+        head=head,
+        limit_bytes=LIMIT_BYTES,
+        make_body=make_body,
+    )
+
+
+def fleet_target(port, path, key, make_body, *rows):
+    """Returns an interface of the host as a target."""
+    head = make_head(
+        path, 'host: jacinthmount', f'authorization: Bearer {key}', *rows
+    )
+    return Target(
+        port=port, head=head, limit_bytes=LIMIT_BYTES, make_body=make_body
+    )
+
+
+def check_crowd(case, target, pid, memory_mb, is_alive, ask):
+    """Lets a crowd call a process, and checks what must hold.
+
+    :param memory_mb: bound on the memory of the process.
+    :param ask: sends one ordinary request and returns its status.
+    """
+    watch = ProcessWatch(pid=pid, port=target.port)
+    before = watch.count_descriptors()
+    crowd = Crowd(target=target, case=case)
+    with watch:
+        try:
+            crowd.send_and_stay()
+        finally:
+            crowd.close()
+        assert is_alive()
+        eventually(lambda: ask() == 200, WAIT_S)
+    assert is_alive()
+    assert watch.memory_mb < memory_mb
+    assert watch.descriptors <= before + CLIENTS + SPARE_DESCRIPTORS
+    eventually(
+        lambda: watch.count_descriptors() <= before + SPARE_DESCRIPTORS, WAIT_S
+    )
+
+
+@pytest.mark.parametrize('case', CASES)
+@pytest.mark.parametrize(
+    ('path', 'make_body'),
+    [
+        ('/check/1', lambda size: b'x' * size),
+        ('/audit/1', make_batch),
+    ],
+    ids=['requests', 'batches'],
+)
+def test_front_outlives_crowd(front, path, make_body, case):
+    """A crowd holds bodies at a front of the platform."""
+    process = front.processes['front-1']
+    check_crowd(
+        case,
+        platform_target(front, path, make_body),
+        process.pid,
+        FRONT_MEMORY_MB,
+        lambda: process.poll() is None,
+        lambda: ask_platform(front)[0],
+    )
+
+
+@pytest.mark.parametrize('case', CASES)
+@pytest.mark.parametrize(
+    ('path', 'make_body', 'rows'),
+    [
+        ('/v1/chat/completions', lambda size: make_json(CHAT, size), ()),
+        ('/services/brief/send', lambda size: b'x' * size, ()),
+        (
+            '/v1/files',
+            make_form,
+            ('content-type: multipart/form-data; boundary=hostile',),
+        ),
+        ('/v1/batches', lambda size: make_json({}, size), ()),
+    ],
+    ids=['chat', 'services', 'files', 'batches'],
+)
+def test_host_outlives_crowd(host, fleet_key, path, make_body, rows, case):
+    """A crowd holds bodies at a host of the first interface."""
+    check_crowd(
+        case,
+        fleet_target(
+            host.fleet.hosts['east-h1'].front, path, fleet_key, make_body, *rows
+        ),
+        host.fleet.process_id('east-h1'),
+        HOST_MEMORY_MB,
+        lambda: host.fleet.alive('east-h1'),
+        lambda: ask_fleet(host, fleet_key),
+    )
+
+
+@pytest.mark.parametrize('case', CASES)
+def test_host_outlives_crowd_of_operators(host, fleet_key, case):
+    """A crowd holds bodies at the listener for operators."""
+    check_crowd(
+        case,
+        fleet_target(
+            host.fleet.hosts['east-h1'].admin,
+            '/admin/withdraw',
+            ADMIN_TOKEN,
+            lambda size: make_json({'key_id': 'none'}, size),
+        ),
+        host.fleet.process_id('east-h1'),
+        HOST_MEMORY_MB,
+        lambda: host.fleet.alive('east-h1'),
+        lambda: ask_fleet(host, fleet_key),
+    )
+
+
+def test_lone_body_is_served_in_calm(front):
+    """One request at the limit is served."""
+    status, _ = front.call(
+        'front-1',
+        'POST',
+        '/check/1',
+        b'x' * LIMIT_BYTES,
+        attempt_id='large',
+        token_usage='450,5',
+        deadline_remaining='8000',
+    )
+    assert status == 200
+
+
+def test_lone_submission_is_accepted_in_calm(front):
+    """One batch is accepted whose items together come close to the limit."""
+    text = 'A' * (LIMIT_BYTES // 2)
+    items = [{**one, 'body': text} for one in make_items(1)]
+    assert submit(front, items) == 202
+
+
+def test_lone_body_of_first_interface_is_served_in_calm(host, fleet_key):
+    """One request at the limit is served."""
+    packed = make_json(CHAT, LIMIT_BYTES)
+    answer = host.call(
+        'east-h1', 'POST', '/v1/chat/completions', packed, fleet_key
+    )
+    assert answer.status == 200
