Heads, unread answers, items read back and second copies are bounded, too

Seen by callers: the same end of a process as with held bodies, by 200 heads of 3000 short rows, 60 callers that ask for a large item and don't read it, three bodies of small objects, or one upload whose ids are as long as its lines. Found by asking what else a caller makes a process keep.

Change: nothing of a request is kept after it; four items are read back at a time; large answers and bodies are sent without a copy. The readiness and metrics listeners have a small budget of their own, so that probes are answered beside a crowd. Without a limit of the system on descriptors the budget falls back to a fixed one, where it would have refused everybody.

--- a/packages/jacinthmount-node/jacinthmount_node/net/answer_writer.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/answer_writer.py
@@ -21,21 +21,23 @@
         self._sock = sock
         self._memory = memory
 
-    async def write(self, packed: bytes) -> None:
-        """Writes all bytes.
+    async def write(self, parts: list[bytes]) -> None:
+        """Writes all bytes; those of a usual size at once.
 
         :raises OSError: the connection has ended.
         :raises TimeoutError: the caller reads too slowly.
         """
-        if len(packed) > LARGE_WRITE_BYTES:
-            await with_timeout(WRITE_TIMEOUT_S, self._write_large, packed)
-        else:
-            await with_timeout(WRITE_TIMEOUT_S, self._sock.sendall, packed)
-
-    async def _write_large(self, packed: bytes) -> None:
-        before = await self._memory.begin_answer(len(packed))
+        size = sum(len(part) for part in parts)
+        if size > LARGE_WRITE_BYTES:
+            await with_timeout(WRITE_TIMEOUT_S, self._write_large, parts, size)
+            return
+        await with_timeout(WRITE_TIMEOUT_S, self._sock.sendall, b''.join(parts))
+
+    async def _write_large(self, parts: list[bytes], size: int) -> None:
+        before = await self._memory.begin_answer(size)
         try:
-            await self._write_pieces(memoryview(packed))
+            for part in parts:
+                await self._write_pieces(memoryview(part))
         finally:
             await self._memory.end_answer(before)
 
--- a/packages/jacinthmount-node/jacinthmount_node/net/connection_memory.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/connection_memory.py
@@ -2,7 +2,7 @@
 
 import os
 import resource
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from jacinthmount.caller_memory import CallerMemory, Holding, HoldState
@@ -19,6 +19,8 @@
 MAX_CALLERS_BYTES = 1_073_741_824
 # Fraction of the descriptors that the connections of callers may take.
 DESCRIPTORS_FRACTION = 0.5
+# Where the system sets no limit.
+MAX_DESCRIPTORS = 1_048_576
 # The task, the parser and the socket of a connection; more tasks for a request.
 CONNECTION_BYTES = 8192
 REQUEST_BYTES = 12_288
@@ -59,6 +61,11 @@
         """What the connection does."""
         return self._holding.state
 
+    @property
+    def idle_since(self) -> float:
+        """Monotonic time since which the connection does what it does."""
+        return self._holding.progressed_at
+
     async def open(self) -> bool:
         """Counts the connection.
 
@@ -175,7 +182,8 @@
             + self._answer_bytes
         )
         ended = self._memory.resize(self._holding, size, is_forced=is_forced)
-        await _evict(one for one in ended if one is not self._holding)
+        if ended:
+            await _evict(one for one in ended if one is not self._holding)
 
 
 def make_full_error() -> CallerMemoryFull:
@@ -202,7 +210,7 @@
     if not host_bytes:
         host_bytes = os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
     if not descriptors:
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        descriptors = _read_descriptors()
     limit_bytes = int(host_bytes * CALLERS_MEMORY_FRACTION)
     return CallerMemory(
         clock=SystemClock(),
@@ -212,6 +220,13 @@
     )
 
 
-async def _evict(ended) -> None:
+def _read_descriptors() -> int:
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_DESCRIPTORS
+    return descriptors
+
+
+async def _evict(ended: Iterable[Holding]) -> None:
     for holding in ended:
         await holding.owner.evict()
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -27,6 +27,7 @@
 UNLIMITED_S = math.inf
 
 TRANSPORT_ERRORS = (OSError, h11.ProtocolError, curio.TaskTimeout)
+LARGE_BODY_BYTES = 65_536
 ATTEMPT_ERRORS = (*TRANSPORT_ERRORS, EndpointFailed)
 
 
@@ -95,9 +96,14 @@
             headers=pack_rows(rows),
         )
         events = [request, h11.Data(data=body), h11.EndOfMessage()]
-        packed = b''.join(self._wire.send(event) or b'' for event in events)
+        parts = [self._wire.send(event) or b'' for event in events]
         self.stage = Stage.SENT
-        await self._sock.sendall(packed)
+        if len(body) <= LARGE_BODY_BYTES:
+            parts = [b''.join(parts)]
+        # A large body is not copied, as an endpoint may read it slowly.
+        for part in parts:
+            if part:
+                await self._sock.sendall(part)
 
     async def read_head(self, *, framed: bool = True) -> None:
         """Reads the status and headers of the answer.
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
@@ -83,7 +83,6 @@
         '_body_time',
         '_ended',
         '_handler',
-        '_idle_since',
         '_reader',
         '_is_closing',
         '_memory',
@@ -128,31 +127,22 @@
         self._answering: curio.Task | None = None
         # Idle connections that were closed here take no more requests.
         self._ended = False
-        self._idle_since = time.monotonic()
 
     async def run(self) -> None:
         """Answers requests until the connection ends."""
         if not await self._memory.open():
             return
-        while True:
-            try:
-                request = await self._next_request()
-                if request is not None:
-                    await self._answer(request)
-            finally:
-                await self._end_request()
-            if request is None or not self._reusable():
-                await self._discard_rest()
-                return
+        while await self._serve_next():
             self._wire.start_next_cycle()
             self._is_answered = False
+        await self._discard_rest()
 
     def close_if_idle(self, idle_since: float) -> None:
         """Closes the connection unless a request has come.
 
         :param idle_since: monotonic time at which it was idle already.
         """
-        if self.busy or self._ended or self._idle_since > idle_since:
+        if self.busy or self._ended or self._memory.idle_since > idle_since:
             return
         if has_unread(self._sock):
             return
@@ -209,9 +199,9 @@
 
     async def send(self, *events: h11.Event) -> None:
         """Implements :meth:`Channel.send`."""
-        packed = b''.join(self._wire.send(event) or b'' for event in events)
+        parts = [self._wire.send(event) or b'' for event in events]
         try:
-            await self._writer.write(packed)
+            await self._writer.write(parts)
         except (curio.TaskTimeout, OSError) as exc:
             self.fail(f'not sent: {type(exc).__name__}: {exc}')
             raise
@@ -242,6 +232,20 @@
             self._body_time.add(len(event.data))
         return event
 
+    async def _serve_next(self) -> bool:
+        """Answers a request, of which nothing is kept after it.
+
+        :returns: whether another one may follow.
+        """
+        try:
+            request = await self._next_request()
+            if request is not None:
+                await self._answer(request)
+        finally:
+            self.busy = False
+            await self._memory.end_request()
+        return request is not None and self._reusable()
+
     async def _next_request(self) -> HttpRequest | None:
         # The idle timeout applies to the first byte, the header timeout to the
         # rest of the head.
@@ -250,6 +254,7 @@
             return None
         self.busy = True
         self._memory.begin_head()
+        error: JacinthmountError
         try:
             event = await with_timeout(
                 self.limits.header_s,
@@ -257,18 +262,20 @@
             )
             return await self._accept_head(event)
         except TimeoutError:
-            await self._reject(RequestTimeout(detail='headers too slow'))
+            error = RequestTimeout(detail='headers too slow')
         except h11.RemoteProtocolError as exc:
-            await self._reject(make_head_error(exc, self.limits.header_bytes))
+            error = make_head_error(exc, self.limits.header_bytes)
         except (MalformedRequest, CallerMemoryFull) as exc:
-            await self._reject(exc)
+            # The frames of the traceback keep the head.
+            error = exc.with_traceback(None)
+        await self._reject(error)
         return None
 
     async def _accept_head(self, event: h11.Event) -> HttpRequest | None:
         if not isinstance(event, h11.Request):
             return None
-        header_rows = check_head(event, self.limits.header_bytes)
         await self._memory.keep_head(list(event.headers))
+        header_rows = check_head(event, self.limits.header_bytes)
         headers = dict(header_rows)
         if headers.get('content-length', '0') == '0' and (
             'transfer-encoding' not in headers
@@ -312,11 +319,6 @@
             self._end_handling(request, responder)
             await watcher.cancel()
 
-    async def _end_request(self) -> None:
-        self.busy = False
-        self._idle_since = time.monotonic()
-        await self._memory.end_request()
-
     def _end_handling(
         self,
         request: HttpRequest,
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_messages.py
@@ -181,14 +181,19 @@
         blocks: list[bytes] = []
         block = bytearray()
         size = 0
-        async for piece in self.iter_body(limit):
-            size += len(piece)
-            await self.keep(size)
-            block += piece
-            if len(block) >= BLOCK_BYTES:
-                blocks.append(bytes(block))
-                block.clear()
-        return b''.join([*blocks, block])
+        try:
+            async for piece in self.iter_body(limit):
+                size += len(piece)
+                await self.keep(size)
+                block += piece
+                if len(block) >= BLOCK_BYTES:
+                    blocks.append(bytes(block))
+                    block.clear()
+            return b''.join([*blocks, block])
+        finally:
+            # The frames of an error live until the caller has it.
+            blocks.clear()
+            block.clear()
 
     async def read_json(self) -> dict[str, Any]:
         """Reads the body as a JSON object.
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
@@ -60,6 +60,7 @@
 SEGMENT_QUERY_TIMEOUT_S = 0.15
 RETRY_AFTER_S = 1.0
 SUBMIT_TIMEOUT_S = 1.5
+MAX_ITEM_READS = 4
 # The retry goes to another host, so it need not wait.
 OTHER_HOST_RETRY_AFTER_S = 0.05
 MS = 1000
@@ -72,6 +73,7 @@
         '_logs',
         '_manifests',
         '_connectivity',
+        '_item_reads',
         '_runner_link',
         '_state',
     )
@@ -86,6 +88,8 @@
         self._connectivity = connectivity
         self._state = state
         self._runner_link = runner_link
+        # Each holds all items of a batch for a moment.
+        self._item_reads = curio.Semaphore(MAX_ITEM_READS)
         self._logs: OrderedDict[str, BatchLog] = OrderedDict()
         self._manifests: OrderedDict[str, ItemBatch] = OrderedDict()
 
@@ -162,11 +166,14 @@
         """
         key = batch_key(account, batch_id)
         manifest = await self._find_manifest(key)
-        if item_id in manifest.item_ids:
-            for item in await read_items(self._state.store, key, manifest):
-                if item.item_id == item_id:
-                    return base64.b64decode(item.body)
-        raise NotFound(detail='no such item')
+        if item_id not in manifest.item_ids:
+            raise NotFound(detail='no such item')
+        async with self._item_reads:
+            items = await read_items(self._state.store, key, manifest)
+            found = [one.body for one in items if one.item_id == item_id]
+            if not found:
+                raise NotFound(detail='no such item')
+            return base64.b64decode(found[0])
 
     async def end(self, account: str, batch_id: str) -> None:
         """Ends a batch; idempotent.
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -4,6 +4,7 @@
 import signal
 
 import curio
+from jacinthmount.caller_memory import CallerMemory
 from jacinthmount.held_shares import HeldShares
 
 from jacinthmount_node.logs import log_event
@@ -39,6 +40,8 @@
 __all__ = ('RelayDaemon', 'run_relay')
 
 RESTART_PAUSE_S = 0.5
+# What callers of the readiness and metrics listeners may make it keep.
+PROBE_MEMORY_BYTES = 4_194_304
 SIGNAL_POLL_S = 0.1
 # Load balancers may still send requests for this long after the process stops
 # being ready.
@@ -63,6 +66,7 @@
         '_parts',
         '_pools',
         '_ports',
+        '_probe_memory',
         '_connectivity',
         '_reporter',
         '_runner',
@@ -96,6 +100,10 @@
             state.metrics.count_eviction,
         )
         state.metrics.show_caller_memory(self._caller_memory)
+        # Probes are answered while callers fill their budget.
+        self._probe_memory = CallerMemory(
+            clock=ports.clock, limit_bytes=PROBE_MEMORY_BYTES
+        )
         self._front_server: HttpServer | None = None
         self._runner: RelayBatchRunner | None = None
         links = open_links(state)
@@ -242,7 +250,7 @@
         server = HttpServer(
             sock=listen(address, unread_bytes=UNREAD_BYTES),
             handler=handler,
-            memory=self._caller_memory,
+            memory=self._probe_memory,
         )
         self._parts[name] = server.run
 
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -21,6 +21,8 @@
 TINY_CHUNK_BYTES = 8
 FAR_OVER_BYTES = 9_999_999_999
 FAR_OVER_PIECES = 100_000
+# Rows of a head that stays below the limit on its bytes.
+HEAD_ROWS = 3000
 # States of rows of /proc/net/tcp whose queue does not hold bytes.
 LISTENING = '0A'
 CLIENTS = 60
@@ -50,29 +52,36 @@
 class Sending:
     """What one client sends: a head, and pieces with a pause after each."""
 
-    __slots__ = ('head', 'pause_s', 'pieces')
+    __slots__ = ('head', 'is_reading', 'pause_s', 'pieces')
 
-    def __init__(self, *, head, pieces, pause_s=0.0):
-        """Stores them."""
+    def __init__(self, *, head, pieces, pause_s=0.0, is_reading=True):
+        """Stores them, and whether the client reads answers."""
         self.head = head
         self.pieces = pieces
         self.pause_s = pause_s
+        self.is_reading = is_reading
 
 
 class Client:
     """One connection of a crowd."""
 
-    __slots__ = ('next_at', 'pause_s', 'pieces', 'received', 'sock', 'unsent')
+    __slots__ = ('events', 'next_at', 'pause_s', 'pieces', 'sock', 'unsent')
 
     def __init__(self, *, port, sending):
         """Connects."""
-        self.sock = socket.create_connection((LOOPBACK, port))
+        self.sock = socket.socket()
+        self.events = selectors.EVENT_READ
+        if not sending.is_reading:
+            self.events = 0
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_BYTES
+            )
+        self.sock.connect((LOOPBACK, port))
         self.sock.setblocking(False)
         self.pieces = iter(sending.pieces)
         self.pause_s = sending.pause_s
         self.unsent = memoryview(sending.head)
         self.next_at = 0.0
-        self.received = b''
 
     def send(self, now):
         """Sends what the socket takes.
@@ -99,13 +108,11 @@
         :returns: false once the connection has ended.
         """
         try:
-            received = self.sock.recv(RECV_BYTES)
+            return bool(self.sock.recv(RECV_BYTES))
         except BlockingIOError:
             return True
         except OSError:
             return False
-        self.received = (self.received + received)[:RECV_BYTES]
-        return bool(received)
 
 
 class Crowd:
@@ -122,15 +129,12 @@
 
     def send_and_stay(self, clients=CLIENTS):
         """Connects, sends for a time at most, and stays open for another."""
-        sending = CASES[self._case](self._target)
+        sending = {**CASES, **FURTHER_CASES}[self._case](self._target)
         for _ in range(clients):
             client = Client(port=self._target.port, sending=sending)
             self._clients.append(client)
-            self._selector.register(
-                client.sock,
-                selectors.EVENT_READ | selectors.EVENT_WRITE,
-                client,
-            )
+            events = client.events | selectors.EVENT_WRITE
+            self._selector.register(client.sock, events, client)
         send_s = TINY_SEND_S if 'tiny' in self._case else SEND_S
         ends_at = time.monotonic() + send_s
         while self._is_sending() and time.monotonic() < ends_at:
@@ -169,8 +173,12 @@
         except OSError:
             self._selector.unregister(client.sock)
             return
-        if not goes_on:
-            self._selector.modify(client.sock, selectors.EVENT_READ, client)
+        if goes_on:
+            return
+        if client.events:
+            self._selector.modify(client.sock, client.events, client)
+        else:
+            self._selector.unregister(client.sock)
 
 
 class ProcessWatch:
@@ -365,3 +373,30 @@
     'sent far over': _sent_far_over,
     'sent far over in tiny chunks': _sent_far_over_in_tiny_chunks,
 }
+
+
+def _many_rows(target):
+    rows = b'a:b\r\n' * HEAD_ROWS
+    return Sending(
+        head=b'%b%bcontent-length: 10\r\n\r\n' % (target.head, rows),
+        pieces=[],
+    )
+
+
+def _pipelined(target):
+    more = target.make_body(LARGE_CHUNK_BYTES)
+    return Sending(
+        head=b'%bab' % with_length(target, 2), pieces=repeat_far_over(more)
+    )
+
+
+def _unread_answers(target):
+    return Sending(head=b'%b\r\n' % target.head, pieces=[], is_reading=False)
+
+
+# What else a caller can make a process keep.
+FURTHER_CASES = {
+    'many header rows': _many_rows,
+    'pipelined': _pipelined,
+    'unread answers': _unread_answers,
+}
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -27,6 +27,11 @@
 )
 FORM_END = b'\r\n--%b--\r\n' % BOUNDARY
 LINE_BYTES = 200_000
+LONG_IDS = 300
+ITEM_CHARS = 900_000
+# A crowd of those that hold less each, and one of those that hold more.
+HEADS_CROWD = 200
+FEW = 3
 CHAT = {
     'model': MODEL,
     'max_tokens': 8,
@@ -146,6 +151,11 @@
     return make_json({'items': make_items(1)}, size)
 
 
+def make_small_objects(size):
+    """Builds a JSON object of a size in bytes that holds many others."""
+    return b'{"items": [%b{}]}' % (b'{},' * ((size - 20) // 3))
+
+
 def platform_target(site, path, make_body):
     """Returns a route of the front as a target."""
     head = make_head(
@@ -174,7 +184,7 @@
     )
 
 
-def check_crowd(case, target, pid, memory_mb, is_alive, ask):
+def check_crowd(case, target, pid, memory_mb, is_alive, ask, clients=CLIENTS):
     """Lets a crowd call a process, and checks what must hold.
 
     :param memory_mb: bound on the memory of the process.
@@ -185,14 +195,14 @@
     crowd = Crowd(target=target, case=case)
     with watch:
         try:
-            crowd.send_and_stay()
+            crowd.send_and_stay(clients)
         finally:
             crowd.close()
         assert is_alive()
         eventually(lambda: ask() == 200, WAIT_S)
     assert is_alive()
     assert watch.memory_mb < memory_mb
-    assert watch.descriptors <= before + CLIENTS + SPARE_DESCRIPTORS
+    assert watch.descriptors <= before + clients + SPARE_DESCRIPTORS
     eventually(
         lambda: watch.count_descriptors() <= before + SPARE_DESCRIPTORS, WAIT_S
     )
@@ -267,6 +277,116 @@
     )
 
 
+def check_front(front, case, target, clients=CLIENTS):
+    """Lets a crowd call the front, and checks what must hold."""
+    process = front.processes['front-1']
+    check_crowd(
+        case,
+        target,
+        process.pid,
+        FRONT_MEMORY_MB,
+        lambda: process.poll() is None,
+        lambda: ask_platform(front)[0],
+        clients,
+    )
+
+
+def test_front_outlives_heads_of_many_rows(front):
+    """A crowd sends heads of many short rows, and no body."""
+    target = platform_target(front, '/check/1', None)
+    check_front(front, 'many header rows', target, HEADS_CROWD)
+
+
+def test_front_outlives_pipelined_bytes(front):
+    """A crowd sends on while its requests wait for engines."""
+    for port in front.engines.values():
+        front.switch(port, silent=True)
+    target = platform_target(front, '/check/1', lambda size: b'x' * size)
+    process = front.processes['front-1']
+    try:
+        with ProcessWatch(pid=process.pid, port=target.port) as watch:
+            crowd = Crowd(target=target, case='pipelined')
+            crowd.send_and_stay()
+            crowd.close()
+    finally:
+        for port in front.engines.values():
+            front.switch(port, silent=False)
+    assert process.poll() is None
+    assert watch.memory_mb < FRONT_MEMORY_MB
+    eventually(lambda: ask_platform(front)[0] == 200, WAIT_S)
+
+
+def test_front_outlives_unread_answers(front):
+    """A crowd asks for a large item and doesn't read it."""
+    text = 'A' * ITEM_CHARS
+    items = [{**one, 'body': text} for one in make_items(1)]
+    assert submit(front, items, 'unread') == 202
+    head = make_head(
+        '/api/items/unread?id=item-0',
+        f'host: {HOST_NAME}',
+        f'authorization: Bearer {KEY}',
+    ).replace(b'POST', b'GET')
+    target = Target(
+        port=front.fronts['front-1'], head=head, limit_bytes=0, make_body=None
+    )
+    check_front(front, 'unread answers', target)
+
+
+def test_front_outlives_small_objects(front):
+    """A few submissions have many small objects."""
+    check_front(
+        front,
+        'complete',
+        platform_target(front, '/audit/1', make_small_objects),
+        FEW,
+    )
+
+
+@pytest.mark.parametrize('path', ['/v1/chat/completions', '/v1/batches'])
+def test_host_outlives_small_objects(host, fleet_key, path):
+    """A few requests of the first interface have many small objects."""
+    check_crowd(
+        'complete',
+        fleet_target(
+            host.fleet.hosts['east-h1'].front,
+            path,
+            fleet_key,
+            make_small_objects,
+        ),
+        host.fleet.process_id('east-h1'),
+        HOST_MEMORY_MB,
+        lambda: host.fleet.alive('east-h1'),
+        lambda: ask_fleet(host, fleet_key),
+        FEW,
+    )
+
+
+def test_host_outlives_long_ids(host, fleet_key):
+    """One upload has lines with ids of nearly their whole length."""
+    lines = b'\n'.join(
+        json.dumps({
+            'custom_id': f'{number}-'.ljust(LINE_BYTES, 'i'),
+            'method': 'POST',
+            'url': '/v1/chat/completions',
+            'body': CHAT,
+        }).encode()
+        for number in range(LONG_IDS)
+    )
+    pid = host.fleet.process_id('east-h1')
+    with ProcessWatch(pid=pid, port=host.fleet.hosts['east-h1'].front) as watch:
+        answer = host.call(
+            'east-h1',
+            'POST',
+            '/v1/files',
+            b'%b%b%b' % (FORM_HEAD, lines, FORM_END),
+            fleet_key,
+            content_type='multipart/form-data; boundary=hostile',
+        )
+    assert answer.status == 200
+    assert watch.memory_mb < HOST_MEMORY_MB
+    assert ask_fleet(host, fleet_key) == 200
+
+
 def test_lone_body_is_served_in_calm(front):
     """One request at the limit is served."""
     status, _ = front.call(
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,6 +7,7 @@
 import curio
 import pytest
 from curio import socket as curio_socket
+from jacinthmount_node.net.http_messages import ServerLimits
 from jacinthmount_node.net.http_server import HttpServer
 from jacinthmount_node.net.sockets import listen
 from jacinthmount_standin.addresses import LOOPBACK, PortReserve
@@ -331,3 +332,58 @@
     for caller in callers:
         caller.close()
     return received
+
+
+async def call_with_limits(address, limits, talk):
+    """Runs a caller of a server that reads bodies.
+
+    :param talk: coroutine function of the caller.
+    :returns: what it returns.
+    """
+
+    async def read(request, responder):
+        await request.read_body()
+        await responder.send(200, b'whole', [])
+
+    sock = listen(f'{address[0]}:{address[1]}')
+    server = HttpServer(sock=sock, handler=read, limits=limits)
+    serving = await curio.spawn(server.run, daemon=True)
+    conn = await curio_socket.create_connection(address)
+    try:
+        return await curio.timeout_after(5, talk, conn)
+    finally:
+        await conn.close()
+        await serving.cancel()
+
+
+def test_whole_body_has_a_bounded_time(address):
+    """A caller that sends a byte now and then is refused as not run."""
+
+    async def talk(conn):
+        await conn.sendall(
+            b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\n'
+        )
+        received = None
+        while not received:
+            await conn.sendall(b'x')
+            received = await curio.ignore_after(0.06, conn.recv, 1000)
+        return received
+
+    limits = ServerLimits(body_s=0.3)
+    received = curio.run(call_with_limits, address, limits, talk)
+    assert received.startswith(b'HTTP/1.1 408')
+
+
+def test_body_announced_over_its_limit_is_refused_unread(address):
+    """The answer comes before any byte of the body."""
+
+    async def talk(conn):
+        await conn.sendall(
+            b'POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n'
+            b'content-length: 11\r\n\r\n'
+        )
+        return await conn.recv(1000)
+
+    limits = ServerLimits(body_bytes=10)
+    received = curio.run(call_with_limits, address, limits, talk)
+    assert received.startswith(b'HTTP/1.1 413')
