A request is ended to make room only while its body is being read

Seen by callers: beside a crowd, a call that ignores its body (an end of a batch, a cancellation) could be ended after it took effect, and answered 503, which promises that it has not run.

Cause: a connection counted as receiving from its first byte to the end of the body, also when its handler reads no body and acts at once.

Change: it counts as receiving its head, then as answering, and as receiving again once the handler begins to read the body, which it does before anything else. The parameters of a query count like header rows. A connection that was closed is not counted again by an answer that ends later.

Ruled out: answering 502 or 504 instead, as a body that is being read has not run, and its caller would lose a promise that holds.

--- a/packages/jacinthmount-node/jacinthmount_node/net/connection_memory.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/connection_memory.py
@@ -24,7 +24,7 @@
 # The task, the parser and the socket of a connection; more tasks for a request.
 CONNECTION_BYTES = 8192
 REQUEST_BYTES = 12_288
-# A parsed head: copies of its bytes, and objects for its rows and list entries.
+# A parsed head: copies of its bytes, and objects for rows and list entries.
 HEAD_COPIES = 4
 ROW_BYTES = 160
 ENTRY_BYTES = 64
@@ -111,20 +111,28 @@
         self._head_bytes = max(self._head_bytes, size)
         await self._resize_or_raise()
 
-    async def keep_head(self, rows: list[tuple[bytes, bytes]]) -> None:
-        """Sets the headers that a request keeps.
+    async def keep_head(
+        self, target: bytes, rows: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Sets the head that a request keeps; its handler may run now.
 
         :raises CallerMemoryFull: the connection has to make room.
         """
-        size = sum(len(name) + len(text) for name, text in rows)
+        size = len(target) + sum(len(name) + len(text) for name, text in rows)
         entries = sum(text.count(b',') for _, text in rows)
+        objects = len(rows) + target.count(b'&')
         self._head_bytes = (
             REQUEST_BYTES
             + size * HEAD_COPIES
-            + len(rows) * ROW_BYTES
+            + objects * ROW_BYTES
             + entries * ENTRY_BYTES
         )
         await self._resize_or_raise()
+        self._memory.enter(self._holding, HoldState.ANSWERING)
+
+    def begin_body(self) -> None:
+        """Records that the handler reads the body, before it does anything."""
+        self._memory.enter(self._holding, HoldState.RECEIVING)
 
     async def keep_body(self, size: int) -> None:
         """Sets the bytes of the body that are kept.
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
@@ -274,7 +274,7 @@
     async def _accept_head(self, event: h11.Event) -> HttpRequest | None:
         if not isinstance(event, h11.Request):
             return None
-        await self._memory.keep_head(list(event.headers))
+        await self._memory.keep_head(event.target, list(event.headers))
         header_rows = check_head(event, self.limits.header_bytes)
         headers = dict(header_rows)
         if headers.get('content-length', '0') == '0' and (
@@ -282,7 +282,6 @@
         ):
             # The end of an empty body needs no further bytes from the caller.
             self._wire.next_event()
-            self._memory.end_body()
         self._body_time.begin()
         return HttpRequest(
             method=event.method.decode('ascii'),
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_messages.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_messages.py
@@ -163,6 +163,7 @@
         if announced > limit:
             raise BodyTooLarge(detail=f'body exceeds {limit} bytes')
         memory = self._conn.memory
+        memory.begin_body()
         while True:
             event = await self._conn.next_body_event()
             if isinstance(event, h11.EndOfMessage):
--- a/packages/jacinthmount/jacinthmount/caller_memory.py
+++ b/packages/jacinthmount/jacinthmount/caller_memory.py
@@ -145,7 +145,7 @@
         :returns: the holdings to end; ``holding`` itself ``is_ended`` if no
             others make room for it.
         """
-        if holding.is_ended:
+        if holding.is_ended or holding not in self._holdings:
             return []
         is_larger = size > holding.size_bytes
         self.total_bytes += size - holding.size_bytes
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -162,6 +162,7 @@
     """What a connection held is free once it has ended."""
     holding = site.receive('one', 500_000)
     site.memory.close(holding)
+    site.memory.resize(holding, 700_000)
     assert (site.memory.total_bytes, site.memory.connections) == (0, 0)
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,12 +7,21 @@
 import curio
 import pytest
 from curio import socket as curio_socket
+from jacinthmount.caller_memory import CallerMemory
 from jacinthmount_node.net.http_messages import ServerLimits
 from jacinthmount_node.net.http_server import HttpServer
-from jacinthmount_node.net.sockets import listen
+from jacinthmount_node.net.sockets import SystemClock, listen
 from jacinthmount_standin.addresses import LOOPBACK, PortReserve
 
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+UNREAD_BODY = b'DELETE / HTTP/1.1\r\nhost: a\r\nx: %b\r\n%b\r\n\r\n' % (
+    b'x' * 16_000,
+    b'content-length: 100',
+)
+HELD_BODY = b'POST / HTTP/1.1\r\nhost: a\r\n%b\r\n\r\n%b' % (
+    b'content-length: 900000',
+    b'x' * 300_000,
+)
 STREAM_REQUEST = b'GET /stream HTTP/1.1\r\nhost: a\r\n\r\n'
 
 
@@ -387,3 +396,43 @@
     limits = ServerLimits(body_bytes=10)
     received = curio.run(call_with_limits, address, limits, talk)
     assert received.startswith(b'HTTP/1.1 413')
+
+
+async def send_and_read(address, packed):
+    """Sends bytes on a connection of their own, and reads an answer."""
+    conn = await curio_socket.create_connection(address)
+    await conn.sendall(packed)
+    received = await conn.recv(1000)
+    await conn.close()
+    return received
+
+
+def test_handler_that_reads_no_body_is_not_ended(address):
+    """What it did may have taken effect, so it is not refused as not run.
+
+    A body that is read makes room instead.
+    """
+    memory = CallerMemory(clock=SystemClock(), limit_bytes=200_000)
+
+    async def handle(request, responder):
+        if request.method == 'POST':
+            await request.read_body()
+        await curio.sleep(0.5)
+        await responder.send(200, b'whole', [])
+
+    async def talk():
+        server = HttpServer(
+            sock=listen(f'{address[0]}:{address[1]}'),
+            handler=handle,
+            memory=memory,
+        )
+        serving = await curio.spawn(server.run, daemon=True)
+        unread = await curio.spawn(send_and_read, address, UNREAD_BODY)
+        await curio.sleep(0.3)
+        held = await send_and_read(address, HELD_BODY)
+        answers = [await unread.join(), held]
+        await serving.cancel()
+        return answers
+
+    answers = curio.run(talk)
+    assert [one[:12] for one in answers] == [b'HTTP/1.1 200', b'HTTP/1.1 503']
