--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -407,32 +407,41 @@
     return received
 
 
+async def read_posts(request, responder):
+    """Reads the body of a POST, and answers after 0.5 s."""
+    if request.method == 'POST':
+        await request.read_body()
+    await curio.sleep(0.5)
+    await responder.send(200, b'whole', [])
+
+
+async def hold_beside_unread(address):
+    """Sends a body that nobody reads, then one that is read.
+
+    :returns: the answers to both.
+    """
+    unread = await curio.spawn(send_and_read, address, UNREAD_BODY)
+    await curio.sleep(0.3)
+    held = await send_and_read(address, HELD_BODY)
+    return [await unread.join(), held]
+
+
 def test_handler_that_reads_no_body_is_not_ended(address):
     """What it did may have taken effect, so it is not refused as not run.
 
     A body that is read makes room instead.
     """
-    memory = CallerMemory(clock=SystemClock(), limit_bytes=200_000)
-
-    async def handle(request, responder):
-        if request.method == 'POST':
-            await request.read_body()
-        await curio.sleep(0.5)
-        await responder.send(200, b'whole', [])
 
-    async def talk():
+    async def serve():
         server = HttpServer(
             sock=listen(f'{address[0]}:{address[1]}'),
-            handler=handle,
-            memory=memory,
+            handler=read_posts,
+            memory=CallerMemory(clock=SystemClock(), limit_bytes=200_000),
         )
         serving = await curio.spawn(server.run, daemon=True)
-        unread = await curio.spawn(send_and_read, address, UNREAD_BODY)
-        await curio.sleep(0.3)
-        held = await send_and_read(address, HELD_BODY)
-        answers = [await unread.join(), held]
+        answers = await hold_beside_unread(address)
         await serving.cancel()
         return answers
 
-    answers = curio.run(talk)
+    answers = curio.run(serve)
     assert [one[:12] for one in answers] == [b'HTTP/1.1 200', b'HTTP/1.1 503']
