A runner that is heard again may have written results until then

Change: a runner that reports anew or again after a silence makes the logs count as shared, whatever it reports.

The new test of test_leadership failed before: the method is new, and has_contender says no in its place.

A test of the whole check loop was tried and dropped: without a configuration the loop gives the items up, so it showed nothing.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -352,7 +352,7 @@
             self._capacity.refresh()
             if active:
                 superseded = self._connectivity.is_superseded()
-                if superseded or leadership.has_contender(self._state.now()):
+                if superseded or leadership.may_share_logs(self._state.now()):
                     self.mark_logs_shared()
                 await self._scheduler.pause(paused=superseded)
                 await self._scheduler.stop_stalled()
--- a/packages/jacinthmount/jacinthmount/leadership.py
+++ b/packages/jacinthmount/jacinthmount/leadership.py
@@ -46,6 +46,7 @@
     """Decides whether this runner is the active one."""
 
     __slots__ = (
+        '_heard_again_at',
         '_reports',
         '_host',
         '_unverified',
@@ -68,6 +69,7 @@
         self._reported_active: dict[str, tuple[str, float]] = {}
         # Time of the first report of an active runner that it can't run items.
         self._unable_since: dict[str, float] = {}
+        self._heard_again_at = -math.inf
         self._unverified = False
         self._start_wait_over = False
         self._was_reachable = True
@@ -78,6 +80,9 @@
 
     def on_state(self, state: RunnerState, now: float) -> None:
         """Records the reported state of another runner."""
+        _, last_at = self._reports.get(state.host, (state, -math.inf))
+        if now - last_at >= RUNNER_LIVE_S:
+            self._heard_again_at = now
         self._reports[state.host] = (state, now)
         if state.active and not state.can_run:
             self._unable_since.setdefault(state.host, now)
@@ -144,6 +149,16 @@
         reported = any(candidate.active for candidate in self._live(now))
         return reported or bool(self._contenders(now))
 
+    def may_share_logs(self, now: float) -> bool:
+        """Returns whether another runner may have written results just now.
+
+        That is a contender, or a runner that reports anew, or again after a
+        silence: even if it reports that it is not active, it may have been
+        until it heard of this one.
+        """
+        is_heard_again = now - self._heard_again_at < REPORT_VALID_S
+        return is_heard_again or self.has_contender(now)
+
     def decide(self, now: float) -> bool:
         """Decides whether this runner is active from now on.
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -191,6 +191,22 @@
     assert runner.has_contender(LATER)
 
 
+def test_runner_that_is_heard_again_may_have_been_active(runner):
+    """It may have written until then, though it has stepped down meanwhile.
+
+    Guards against fronts that showed an older state of a batch: the runner of
+    a zone that had been cut off wrote results until it heard of its successor,
+    which first heard of it as a standby.
+    """
+    runner.on_state(make_state('r2', active=True), LATER)
+    runner.on_runner_unreachable('r2')
+    assert not runner.may_share_logs(LATER + 6.0)
+    runner.on_state(make_state('r2'), LATER + 6.0)
+    assert runner.may_share_logs(LATER + 6.0)
+    runner.on_state(make_state('r2'), LATER + 7.0)
+    assert not runner.may_share_logs(LATER + 7.0)
+
+
 def test_runner_does_not_take_over_before_it_verified_the_store(runner):
     """It needs a response from after the active runner lost the store.
 
