One part of the memory for answers and callers; less work for each request

The same code was there twice: the memory of the host and a part of it, for answers and for callers (now host_memory.find_memory_part), and creating the callers' budget and showing it, in both daemons.

On the hot path, and not needed: connection_headers copied the unparsed bytes for each answer, not only while the listener closes; the rows of a head were copied to a list to be counted; the widest character of a JSON body was found by looking at each byte in turn, which an ASCII body does not need.

--- a/packages/jacinthmount-node/jacinthmount_node/assembly.py
+++ b/packages/jacinthmount-node/jacinthmount_node/assembly.py
@@ -55,7 +55,5 @@
 
 
 def make_callers_memory(settings: Settings, metrics: Metrics) -> CallerMemory:
-    """Creates the memory budget of a node's callers, and shows it."""
-    memory = make_caller_memory(settings.memory_mb, 0, metrics.count_eviction)
-    metrics.show_caller_memory(memory)
-    return memory
+    """Creates the memory budget of a node's callers."""
+    return make_caller_memory(settings.memory_mb, 0, metrics)
--- a/packages/jacinthmount-node/jacinthmount_node/net/connection_memory.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/connection_memory.py
@@ -1,22 +1,22 @@
 """What one connection of a caller keeps, in the budget of its process."""
 
-import os
 import resource
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
+import h11
 from jacinthmount.caller_memory import CallerMemory, Holding, HoldState
 from jacinthmount.errors import BodyTooLarge, CallerMemoryFull
 from jacinthmount.json_size import estimate_parsed_bytes
 
+from jacinthmount_node.metrics import Metrics
+from jacinthmount_node.net.host_memory import find_memory_part
 from jacinthmount_node.net.sockets import SystemClock
 
 __all__ = ('ConnectionMemory', 'make_caller_memory', 'make_full_error')
 
-MB = 1_048_576
 # Fraction of the host's memory that callers may make it keep.
 CALLERS_MEMORY_FRACTION = 0.15
-MAX_CALLERS_BYTES = 1_073_741_824
 # Fraction of the descriptors that the connections of callers may take.
 DESCRIPTORS_FRACTION = 0.5
 # Where the system sets no limit.
@@ -111,16 +111,18 @@
         self._head_bytes = max(self._head_bytes, size)
         await self._resize_or_raise()
 
-    async def keep_head(
-        self, target: bytes, rows: list[tuple[bytes, bytes]]
-    ) -> None:
+    async def keep_head(self, head: h11.Request) -> None:
         """Sets the head that a request keeps; its handler may run now.
 
         :raises CallerMemoryFull: the connection has to make room.
         """
-        size = len(target) + sum(len(name) + len(text) for name, text in rows)
-        entries = sum(text.count(b',') for _, text in rows)
-        objects = len(rows) + target.count(b'&')
+        size = len(head.target)
+        objects = head.target.count(b'&')
+        entries = 0
+        for name, text in head.headers:
+            size += len(name) + len(text)
+            objects += 1
+            entries += text.count(b',')
         self._head_bytes = (
             REQUEST_BYTES
             + size * HEAD_COPIES
@@ -203,29 +205,23 @@
 
 
 def make_caller_memory(
-    memory_mb: int,
-    descriptors: int,
-    on_end: Callable[[HoldState], None],
+    memory_mb: int, descriptors: int, metrics: Metrics
 ) -> CallerMemory:
-    """Creates the memory budget of a host for its callers.
+    """Creates the memory budget of a host for its callers, and shows it.
 
     :param memory_mb: memory of the host in MB; 0 if only the system knows.
     :param descriptors: descriptors that the process may open; 0 if only the
         system knows.
-    :param on_end: see :class:`CallerMemory`.
     """
-    host_bytes = memory_mb * MB
-    if not host_bytes:
-        host_bytes = os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
-    if not descriptors:
-        descriptors = _read_descriptors()
-    limit_bytes = int(host_bytes * CALLERS_MEMORY_FRACTION)
-    return CallerMemory(
+    descriptors = descriptors or _read_descriptors()
+    memory = CallerMemory(
         clock=SystemClock(),
-        limit_bytes=min(limit_bytes, MAX_CALLERS_BYTES),
+        limit_bytes=find_memory_part(memory_mb, CALLERS_MEMORY_FRACTION),
         max_connections=int(descriptors * DESCRIPTORS_FRACTION),
-        on_end=on_end,
+        on_end=metrics.count_eviction,
     )
+    metrics.show_caller_memory(memory)
+    return memory
 
 
 def _read_descriptors() -> int:
--- a/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
@@ -1,9 +1,8 @@
 """Connection pools with a shared memory budget for answers."""
 
-import os
-
 from jacinthmount.answer_memory import AnswerMemory
 
+from jacinthmount_node.net.host_memory import find_memory_part
 from jacinthmount_node.net.http_client import ClientPool
 
 __all__ = ('EndpointPools', 'make_answer_memory', 'make_pool')
@@ -11,8 +10,6 @@
 # Fraction of the host's memory that unfinished answers may use. They take up to
 # three times their bytes while events are split.
 ANSWERS_MEMORY_FRACTION = 0.15
-MAX_ANSWERS_BYTES = 1_073_741_824
-MB = 1_048_576
 
 
 class EndpointPools:
@@ -45,8 +42,6 @@
 
     :param memory_mb: memory of the host in MB; 0 if only the system knows.
     """
-    host_bytes = memory_mb * MB
-    if not host_bytes:
-        host_bytes = os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
-    limit_bytes = int(host_bytes * ANSWERS_MEMORY_FRACTION)
-    return AnswerMemory(limit_bytes=min(limit_bytes, MAX_ANSWERS_BYTES))
+    return AnswerMemory(
+        limit_bytes=find_memory_part(memory_mb, ANSWERS_MEMORY_FRACTION)
+    )
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_connection.py
@@ -189,13 +189,12 @@
 
     def connection_headers(self) -> list[tuple[str, str]]:
         """Implements :meth:`Channel.connection_headers`."""
+        if not self._is_closing():
+            return []
         # Bytes before the end of the body belong to this request.
-        has_pipelined = self._wire.their_state is h11.DONE and bool(
-            self._wire.trailing_data[0]
-        )
-        if self._is_closing() and not has_pipelined:
-            return [('connection', 'close')]
-        return []
+        if self._wire.their_state is h11.DONE and self._wire.trailing_data[0]:
+            return []
+        return [('connection', 'close')]
 
     async def send(self, *events: h11.Event) -> None:
         """Implements :meth:`Channel.send`."""
@@ -274,7 +273,7 @@
     async def _accept_head(self, event: h11.Event) -> HttpRequest | None:
         if not isinstance(event, h11.Request):
             return None
-        await self._memory.keep_head(event.target, list(event.headers))
+        await self._memory.keep_head(event)
         header_rows = check_head(event, self.limits.header_bytes)
         headers = dict(header_rows)
         if headers.get('content-length', '0') == '0' and (
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -97,9 +97,8 @@
         self._caller_memory = make_caller_memory(
             settings.memory_mb,
             settings.max_descriptors,
-            state.metrics.count_eviction,
+            state.metrics,
         )
-        state.metrics.show_caller_memory(self._caller_memory)
         # Probes are answered while callers fill their budget.
         self._probe_memory = CallerMemory(
             clock=ports.clock, limit_bytes=PROBE_MEMORY_BYTES
--- a/packages/jacinthmount/jacinthmount/json_size.py
+++ b/packages/jacinthmount/jacinthmount/json_size.py
@@ -1,5 +1,7 @@
 """Estimate of the memory that a parsed JSON text takes."""
 
+import re
+
 __all__ = ('estimate_parsed_bytes',)
 
 # Sizes of the objects that CPython makes of a text.
@@ -11,8 +13,9 @@
 # A text takes as many bytes for each character as its widest one needs.
 WIDE_CHAR_BYTES = 4
 MIDDLE_CHAR_BYTES = 2
-FIRST_WIDE_BYTE = 0xF0
-FIRST_MIDDLE_BYTE = 0xC4
+# First bytes of such characters in UTF-8, and an escape that may stand for one.
+WIDE = re.compile(rb'[\xf0-\xff]')
+MIDDLE = re.compile(rb'[\xc4-\xff]')
 ESCAPE = b'\x5cu'
 
 
@@ -30,7 +33,11 @@
 
 
 def _find_char_bytes(packed: bytes) -> int:
-    highest = max(packed, default=0)
-    if highest >= FIRST_WIDE_BYTE or ESCAPE in packed:
+    if ESCAPE in packed:
+        return WIDE_CHAR_BYTES
+    # Most texts are ASCII, which is found much faster than a pattern.
+    if packed.isascii():
+        return 1
+    if WIDE.search(packed):
         return WIDE_CHAR_BYTES
-    return MIDDLE_CHAR_BYTES if highest >= FIRST_MIDDLE_BYTE else 1
+    return MIDDLE_CHAR_BYTES if MIDDLE.search(packed) else 1
