Tests of crowds: one check for each kind of host, one form of each case

The call that lets a crowd loose on a host stood in three tests and that for the front in two; whole and in pieces were two functions for each framing; and reading the resident memory of a process stood in test_endless_sums as well.

--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-__all__ = ('CASES', 'Crowd', 'ProcessWatch', 'Target')
+__all__ = ('CASES', 'Crowd', 'ProcessWatch', 'Target', 'read_resident_mb')
 
 LOOPBACK = '127.0.0.1'
 KB_PER_MB = 1024
@@ -278,56 +278,43 @@
     return [piece for _ in range(FAR_OVER_PIECES)]
 
 
-def _length_whole(target):
-    body = target.make_body(target.limit_bytes)
-    return Sending(head=with_length(target, len(body)), pieces=[body[:-1]])
+def in_pieces(make_sending):
+    """Returns the same case with small pieces and pauses."""
 
+    def make(target):
+        sending = make_sending(target)
+        return Sending(
+            head=sending.head,
+            pieces=split_pieces(b''.join(sending.pieces), PIECE_BYTES),
+            pause_s=PIECE_PAUSE_S,
+        )
 
-def _length_in_pieces(target):
-    body = target.make_body(target.limit_bytes)
-    return Sending(
-        head=with_length(target, len(body)),
-        pieces=split_pieces(body[:-1], PIECE_BYTES),
-        pause_s=PIECE_PAUSE_S,
-    )
+    return make
 
 
-def _large_chunks_whole(target):
+def _length(target):
     body = target.make_body(target.limit_bytes)
-    framed = split_chunks(body, LARGE_CHUNK_BYTES)
-    return Sending(head=with_chunks(target), pieces=[framed])
+    return Sending(head=with_length(target, len(body)), pieces=[body[:-1]])
 
 
-def _large_chunks_in_pieces(target):
-    body = target.make_body(target.limit_bytes)
-    framed = split_chunks(body, LARGE_CHUNK_BYTES)
-    return Sending(
-        head=with_chunks(target),
-        pieces=split_pieces(framed, PIECE_BYTES),
-        pause_s=PIECE_PAUSE_S,
+def _large_chunks(target):
+    framed = split_chunks(
+        target.make_body(target.limit_bytes), LARGE_CHUNK_BYTES
     )
-
-
-def _one_chunk(target):
-    body = target.make_body(target.limit_bytes)
-    framed = b'%x\r\n%b' % (len(body), body[:-1])
     return Sending(head=with_chunks(target), pieces=[framed])
 
 
-def _tiny_chunks_whole(target):
-    body = target.make_body(target.limit_bytes)
-    framed = split_chunks(body, TINY_CHUNK_BYTES)
+def _tiny_chunks(target):
+    framed = split_chunks(
+        target.make_body(target.limit_bytes), TINY_CHUNK_BYTES
+    )
     return Sending(head=with_chunks(target), pieces=[framed])
 
 
-def _tiny_chunks_in_pieces(target):
+def _one_chunk(target):
     body = target.make_body(target.limit_bytes)
-    framed = split_chunks(body, TINY_CHUNK_BYTES)
-    return Sending(
-        head=with_chunks(target),
-        pieces=split_pieces(framed, PIECE_BYTES),
-        pause_s=PIECE_PAUSE_S,
-    )
+    framed = b'%x\r\n%b' % (len(body), body[:-1])
+    return Sending(head=with_chunks(target), pieces=[framed])
 
 
 def _complete(target):
@@ -361,13 +348,13 @@
 
 # What each client of a crowd sends, by the name of the case.
 CASES = {
-    'length, whole': _length_whole,
-    'length, in pieces': _length_in_pieces,
-    'large chunks, whole': _large_chunks_whole,
-    'large chunks, in pieces': _large_chunks_in_pieces,
+    'length, whole': _length,
+    'length, in pieces': in_pieces(_length),
+    'large chunks, whole': _large_chunks,
+    'large chunks, in pieces': in_pieces(_large_chunks),
     'one chunk': _one_chunk,
-    'tiny chunks, whole': _tiny_chunks_whole,
-    'tiny chunks, in pieces': _tiny_chunks_in_pieces,
+    'tiny chunks, whole': _tiny_chunks,
+    'tiny chunks, in pieces': in_pieces(_tiny_chunks),
     'complete': _complete,
     'announced far over': _announced_far_over,
     'sent far over': _sent_far_over,
--- a/tests/test_endless_sums.py
+++ b/tests/test_endless_sums.py
@@ -3,11 +3,11 @@
 import json
 import threading
 import time
-from pathlib import Path
 
 import pytest
 from jacinthmount_platform_standin.site import MEMORY_MB, PlatformSite
 
+from tests.hostile_clients import read_resident_mb
 from tests.test_platform_site import eventually, make_items, submit
 
 ENGINES = 6
@@ -15,7 +15,6 @@
 ITEMS = 160
 EVENTS = 5
 SAMPLE_S = 0.05
-KB_PER_MB = 1024
 WAIT_S = 60.0
 
 
@@ -44,18 +43,11 @@
             return texts
 
 
-def read_memory_mb(pid):
-    """Returns the resident memory of a process."""
-    rows = Path(f'/proc/{pid}/status').read_text().splitlines()
-    fields = dict(row.split(':', 1) for row in rows)
-    return int(fields['VmRSS'].split()[0]) // KB_PER_MB
-
-
 def watch_memory(site, stop, peaks):
     """Records the highest memory of each host."""
     while not stop.is_set():
         for name in site.controls:
-            used_mb = read_memory_mb(site.processes[name].pid)
+            used_mb = read_resident_mb(site.processes[name].pid)
             peaks[name] = max(peaks.get(name, 0), used_mb)
         time.sleep(SAMPLE_S)
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -208,6 +208,33 @@
     )
 
 
+def check_front(front, case, target, clients=CLIENTS):
+    """Lets a crowd call the front, and checks what must hold."""
+    process = front.processes['front-1']
+    check_crowd(
+        case,
+        target,
+        process.pid,
+        FRONT_MEMORY_MB,
+        lambda: process.poll() is None,
+        lambda: ask_platform(front)[0],
+        clients,
+    )
+
+
+def check_host(host, key, case, target, clients=CLIENTS):
+    """Lets a crowd call the first interface, and checks what must hold."""
+    check_crowd(
+        case,
+        target,
+        host.fleet.process_id('east-h1'),
+        HOST_MEMORY_MB,
+        lambda: host.fleet.alive('east-h1'),
+        lambda: ask_fleet(host, key),
+        clients,
+    )
+
+
 @pytest.mark.parametrize('case', CASES)
 @pytest.mark.parametrize(
     ('path', 'make_body'),
@@ -219,15 +246,7 @@
 )
 def test_front_outlives_crowd(front, path, make_body, case):
     """A crowd holds bodies at a front of the platform."""
-    process = front.processes['front-1']
-    check_crowd(
-        case,
-        platform_target(front, path, make_body),
-        process.pid,
-        FRONT_MEMORY_MB,
-        lambda: process.poll() is None,
-        lambda: ask_platform(front)[0],
-    )
+    check_front(front, case, platform_target(front, path, make_body))
 
 
 @pytest.mark.parametrize('case', CASES)
@@ -247,48 +266,21 @@
 )
 def test_host_outlives_crowd(host, fleet_key, path, make_body, rows, case):
     """A crowd holds bodies at a host of the first interface."""
-    check_crowd(
-        case,
-        fleet_target(
-            host.fleet.hosts['east-h1'].front, path, fleet_key, make_body, *rows
-        ),
-        host.fleet.process_id('east-h1'),
-        HOST_MEMORY_MB,
-        lambda: host.fleet.alive('east-h1'),
-        lambda: ask_fleet(host, fleet_key),
-    )
+    port = host.fleet.hosts['east-h1'].front
+    target = fleet_target(port, path, fleet_key, make_body, *rows)
+    check_host(host, fleet_key, case, target)
 
 
 @pytest.mark.parametrize('case', CASES)
 def test_host_outlives_crowd_of_operators(host, fleet_key, case):
     """A crowd holds bodies at the listener for operators."""
-    check_crowd(
-        case,
-        fleet_target(
-            host.fleet.hosts['east-h1'].admin,
-            '/admin/withdraw',
-            ADMIN_TOKEN,
-            lambda size: make_json({'key_id': 'none'}, size),
-        ),
-        host.fleet.process_id('east-h1'),
-        HOST_MEMORY_MB,
-        lambda: host.fleet.alive('east-h1'),
-        lambda: ask_fleet(host, fleet_key),
-    )
-
-
-def check_front(front, case, target, clients=CLIENTS):
-    """Lets a crowd call the front, and checks what must hold."""
-    process = front.processes['front-1']
-    check_crowd(
-        case,
-        target,
-        process.pid,
-        FRONT_MEMORY_MB,
-        lambda: process.poll() is None,
-        lambda: ask_platform(front)[0],
-        clients,
+    target = fleet_target(
+        host.fleet.hosts['east-h1'].admin,
+        '/admin/withdraw',
+        ADMIN_TOKEN,
+        lambda size: make_json({'key_id': 'none'}, size),
     )
+    check_host(host, fleet_key, case, target)
 
 
 def test_front_outlives_heads_of_many_rows(front):
@@ -345,20 +337,9 @@
 @pytest.mark.parametrize('path', ['/v1/chat/completions', '/v1/batches'])
 def test_host_outlives_small_objects(host, fleet_key, path):
     """A few requests of the first interface have many small objects."""
-    check_crowd(
-        'complete',
-        fleet_target(
-            host.fleet.hosts['east-h1'].front,
-            path,
-            fleet_key,
-            make_small_objects,
-        ),
-        host.fleet.process_id('east-h1'),
-        HOST_MEMORY_MB,
-        lambda: host.fleet.alive('east-h1'),
-        lambda: ask_fleet(host, fleet_key),
-        FEW,
-    )
+    port = host.fleet.hosts['east-h1'].front
+    target = fleet_target(port, path, fleet_key, make_small_objects)
+    check_host(host, fleet_key, 'complete', target, FEW)
 
 
 def test_host_outlives_long_ids(host, fleet_key):
