--- a/tests/test_crowded_sites.py
+++ b/tests/test_crowded_sites.py
@@ -13,6 +13,7 @@
 from tests.hostile_clients import Crowd, Target
 from tests.process_watch import WAIT_S, Served, outlives
 from tests.site import eventually
+from tests.test_platform_site import make_items, submit
 
 CUT_HOST = Path(__file__).parent / 'cut_host.py'
 FRONTS = ('front-1', 'front-2')
@@ -21,6 +22,9 @@
 MAX_DESCRIPTORS = 200
 CONNECTIONS = 300
 CLIENTS = 60
+SUBMISSIONS = 60
+ITEM_CHARS = 800_000
+STAY_S = 2.0
 # A host that is cut off knows it by then.
 KNOWN_S = 1.0
 HEAD = (
@@ -47,6 +51,19 @@
         made.stop()
 
 
+@pytest.fixture
+def site(tmp_path):
+    """A front, a runner and two engines."""
+    made = PlatformSite(
+        folder=tmp_path, fronts=1, runners=1, memory_mb=MEMORY_MB
+    )
+    try:
+        made.start()
+        yield made
+    finally:
+        made.stop()
+
+
 @pytest.fixture
 def cut_site(tmp_path):
     """Two fronts, of which the first reaches no engine."""
@@ -85,12 +102,15 @@
     return status
 
 
-def serve(site, front):
-    """Returns a front, of which the checks hold."""
-    process = site.processes[front]
+def serve(site, name, front):
+    """Returns a process, of which the checks hold.
+
+    :param front: front that is asked whether it serves.
+    """
+    process = site.processes[name]
     return Served(
         pid=process.pid,
-        port=site.fronts[front],
+        port=site.fronts.get(name, site.controls[name]),
         memory_mb=MEMORY_MB,
         is_alive=lambda: process.poll() is None,
         ask=lambda: ask(site, front),
@@ -109,7 +129,9 @@
 
 def test_front_outlives_connections_without_request(small_site):
     """A crowd opens more connections than the front has descriptors for."""
-    with outlives(serve(small_site, 'front-1'), MAX_DESCRIPTORS // 2):
+    with outlives(
+        serve(small_site, 'front-1', 'front-1'), MAX_DESCRIPTORS // 2
+    ):
         crowd = Crowd(target=make_target(small_site), case='no request')
         crowd.run(CONNECTIONS)
 
@@ -118,6 +140,22 @@
 def test_helper_outlives_crowd_of_another_front(cut_site, case):
     """A front that reaches no engine passes bodies on to another one."""
     eventually(lambda: ask(cut_site, 'front-1') == 200, WAIT_S)
-    first, second = (serve(cut_site, front) for front in FRONTS)
+    first, second = (serve(cut_site, front, front) for front in FRONTS)
     with outlives(first, 2 * CLIENTS), outlives(second, CLIENTS):
         Crowd(target=make_target(cut_site), case=case).run(CLIENTS)
+
+
+def test_runner_outlives_accepted_submissions(site):
+    """Callers submit many large items while the engines answer nothing."""
+    items = [{**one, 'body': 'A' * ITEM_CHARS} for one in make_items(1)]
+    for port in site.engines.values():
+        site.switch(port, silent=True)
+    with outlives(serve(site, 'runner-1', 'front-1'), 0):
+        accepted = [
+            submit(site, items, f'large-{number}')
+            for number in range(SUBMISSIONS)
+        ]
+        time.sleep(STAY_S)
+        for port in site.engines.values():
+            site.switch(port, silent=False)
+    assert set(accepted) <= {202, 429, 503}
