--- a/tests/test_crowded_sites.py
+++ b/tests/test_crowded_sites.py
@@ -35,57 +35,38 @@
 
 
 @pytest.fixture
-def small_site(tmp_path):
-    """A site whose processes have few descriptors."""
-    made = PlatformSite(
-        folder=tmp_path,
-        fronts=1,
-        runners=1,
-        memory_mb=MEMORY_MB,
-        max_fds=MAX_DESCRIPTORS,
-    )
-    try:
+def start(tmp_path):
+    """Returns a function that starts a site of small processes."""
+    started = []
+
+    def start_site(*, fronts=1, programs=(), max_fds=0):
+        made = PlatformSite(
+            folder=tmp_path,
+            fronts=fronts,
+            runners=1,
+            memory_mb=MEMORY_MB,
+            max_fds=max_fds,
+        )
+        started.append(made)
+        made.programs.update(programs)
+        limits = {**made.config['limits'], 'max_body_bytes': LIMIT_BYTES}
+        made.config = {**made.config, 'limits': limits}
         made.start()
-        yield made
-    finally:
-        made.stop()
+        return made
 
-
-@pytest.fixture
-def site(tmp_path):
-    """A front, a runner and two engines."""
-    made = PlatformSite(
-        folder=tmp_path, fronts=1, runners=1, memory_mb=MEMORY_MB
-    )
-    try:
-        made.start()
-        yield made
-    finally:
+    yield start_site
+    for made in started:
         made.stop()
 
 
 @pytest.fixture
-def cut_site(tmp_path):
+def cut_site(start, tmp_path):
     """Two fronts, of which the first reaches no engine."""
-    made = PlatformSite(
-        folder=tmp_path, fronts=2, runners=1, memory_mb=MEMORY_MB
-    )
-    made.programs['front-1'] = CUT_HOST
-    limits = {**made.config['limits'], 'max_body_bytes': LIMIT_BYTES}
-    made.config = {**made.config, 'limits': limits}
-    try:
-        made.start()
-        cut_off(made, tmp_path / 'front-1.cut')
-        yield made
-    finally:
-        made.stop()
-
-
-def cut_off(site, cut_file):
-    """Cuts the first front off from all engines."""
-    cut = {'way': 'refuse', 'ports': list(site.engines.values())}
-    cut_file.write_text(json.dumps(cut))
+    made = start(fronts=2, programs={'front-1': CUT_HOST})
+    cut = {'way': 'refuse', 'ports': list(made.engines.values())}
+    (tmp_path / 'front-1.cut').write_text(json.dumps(cut))
     time.sleep(KNOWN_S)
+    return made
 
 
 def ask(site, front):
@@ -127,8 +108,9 @@
     )
 
 
-def test_front_outlives_connections_without_request(small_site):
+def test_front_outlives_connections_without_request(start):
     """A crowd opens more connections than the front has descriptors for."""
+    small_site = start(max_fds=MAX_DESCRIPTORS)
     with outlives(
         serve(small_site, 'front-1', 'front-1'), MAX_DESCRIPTORS // 2
     ):
@@ -145,8 +127,9 @@
         Crowd(target=make_target(cut_site), case=case).run(CLIENTS)
 
 
-def test_runner_outlives_accepted_submissions(site):
+def test_runner_outlives_accepted_submissions(start):
     """Callers submit many large items while the engines answer nothing."""
+    site = start()
     items = [{**one, 'body': 'A' * ITEM_CHARS} for one in make_items(1)]
     for port in site.engines.values():
         site.switch(port, silent=True)
