Review case 9: streams of callers beside the items

Shown: resumable streams that ran at the killed engine end for their clients as complete as well, after as many events as had come (rule ORDER), beside the items of a batch submission (rule MIXED).

--- a/review/site_2.py
+++ b/review/site_2.py
@@ -380,6 +380,43 @@
         )
         return status, answer
 
+    def stream(self, front, tenant, request_id, events, route):
+        """Reads a stream to its end.
+
+        :returns: whether it ended as complete, and its event numbers.
+        """
+        conn = http.client.HTTPConnection(IP, self.front[front], timeout=8)
+        sent = {
+            'Host': HOST,
+            'Authorization': f'Bearer key-of-{tenant}',
+            'Attempt-Id': request_id,
+            'Model': 'm',
+            'Token-Usage': f'350,{events}',
+            'Deadline-Remaining': '5000',
+        }
+        status, ended, body = 0, True, b''
+        try:
+            conn.request('POST', f'/{route}/{request_id}', b'bale', sent)
+            answer = conn.getresponse()
+            status = answer.status
+            body = answer.read()
+        except http.client.IncompleteRead as exc:
+            ended, body = False, exc.partial
+        except (OSError, http.client.HTTPException):
+            ended = False
+        finally:
+            conn.close()
+        numbers = [
+            int(line.removeprefix(b'id: '))
+            for line in body.split(b'\n')
+            if line.startswith(b'id: ')
+        ]
+        self.record.write(
+            'client:', tenant, front, 'POST', f'/{route}/{request_id}', sent,
+            '->', status, f'{len(numbers)} events, complete: {ended}',
+        )
+        return status == 200 and ended, numbers
+
     def submit(self, front, tenant, batch_id, items, route='audit'):
         """Submits a batch until it is accepted; other nodes get the repeats."""
         fronts = sorted(self.front)
