--- a/review/site_2.py
+++ b/review/site_2.py
@@ -276,12 +276,13 @@
         time.sleep(4)
         self.record.write('started', *sorted(self.processes))
 
-    def start_engine(self, name, slots, event_ms):
-        port = self._ports.take()
+    def start_engine(self, name, slots, event_ms, version='v1', port=None):
+        """Starts an engine, at the port of an ended one or at its own."""
+        port = port or self._ports.take()
         self.engines[name] = port
         self._spawn(name, [
             sys.executable, str(STANDINS), 'engine', f'{IP}:{port}', name,
-            SERVICE, str(slots), str(self.store), str(event_ms),
+            SERVICE, str(slots), str(self.store), str(event_ms), version,
         ])
         self._wait_port(port)
 
@@ -453,10 +454,13 @@
         return results
 
     def kill_engine(self, name):
-        """Kills an engine, which never comes back."""
+        """Kills an engine.
+
+        :returns: the port that it had.
+        """
         self.signal(name, signal.SIGKILL)
         self.processes[name].wait()
-        self.engines.pop(name)
+        return self.engines.pop(name)
 
     def wait_done(self, front, tenant, batch_id, count, within_s):
         """Reads twice a second until all items are listed or the time is up."""
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -3,7 +3,7 @@
 They use the standard library only and keep to PROTOCOL.md:
 
     standins_2.py store PORT...
-    standins_2.py engine ADDRESS ID SERVICE SLOTS STORE_PORT EVENT_MS
+    standins_2.py engine ADDRESS ID SERVICE SLOTS STORE_PORT EVENT_MS VERSION
 
 The store listens on several ports, one for each machine and one for the
 operator, so that a case can make it fail for one machine only. Both take
@@ -232,10 +232,13 @@
 
     Switches: ``data`` has the texts of the events, which a request repeats
     until its number of output tokens is reached. Without ``framed`` an answer
-    has no length and ends with its channel.
+    has no length and ends with its channel. Without ``listed`` the engine has
+    taken its entry back and serves on.
     """
 
-    def __init__(self, address, engine_id, service, slots, store, event_ms):
+    def __init__(
+        self, address, engine_id, service, slots, store, event_ms, version
+    ):
         super().__init__()
         self.engine_id = engine_id
         self.slots = slots
@@ -247,12 +250,13 @@
             'event_ms': event_ms,
             'first_ms': 20,
             'framed': True,
+            'listed': True,
         }
         self.entry = {
             'service': service,
             'address': address,
             'zone': 'zone-a',
-            'version': 'v1',
+            'version': version,
             'slots': slots,
             'state': 'ready',
             'cold_left_ms': 0,
@@ -262,14 +266,23 @@
 
     async def register(self):
         """Checks in at the store."""
-        while True:
+        path = f'/api/objects/servers/{self.engine_id}'
+        while self.switches['listed']:
             self.entry['sequence'] += 1
             body = {'metadata': {'name': self.engine_id}, 'spec': self.entry}
-            path = f'/api/objects/servers/{self.engine_id}'
             status = await self.call_store('PUT', path, body)
             if status == 404:
                 await self.call_store('POST', '/api/objects/servers', body)
-            await asyncio.sleep(HEARTBEAT_S)
+            await self.pause()
+        await self.call_store('DELETE', path, {})
+        # It serves until it is ended.
+        await asyncio.Event().wait()
+
+    async def pause(self):
+        """Waits until the next check-in, or until it leaves."""
+        ends_at = time.monotonic() + HEARTBEAT_S
+        while self.switches['listed'] and time.monotonic() < ends_at:
+            await asyncio.sleep(0.02)
 
     async def call_store(self, method, path, body):
         reader, writer = await asyncio.open_connection('127.0.0.1', self.store)
@@ -334,7 +347,9 @@
         )
         await asyncio.sleep(self.switches['first_ms'] / 1000)
         for number in range(first, last + 1):
-            text = make_text(self.switches['data'], run['id'], number)
+            text = make_text(
+                self.switches['data'], run['id'], number, self.entry['version']
+            )
             packed = f'id: {number}\ndata: {text}\n\n'.encode()
             if framed:
                 packed = b'%x\r\n%s\r\n' % (len(packed), packed)
@@ -349,10 +364,11 @@
         return framed
 
 
-def make_text(data, request_id, number):
-    """Makes the data of an event; it depends on its request and number only."""
+def make_text(data, request_id, number, version='v1'):
+    """Makes the data of an event, the same at each engine of a version."""
     text = data[(number - 1) % len(data)]
-    return text.replace('{n}', str(number)).replace('{id}', request_id)
+    text = text.replace('{n}', str(number)).replace('{id}', request_id)
+    return text.replace('{version}', version)
 
 
 async def run_store(ports):
@@ -362,8 +378,8 @@
     await store.expire()
 
 
-async def run_engine(address, engine_id, service, slots, store, event_ms):
-    engine = Engine(address, engine_id, service, slots, store, event_ms)
+async def run_engine(address, *words):
+    engine = Engine(address, *words)
     ip, _, port = address.rpartition(':')
     await asyncio.start_server(engine.serve, ip, int(port), limit=2**23)
     await engine.register()
@@ -372,10 +388,16 @@
 def main(words):
     if words[0] == 'store':
         asyncio.run(run_store([int(word) for word in words[1:]]))
-    address, engine_id, service, slots, store, event_ms = words[1:]
+    address, engine_id, service, slots, store, event_ms, version = words[1:]
     asyncio.run(
         run_engine(
-            address, engine_id, service, int(slots), int(store), float(event_ms)
+            address,
+            engine_id,
+            service,
+            int(slots),
+            int(store),
+            float(event_ms),
+            version,
         )
     )
 
