Log why an item is given up, and by which configuration

The event item_given_up now names the route, whether the retention period is over, the revision at which the batch was written and that of the configuration.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_jobs.py
@@ -53,7 +53,8 @@
     ``has_unconfirmed_write`` is set while the outcome of a write is unknown,
     ``is_shared`` while another runner may write to the log as well. The first
     segment written here ends the latter: writes of that runner that are still
-    in flight precede this segment or are refused.
+    in flight precede this segment or are refused. ``revision`` is that of the
+    store at which the manifest was written.
     """
 
     __slots__ = (
@@ -64,14 +65,16 @@
         'manifest',
         'pending',
         'ready',
+        'revision',
         'runs',
         'segment_bytes',
         'writing',
     )
 
-    def __init__(self, *, key: str, manifest: ItemBatch) -> None:
+    def __init__(self, *, key: str, manifest: ItemBatch, revision: int) -> None:
         self.key = key
         self.manifest = manifest
+        self.revision = revision
         self.log = BatchLog(total=len(manifest.item_ids))
         self.runs: dict[str, ItemRun] = {}
         self.pending: list[ItemResult] = []
--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -233,7 +233,9 @@
         if manifest.ended:
             await self._drop(key)
         elif key not in self._jobs:
-            job = BatchJob(key=key, manifest=manifest)
+            job = BatchJob(
+                key=key, manifest=manifest, revision=stored.version
+            )
             elapsed_s = self._state.now() - self._no_contender_since
             # Another runner may have run items of it and still write results.
             job.is_shared = elapsed_s < NO_CONTENDER_S
@@ -386,6 +388,10 @@
                     'item_given_up',
                     item=run.item_id,
                     batch=run.batch_id,
+                    expired=expired,
+                    route=job.manifest.route,
+                    batch_revision=job.revision,
+                    config_revision=self._state.config_revision,
                 )
                 await self._scheduler.remove(run)
                 await self._finish(job, run, completed=False)
--- a/tests/test_batch_jobs.py
+++ b/tests/test_batch_jobs.py
@@ -58,7 +58,7 @@
 
 def open_job(store):
     """Loads a job as a runner does when it becomes active."""
-    job = BatchJob(key=KEY, manifest=make_manifest())
+    job = BatchJob(key=KEY, manifest=make_manifest(), revision=1)
 
     async def load():
         await read_log(store, KEY, job.log)
@@ -163,7 +163,7 @@
     becomes a failure, so that the batch is complete.
     """
     store = SmallStore()
-    job = BatchJob(key=KEY, manifest=make_manifest())
+    job = BatchJob(key=KEY, manifest=make_manifest(), revision=1)
     job.fill([make_item(item_id) for item_id in ITEMS], due_at=18.0)
     job.runs['b'].texts = ['x' * SMALL_BYTES]
     job.runs['c'].texts = ['x' * (SMALL_BYTES // 2)]
@@ -180,7 +180,7 @@
 
 def test_waiting_tokens_fall_as_items_end(store):
     """A batch counts in full until its input is read, and not once ended."""
-    unread = BatchJob(key=KEY, manifest=make_manifest())
+    unread = BatchJob(key=KEY, manifest=make_manifest(), revision=1)
     assert unread.waiting_tokens() == 400
     job = open_job(store)
     finish(job, 'a')
--- a/tests/test_fallback_store.py
+++ b/tests/test_fallback_store.py
@@ -306,7 +306,7 @@
         connectivity=_Connectivity(age_s),
         announce=None,
     )
-    job = BatchJob(key='k', manifest=make_manifest())
+    job = BatchJob(key='k', manifest=make_manifest(), revision=1)
     job.ready = True
     runner._jobs['k'] = job
     return runner
