A route is removed only by a configuration as new as the batch

Cause: the active runner took "not in my configuration" for "removed". Manifests and configuration come over two watches; one silent channel lets a batch arrive before its route. The same at a takeover, which lists the manifests anew and not the configuration.

Why this works: the store has one revision counter. A front accepts a batch only on a route of a configuration that was stored before the manifest, so a state of the configuration at least as new as the manifest holds that route, unless it was removed. Until the runner has such a state it lists the configuration, and the items wait. No format changes, so old manifests and a build of before are read as they were.

Ruled out: a version in the manifest (an earlier build refuses unknown fields), a pause (a silence has no bound).

--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_runner.py
@@ -21,6 +21,7 @@
     list_unfinished,
 )
 from jacinthmount_node.relay.batch_loading import load_runs
+from jacinthmount_node.relay.config_view import ConfigView
 from jacinthmount_node.relay.host_connectivity import HostConnectivity
 from jacinthmount_node.relay.item_runs import ItemRunner, RunEnd
 from jacinthmount_node.relay.messages import BatchAdmission, BatchAdmissionReply
@@ -63,6 +64,7 @@
         '_admissions',
         '_no_contender_since',
         '_announce',
+        '_config_view',
         '_copies',
         '_jobs',
         '_outage_refresh',
@@ -84,8 +86,10 @@
         item_runner: ItemRunner,
         copies: RecentObjects,
         connectivity: HostConnectivity,
+        config_view: ConfigView,
         announce: Callable[[], Awaitable[None]],
     ) -> None:
+        self._config_view = config_view
         self._copies = copies
         self._announce = announce
         self._connectivity = connectivity
@@ -233,9 +237,7 @@
         if manifest.ended:
             await self._drop(key)
         elif key not in self._jobs:
-            job = BatchJob(
-                key=key, manifest=manifest, revision=stored.version
-            )
+            job = BatchJob(key=key, manifest=manifest, revision=stored.version)
             elapsed_s = self._state.now() - self._no_contender_since
             # Another runner may have run items of it and still write results.
             job.is_shared = elapsed_s < NO_CONTENDER_S
@@ -381,26 +383,24 @@
         now_ms = time.time() * MS
         for job in list(self._jobs.values()):
             expired = now_ms > job.manifest.keep_until_ms + CLOCK_MARGIN_MS
-            if not expired and not self._is_route_removed(job):
-                continue
-            for run in list(job.runs.values()):
-                log_event(
-                    'item_given_up',
-                    item=run.item_id,
-                    batch=run.batch_id,
-                    expired=expired,
-                    route=job.manifest.route,
-                    batch_revision=job.revision,
-                    config_revision=self._state.config_revision,
-                )
-                await self._scheduler.remove(run)
-                await self._finish(job, run, completed=False)
-
-    def _is_route_removed(self, job: BatchJob) -> bool:
-        if not self._state.configured:
-            return False
-        found = self._state.config.find_route_named(job.manifest.route)
-        return found is None
+            if expired or await self._config_view.is_route_removed(
+                job.manifest.route, job.revision
+            ):
+                await self._give_up(job, expired=expired)
+
+    async def _give_up(self, job: BatchJob, *, expired: bool) -> None:
+        for run in list(job.runs.values()):
+            log_event(
+                'item_given_up',
+                item=run.item_id,
+                batch=run.batch_id,
+                expired=expired,
+                route=job.manifest.route,
+                batch_revision=job.revision,
+                config_revision=self._state.config_revision,
+            )
+            await self._scheduler.remove(run)
+            await self._finish(job, run, completed=False)
 
 
 def _make_delays(state: RelayState) -> WatchDelays:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -207,6 +207,7 @@
             ),
             copies=self._store.copies,
             connectivity=self._connectivity,
+            config_view=self._sync.config_view,
             announce=self._reporter.announce,
         )
         self._parts['batches'] = self._runner.run
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -23,6 +23,7 @@
     BLOCKED_PREFIX,
     BlockedRecords,
 )
+from jacinthmount_node.relay.config_view import ConfigView
 from jacinthmount_node.relay.endpoint_list import EndpointList
 from jacinthmount_node.relay.evacuations import Evacuations
 from jacinthmount_node.relay.host_records import HostRecords
@@ -80,6 +81,7 @@
         '_on_config',
         '_probe',
         '_state',
+        'config_view',
         'endpoint_list',
     )
 
@@ -106,6 +108,7 @@
         self._config_watch = self._make_watch(
             f'{config_prefix}/', self._apply_config
         )
+        self.config_view = ConfigView(state=state, watch=self._config_watch)
         freshness = ListFreshness(
             clock=state.clock,
             on_missed=lambda: state.versions.restart(state.now()),
--- a/tests/test_fallback_store.py
+++ b/tests/test_fallback_store.py
@@ -304,6 +304,7 @@
         item_runner=None,
         copies=RecentObjects(limit_bytes=0),
         connectivity=_Connectivity(age_s),
+        config_view=None,
         announce=None,
     )
     job = BatchJob(key='k', manifest=make_manifest(), revision=1)
--- a/tests/test_runner_takeover.py
+++ b/tests/test_runner_takeover.py
@@ -42,7 +42,7 @@
 ITEMS = ('a', 'b', 'c', 'd')
 
 
-class _Connectivity:
+class Connectivity:
     """Connectivity of a runner that reaches everything."""
 
     def __init__(self):
@@ -109,7 +109,8 @@
             rooms=RunnerCapacity(state=self.state),
             item_runner=None,
             copies=RecentObjects(limit_bytes=10_000),
-            connectivity=_Connectivity(),
+            connectivity=Connectivity(),
+            config_view=None,
             announce=announce,
         )
 
