Items of a model that a host has not heard of yet are kept

A host that claims a chunk fails the items whose model or route its table lacks. The host that accepted the batch tells the others of the batch at once; a model declared moments before may come later, by the watch or a digest. Callers would see 'no model or route' for items that could run, and the results stay so.

Now a missing target counts only once the table holds a listing at least as new as the manifest (ConfigTable.is_complete_at); if it does not, the configuration is listed first. While it can't be, the claim is released and the items are owed.

Found by reading, shown by tests; not seen at a running fleet. Ruled out: table.revision as the measure, since objects arrive one by one from peers, so the highest version says nothing of those below it.

--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_claims.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_claims.py
@@ -30,7 +30,7 @@
 from jacinthmount.results import FAILED, ResultRecord
 from jacinthmount.stores import new_write_id, write_with_retry
 
-from jacinthmount_node.batches.batch_chunks import ChunkRun
+from jacinthmount_node.batches.batch_chunks import BatchItem, ChunkRun
 from jacinthmount_node.batches.batch_state import BatchState
 from jacinthmount_node.batches.files_api import FileApi
 from jacinthmount_node.engines.engine_capacity import EngineCapacity
@@ -280,18 +280,41 @@
             await self._complete_if_done(run.batch)
 
     async def _fail_unknown_targets(self, run: ChunkRun) -> None:
-        for item in list(run.pending):
-            if not self._batch_state.is_known(item.target):
-                run.pending.remove(item)
-                await run.add(
-                    ResultRecord(
-                        line=item.line,
-                        state=FAILED,
-                        status=0,
-                        body=f'no model or route {shorten(item.target)}',
-                        code=NotFound.code,
-                    ),
-                )
+        """Ends the items whose model or route was removed.
+
+        The host that accepted the batch may know one that this host has not
+        heard of yet, so the configuration has to be as new as the batch.
+
+        :raises StoreUnavailable: the configuration can't be listed.
+        """
+        if not self._find_unknown(run):
+            return
+        batch = run.batch
+        stored = self._node.table.read(
+            batch_name(batch.account, batch.batch_id)
+        )
+        if stored is None:
+            # The batch has ended.
+            return
+        await self._sync.catch_up(stored.version)
+        for item in self._find_unknown(run):
+            run.pending.remove(item)
+            await run.add(
+                ResultRecord(
+                    line=item.line,
+                    state=FAILED,
+                    status=0,
+                    body=f'no model or route {shorten(item.target)}',
+                    code=NotFound.code,
+                ),
+            )
+
+    def _find_unknown(self, run: ChunkRun) -> list[BatchItem]:
+        return [
+            item
+            for item in run.pending
+            if not self._batch_state.is_known(item.target)
+        ]
 
     async def _release(self, run: ChunkRun) -> None:
         run.lost = True
--- a/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
@@ -10,16 +10,14 @@
 from jacinthmount.errors import (
     JacinthmountError,
     PeerUnavailable,
-    StoreConflict,
     StoreUnavailable,
 )
-from jacinthmount.keys import KEY_PREFIX, KeyRecord
+from jacinthmount.keys import KEY_PREFIX
 from jacinthmount.members import HostRecord, rank_hosts
 from jacinthmount.ports import FLEET_PREFIX, Stored
-from jacinthmount.records import parse_json, replaced, serialize_json
-from jacinthmount.stores import new_write_id, write_with_retry
 
 from jacinthmount_node.logs import log_event
+from jacinthmount_node.members.withdrawn_keys import WithdrawnKeys
 from jacinthmount_node.messages import (
     Digest,
     DigestReply,
@@ -46,7 +44,6 @@
 MAX_PUSH_OBJECTS = 500
 # Subject by which hosts are ranked to choose the watchers.
 WATCHER_RANK_SUBJECT = 'watch'
-WITHDRAWN_WRITE_INTERVAL_S = 2.0
 
 
 class WatcherPush:
@@ -67,6 +64,7 @@
         '_node',
         '_on_change',
         '_outbox',
+        '_withdrawn_keys',
     )
 
     def __init__(self, *, node: Node, links: PeerLinks, on_change) -> None:
@@ -79,6 +77,11 @@
         self._on_change = on_change
         self._outbox: curio.Queue = curio.Queue()
         self._digest_rounds = 0
+        self._withdrawn_keys = WithdrawnKeys(
+            node=node,
+            is_watcher=self.is_watcher,
+            publish=lambda stored: self.apply_objects([stored], push=True),
+        )
 
     async def run(self) -> None:
         """Watches, pushes and compares digests until cancelled."""
@@ -86,23 +89,29 @@
             await group.spawn(self._run_watch)
             await group.spawn(self._run_push)
             await group.spawn(self._run_digest)
-            await group.spawn(self._run_withdrawn_writes)
+            await group.spawn(self._withdrawn_keys.run)
 
     async def load(self) -> bool:
         """Loads the whole configuration from the platform or from a peer.
 
         :returns: whether the configuration is loaded.
         """
-        node = self._node
         try:
-            node.metrics.platform_calls.labels('list').inc()
-            listing = await node.store.list_names(FLEET_PREFIX)
+            await self._list()
         except StoreUnavailable:
             return await self._load_from_peers()
-        await self._apply_changed(node.table.load(listing), push=False)
-        node.loaded = True
+        self._node.loaded = True
         return True
 
+    async def catch_up(self, revision: int) -> None:
+        """Lists the configuration unless all of a revision is known here.
+
+        :param revision: that of an object which may refer to others.
+        :raises StoreUnavailable: the platform did not answer.
+        """
+        if not self._node.table.is_complete_at(revision):
+            await self._list()
+
     def is_watcher(self) -> bool:
         """Returns whether this host watches the platform for the others."""
         own = self._node.host
@@ -150,6 +159,12 @@
         for message in _split_pushes(changed) if push else ():
             await self._outbox.put(message)
 
+    async def _list(self) -> None:
+        node = self._node
+        node.metrics.platform_calls.labels('list').inc()
+        listing = await node.store.list_names(FLEET_PREFIX)
+        await self._apply_changed(node.table.load(listing), push=False)
+
     async def _load_from_peers(self) -> bool:
         for address in self._node.settings.peers:
             try:
@@ -257,39 +272,6 @@
             with contextlib.suppress(JacinthmountError):
                 await self._compare(address)
 
-    async def _run_withdrawn_writes(self) -> None:
-        # Writes keys that were withdrawn on the hosts while the platform was
-        # unavailable.
-        while True:
-            await curio.sleep(WITHDRAWN_WRITE_INTERVAL_S)
-            if not self._node.loaded or not self.is_watcher():
-                continue
-            for key_id in self._node.keyring.withdrawn_ids():
-                with contextlib.suppress(StoreUnavailable, StoreConflict):
-                    await self._write_withdrawn(key_id)
-
-    async def _write_withdrawn(self, key_id: str) -> None:
-        name = f'{KEY_PREFIX}{key_id}'
-        known = self._node.table.read(name)
-        if known is None or known.body is None:
-            return
-        record = parse_json(KeyRecord, known.body)
-        if record.withdrawn:
-            return
-        body = serialize_json(
-            replaced(record, withdrawn=True, write_id=new_write_id()),
-        )
-        version = await write_with_retry(
-            self._node.store,
-            name,
-            body,
-            known.version,
-        )
-        await self.apply_objects(
-            [Stored(name=name, version=version, body=body)],
-            push=True,
-        )
-
     def _pick_address(self) -> str | None:
         self._digest_rounds += 1
         remote = (
--- a/packages/jacinthmount/jacinthmount/table.py
+++ b/packages/jacinthmount/jacinthmount/table.py
@@ -71,6 +71,13 @@
         self._listed_revision = max(self._listed_revision, listing.revision)
         return changed
 
+    def is_complete_at(self, revision: int) -> bool:
+        """Returns whether each object of a revision is known here.
+
+        One that is missing was deleted since, or written later.
+        """
+        return self._listed_revision >= revision
+
     def read(self, name: str) -> Stored | None:
         """Returns an object, or None if it does not exist or was deleted."""
         found = self._current.get(name)
