An object of a peer no longer hides an earlier change

A watcher asked the platform for what came after the highest version in its table. Objects also come from peers, one by one: a batch that another host had just written moved that version past a change the watcher had not seen, such as a withdrawn key, after a watch call was cut or between two calls. No watcher asks for it again, and a digest brings it only if another host has it.

The table now keeps the revision up to which it lacks no change; watches go on from there. A host that begins to watch, or whose watch failed, lists the configuration and pushes what it finds, since the platform may no longer have the changes.

Tests: tests/test_config_sync.py, two of three failed before (the version asked for was table.revision), the third guards the pushes of what a listing brings.

--- a/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
@@ -60,6 +60,7 @@
 
     __slots__ = (
         '_digest_rounds',
+        '_is_following',
         '_links',
         '_node',
         '_on_change',
@@ -77,6 +78,8 @@
         self._on_change = on_change
         self._outbox: curio.Queue = curio.Queue()
         self._digest_rounds = 0
+        # Whether no change of the platform was missed since the last listing.
+        self._is_following = False
         self._withdrawn_keys = WithdrawnKeys(
             node=node,
             is_watcher=self.is_watcher,
@@ -159,11 +162,18 @@
         for message in _split_pushes(changed) if push else ():
             await self._outbox.put(message)
 
-    async def _list(self) -> None:
+    async def _list(self) -> list[Stored]:
+        """Loads the whole configuration from the platform.
+
+        :returns: the objects that changed the table.
+        :raises StoreUnavailable: the platform did not answer.
+        """
         node = self._node
         node.metrics.platform_calls.labels('list').inc()
         listing = await node.store.list_names(FLEET_PREFIX)
-        await self._apply_changed(node.table.load(listing), push=False)
+        changed = node.table.load(listing)
+        await self._apply_changed(changed, push=False)
+        return changed
 
     async def _load_from_peers(self) -> bool:
         for address in self._node.settings.peers:
@@ -182,6 +192,7 @@
                 await self._watch_once()
             except StoreUnavailable as exc:
                 log_event('platform_unavailable', detail=exc.detail)
+                self._is_following = False
                 await curio.sleep(WATCH_RETRY_PAUSE_S)
 
     async def _watch_once(self) -> None:
@@ -191,15 +202,20 @@
             await curio.sleep(WATCH_RETRY_PAUSE_S)
             return
         if not self.is_watcher():
+            self._is_following = False
             await curio.sleep(WATCHER_CHECK_INTERVAL_S)
             return
+        if not self._is_following:
+            # The platform may no longer have what came meanwhile.
+            await self._push_watched(await self._list())
+            self._is_following = True
         node.metrics.platform_calls.labels('watch').inc()
-        objects = await node.store.watch(
+        changes = await node.store.watch(
             FLEET_PREFIX,
-            node.table.revision,
+            node.table.complete_revision,
             WATCH_LONG_POLL_S,
         )
-        changed = self._node.table.merge(objects)
+        changed = node.table.follow(changes)
         if changed:
             await self._apply_changed(changed, push=False)
             await self._push_watched(changed)
--- a/packages/jacinthmount/jacinthmount/table.py
+++ b/packages/jacinthmount/jacinthmount/table.py
@@ -23,14 +23,16 @@
     """The latest known version of each configuration object, by name.
 
     A deleted object is kept as a tombstone without a body, so that a stale copy
-    can't restore it.
+    can't restore it. Objects arrive one by one from peers, so the highest
+    version, ``revision``, says nothing of those below it. Up to
+    ``complete_revision`` the table lacks no change.
     """
 
     __slots__ = (
         '_buckets',
         '_digest',
-        '_listed_revision',
         '_current',
+        'complete_revision',
         'revision',
     )
 
@@ -40,7 +42,7 @@
             {} for _ in range(DIGEST_BUCKETS)
         ]
         self._digest = [0 for _ in range(DIGEST_BUCKETS)]
-        self._listed_revision = 0
+        self.complete_revision = 0
         self.revision = 0
 
     def merge(self, objects: list[Stored]) -> list[Stored]:
@@ -68,7 +70,17 @@
             and stored.version < listing.revision
         ]
         changed = self.merge([*listing.objects, *deleted])
-        self._listed_revision = max(self._listed_revision, listing.revision)
+        self.complete_revision = max(self.complete_revision, listing.revision)
+        return changed
+
+    def follow(self, changes: list[Stored]) -> list[Stored]:
+        """Merges all changes of the platform since ``complete_revision``.
+
+        :returns: the objects that changed the table.
+        """
+        changed = self.merge(changes)
+        newest = max((change.version for change in changes), default=0)
+        self.complete_revision = max(self.complete_revision, newest)
         return changed
 
     def is_complete_at(self, revision: int) -> bool:
@@ -76,7 +88,7 @@
 
         One that is missing was deleted since, or written later.
         """
-        return self._listed_revision >= revision
+        return self.complete_revision >= revision
 
     def read(self, name: str) -> Stored | None:
         """Returns an object, or None if it does not exist or was deleted."""
@@ -142,7 +154,7 @@
             return False
         if (
             not known_version
-            and stored.version <= self._listed_revision
+            and stored.version <= self.complete_revision
             and stored.body is not None
         ):
             return False
