A host starts with all of the configuration, or not at all

A host that starts while the platform is away takes the configuration from a peer. A reply holds 500 objects; the host asked once, found its table not empty and served: keys and routes of the rest got 401 and 404 until digests had brought them, as if they had been removed. It also took its own table for that of a peer, since its address is in the list of peers, and that of a host which was itself not loaded.

It now fetches until the peer has nothing more, leaves itself out, and a host that is not loaded answers no digest. A loaded host that compares digests with one that is not waits for its time-out, as with a host that is away.

Tests: tests/test_config_sync.py, all three new cases failed before.

--- a/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
@@ -138,7 +138,13 @@
             await self._outbox.put(Withdraw(key_ids=newly_withdrawn))
 
     def answer_digest(self, digest: Digest) -> DigestReply:
-        """Merges withdrawn keys from a digest and returns what differs."""
+        """Merges withdrawn keys from a digest and returns what differs.
+
+        :raises PeerUnavailable: this host does not have the configuration yet,
+            so another one would take its part for the whole.
+        """
+        if not self._node.loaded:
+            raise PeerUnavailable(detail='the configuration is not loaded')
         for key_id in digest.withdrawn:
             self._node.keyring.withdraw(key_id)
         return DigestReply(
@@ -176,9 +182,15 @@
         return changed
 
     async def _load_from_peers(self) -> bool:
+        own = self._node.settings.peer_address()
         for address in self._node.settings.peers:
+            if address == own:
+                continue
+            has_more = True
             try:
-                await self._compare(address)
+                while has_more:
+                    # A reply has a part only.
+                    has_more = await self._compare(address)
             except PeerUnavailable:
                 continue
             if self._node.table.revision:
@@ -307,7 +319,12 @@
             ]
         return self._node.rng.choice(known) if known else None
 
-    async def _compare(self, address: str) -> None:
+    async def _compare(self, address: str) -> bool:
+        """Exchanges with another host what differs, up to a limit.
+
+        :returns: whether this host fetched something.
+        :raises PeerUnavailable: no answer.
+        """
         table = self._node.table
         digest = Digest(
             digest=table.digest(),
@@ -317,7 +334,7 @@
             address, digest, PEER_REQUEST_TIMEOUT_S
         )
         if not isinstance(reply, DigestReply):
-            return
+            return False
         await self.withdraw(reply.withdrawn)
         newer = table.newer_than(reply.buckets)[:MAX_PUSH_OBJECTS]
         if newer:
@@ -326,10 +343,10 @@
                 Push(objects=newer),
                 PEER_REQUEST_TIMEOUT_S,
             )
-        if table.is_behind(reply.buckets):
-            await self._fetch(
-                address, [bucket.bucket for bucket in reply.buckets]
-            )
+        if not table.is_behind(reply.buckets):
+            return False
+        await self._fetch(address, [bucket.bucket for bucket in reply.buckets])
+        return table.digest() != digest.digest
 
     async def _fetch(self, address: str, buckets: list[int]) -> None:
         own = self._node.table.versions_in_buckets(buckets)
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -8,16 +8,17 @@
 import pytest
 from jacinthmount.errors import PeerUnavailable, StoreUnavailable
 from jacinthmount.keys import Keyring
-from jacinthmount.ports import ABSENT
+from jacinthmount.ports import ABSENT, Stored
 from jacinthmount.stores import MemoryStore
 from jacinthmount.table import ConfigTable
-from jacinthmount_node.members.config_sync import ConfigSync
+from jacinthmount_node.members.config_sync import MAX_PUSH_OBJECTS, ConfigSync
 from jacinthmount_node.messages import Digest, Fetch
 
 KEY = 'fleet/keys/k1'
 BATCH = 'fleet/batches/gin/b1'
 PEER = 'h2:1'
 OWN = 'h1:1'
+COUNT = 2 * MAX_PUSH_OBJECTS + 1
 # Enough for a call to be made, or to fail.
 SETTLED_S = 0.05
 # Enough for a watch that was cut to go on.
@@ -104,6 +105,11 @@
     return node, ConfigSync(node=node, links=links, on_change=ignore)
 
 
+def make_stored(number):
+    """Makes an object of a peer."""
+    return Stored(name=f'fleet/keys/{number}', version=number, body='key')
+
+
 @pytest.fixture
 def store():
     """The store of the platform."""
@@ -179,3 +185,34 @@
 
     curio.run(run_beside, sync, play)
     assert links.pushed == [KEY]
+
+
+def test_host_starts_with_a_part_of_the_configuration(store):
+    """Guards against refusals of keys and routes that it has not fetched yet.
+
+    The platform is away, and a reply of a peer holds some objects only.
+    """
+    links = _Links()
+    peer, peer_sync = make_sync(MemoryStore(), links, loaded=True)
+    links.peers[PEER] = peer_sync
+    peer.table.merge([make_stored(number) for number in range(1, COUNT + 1)])
+    node, sync = make_sync(store, links, loaded=False)
+    store.is_away = True
+    assert curio.run(sync.load)
+    assert len(list(node.table.iter_prefix('fleet/'))) == COUNT
+
+
+@pytest.mark.parametrize('address', [OWN, PEER])
+def test_host_starts_with_what_a_host_that_is_not_loaded_has(store, address):
+    """Guards against one pushed object that is taken for the whole."""
+    links = _Links()
+    node, sync = make_sync(store, links, loaded=False)
+    peer, peer_sync = make_sync(MemoryStore(), links, loaded=False)
+    links.peers = {OWN: sync, PEER: peer_sync}
+    curio.run(
+        lambda: links.peers[address].apply_objects([make_stored(1)], push=False)
+    )
+    store.is_away = True
+    assert not curio.run(sync.load)
+    assert not node.loaded
+    assert peer.table.revision + node.table.revision == 1
