A state removes only objects that it is as new as

An object watch takes its revision from the first page of a listing, so that the watch brings what changes while the other pages are read; objects of later pages may be newer than it.

An object counts as removed by a state only if its version is not newer.

Test: test_state_removes_an_object_that_came_after_it (tests/test_object_watch.py) failed before.

--- a/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/object_watch.py
@@ -300,8 +300,8 @@
         changed = [stored for stored in objects if self._is_newer(stored)]
         changed.extend(
             Stored(name=name, version=revision, body=None)
-            for name in self._objects
-            if name not in names
+            for name, known in self._objects.items()
+            if name not in names and known.version <= revision
         )
         self.revision = revision
         await self._apply(changed)
--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -7,7 +7,11 @@
 from jacinthmount.errors import HistoryGone, StoreUnavailable
 from jacinthmount.ports import ABSENT, Stored
 from jacinthmount.stores import MemoryStore
-from jacinthmount_node.relay.object_watch import ObjectWatch, WatchDelays
+from jacinthmount_node.relay.object_watch import (
+    ObjectWatch,
+    PrefixSnapshot,
+    WatchDelays,
+)
 from jacinthmount_node.relay.outage_refresh import OutageRefresh
 
 NAME = 'things/a'
@@ -184,6 +188,43 @@
     assert not watch.objects()
 
 
+def test_state_removes_an_object_that_came_after_it(store):
+    """Guards against a listing in pages whose later objects vanish again.
+
+    Its revision is that of the first page; a state of a peer in between does
+    not know an object of the second page.
+    """
+    reported = []
+    watch = make_watch(store, reported)
+    later = Stored(name='things/b', version=9, body='later')
+
+    async def list_pages(prefix):
+        listing = await MemoryStore.list_names(store, prefix)
+        listing.objects.append(later)
+        return listing
+
+    async def play():
+        store.list_names = list_pages
+        await watch.refresh()
+        peer = PrefixSnapshot(
+            prefix='things/', revision=8, names=[NAME], objects=[]
+        )
+        await watch.apply_snapshot(peer)
+        newer = PrefixSnapshot(
+            prefix='things/', revision=9, names=[NAME], objects=[]
+        )
+        found = watch.find(later.name)
+        await watch.apply_snapshot(newer)
+        return found
+
+    assert curio.run(play) == later
+    assert reported == [
+        (NAME, 'one'),
+        ('things/b', 'later'),
+        ('things/b', None),
+    ]
+
+
 def test_snapshot_holds_only_what_the_other_lacks(store):
     """A snapshot has all names, and the bodies of newer objects only."""
     watch = make_watch(store, [])
