--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -230,6 +230,7 @@
             notices=self._notices,
             shares=self._shares,
             connectivity=self._connectivity,
+            sync=self._sync,
         )
         self._parts.update(assembly.parts)
         self._front_server = HttpServer(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front_assembly.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front_assembly.py
@@ -16,6 +16,7 @@
 from jacinthmount_node.relay.reports import HostReporter
 from jacinthmount_node.relay.runner_link import RunnerLink
 from jacinthmount_node.relay.state import RelayState
+from jacinthmount_node.relay.sync import RelaySync
 from jacinthmount_node.relay.tracked_links import TrackedLinks
 
 __all__ = ('FrontAssembly',)
@@ -38,6 +39,7 @@
         notices: EndpointNotices,
         shares: HeldShares,
         connectivity: HostConnectivity,
+        sync: RelaySync,
     ) -> None:
         helpers = HelperRelay(
             state=state,
@@ -45,6 +47,7 @@
             pool=pools.helpers,
             callers=ports.callers,
             endpoints=ports.endpoints,
+            catch_up=sync.request_snapshot,
         )
         relay = OnlineRelay(
             state=state,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
@@ -2,6 +2,7 @@
 
 import hmac
 import json
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import curio
@@ -9,7 +10,10 @@
 from jacinthmount.errors import (
     DeadlineExceeded,
     EndpointFailed,
+    KeyMissing,
+    KeyUnknown,
     NoEndpointReached,
+    NotFound,
     OutcomeUnknown,
     PeerUnavailable,
 )
@@ -37,6 +41,7 @@
     RelayMark,
 )
 from jacinthmount_node.relay.response_relay import NOT_RUN_STATUSES
+from jacinthmount_node.relay.running_attempts import has_key
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.tracked_links import TrackedLinks
 
@@ -51,6 +56,8 @@
 # Connections to other hosts are used again within this time.
 IDLE_S = 1.0
 RETRY_AFTER_S = 0.5
+# Codes of hosts whose configuration does not name the route or the key.
+UNKNOWN_CODES = frozenset((NotFound.code, KeyMissing.code, KeyUnknown.code))
 
 
 class HelperRelay:
@@ -63,6 +70,7 @@
     __slots__ = (
         '_addresses',
         '_callers',
+        '_catch_up',
         '_choice',
         '_endpoints',
         '_pool',
@@ -77,11 +85,15 @@
         pool: ClientPool,
         callers: CallerProtocol,
         endpoints: EndpointProtocol,
+        catch_up: Callable[[str], Awaitable[None]],
     ) -> None:
         """Starts without known addresses.
 
         :param pool: connections to other hosts only.
+        :param catch_up: takes over what the host at a peer address has newer,
+            such as a configuration.
         """
+        self._catch_up = catch_up
         self._state = state
         self._pool = pool
         self._callers = callers
@@ -204,7 +216,7 @@
             if exchange is not None:
                 await self._pool.release(exchange, IDLE_S)
         if not is_served:
-            self._note_failed(call, helper, 'reaches no endpoint')
+            self._note_failed(call, helper, 'can not serve it')
             return Stage.CONNECTING
         self._choice.on_succeeded(helper.host, self._state.now())
         call.endpoint_id = ''
@@ -238,7 +250,8 @@
     ) -> bool:
         """Sends a request and passes the answer on.
 
-        :returns: false if the host reaches no endpoint either.
+        :returns: false if the host reaches no endpoint either, or does not know
+            the route or the key yet.
         """
         call.attempts += 1
         headers = self._callers.make_helper_headers(
@@ -258,7 +271,7 @@
         )
         if exchange.status >= HTTPStatus.MULTIPLE_CHOICES:
             return await self._relay_error(
-                call, mark, exchange, answer, responder
+                call, helper, mark, exchange, answer, responder
             )
         if not (answer.own and answer.signed):
             raise EndpointFailed(detail='response without a signature')
@@ -291,13 +304,18 @@
     async def _relay_error(
         self,
         call: OnlineCall,
+        helper: RelayHost,
         mark: RelayMark,
         exchange: Exchange,
         answer: EndpointResponse,
         responder: Responder,
     ) -> bool:
         body = await exchange.read_body()
-        if _is_isolated(exchange.status, body):
+        code = 0 if answer.signed else _read_code(body)
+        if code == NoEndpointReached.code:
+            call.attempts -= 1
+            return False
+        if code in UNKNOWN_CODES and await self._is_older(call, helper):
             call.attempts -= 1
             return False
         # An earlier attempt may have run the request.
@@ -308,6 +326,16 @@
         await responder.send(exchange.status, body, answer.headers)
         return True
 
+    async def _is_older(self, call: OnlineCall, helper: RelayHost) -> bool:
+        """Returns whether a host lacks a route or key that it will know.
+
+        That is so unless its configuration is newer, and they were removed.
+        """
+        await self._catch_up(helper.peer_address)
+        cfg = self._state.config
+        route = cfg.find_route(call.request.host_name, call.request.path)
+        return route is not None and has_key(self._state, call)
+
     async def _relay_stream(
         self,
         call: OnlineCall,
@@ -334,11 +362,9 @@
         self._state.metrics.relayed_requests.labels(outcome).inc()
 
 
-def _is_isolated(status: int, body: bytes) -> bool:
-    """Returns whether a host answered that it reaches no endpoint."""
-    if status != NoEndpointReached.http_status:
-        return False
+def _read_code(body: bytes) -> int:
+    """Returns the code of an error of another host, or 0."""
     try:
-        return json.loads(body)['error']['code'] == str(NoEndpointReached.code)
+        return int(json.loads(body)['error']['code'])
     except (ValueError, LookupError, TypeError):
-        return False
+        return 0
--- a/tests/test_helper_relay.py
+++ b/tests/test_helper_relay.py
@@ -1,15 +1,24 @@
 """Refusals of requests that go through another host."""
 
+import json
 import random
 
 import curio
 import pytest
-from jacinthmount.errors import EndpointFailed, JacinthmountError, NotFound
+from jacinthmount.errors import (
+    EndpointFailed,
+    JacinthmountError,
+    KeyUnknown,
+    NotFound,
+)
+from jacinthmount.fleet_config import AccountRule, FleetConfig
 from jacinthmount.memory import ManualClock
 from jacinthmount.records import replaced
 from jacinthmount.stores import MemoryStore
 from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.http_messages import error_body
 from jacinthmount_node.relay.helper_relay import HelperRelay
+from jacinthmount_node.relay.messages import RelayHost
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.protocols import (
     EndpointResponse,
@@ -18,18 +27,32 @@
 )
 from jacinthmount_node.relay.state import RelayState
 
-from tests.relay_builders import make_relay_settings, make_route
+from tests.relay_builders import (
+    make_config,
+    make_relay_settings,
+    make_route,
+)
+
+OLDER, NEWER = 1, 2
+HOST = RelayHost(
+    host='h2',
+    incarnation='i',
+    data_centre='east',
+    peer_address='h2:1',
+    runs_batches=False,
+)
 
 
 class _Exchange:
     """An answer of another host."""
 
-    def __init__(self, status):
+    def __init__(self, status, body=b'{}'):
         self.status = status
+        self._body = body
 
     async def read_body(self):
-        """Returns an error without a code."""
-        return b'{}'
+        """Returns an error, without a code if none was given."""
+        return self._body
 
 
 class _Responder:
@@ -55,8 +78,28 @@
     )
 
 
+class _Helper:
+    """Another host, whose configuration this one can catch up with."""
+
+    def __init__(self, state):
+        self._state = state
+        self.newer = None
+
+    async def catch_up(self, address):
+        """Applies the configuration of the other host if it is newer."""
+        if self.newer is not None:
+            self._state.apply_config(self.newer, NEWER)
+
+
+@pytest.fixture
+def helper(state):
+    """Another host, whose configuration is older at first."""
+    state.apply_config(make_config(make_route('check')), OLDER)
+    return _Helper(state)
+
+
 @pytest.fixture
-def helpers(state):
+def helpers(state, helper):
     """The relay through other hosts."""
     return HelperRelay(
         state=state,
@@ -64,6 +107,7 @@
         pool=ClientPool(),
         callers=None,
         endpoints=None,
+        catch_up=helper.catch_up,
     )
 
 
@@ -120,6 +164,7 @@
         curio.run(
             helpers._relay_error,
             make_call(None),
+            HOST,
             make_mark(attempts=1),
             _Exchange(status),
             UNSIGNED,
@@ -135,6 +180,7 @@
     is_reached = curio.run(
         helpers._relay_error,
         make_call(None),
+        HOST,
         make_mark(attempts=0),
         _Exchange(status),
         UNSIGNED,
@@ -144,12 +190,80 @@
     assert responder.status == status
 
 
+def refuse(helpers, error, attempts=0):
+    """Lets another host refuse a request by an error of its own.
+
+    :returns: whether the refusal was passed on, the call and its responder.
+    """
+    responder = _Responder()
+    call = make_call(None)
+    call.attempts = 1
+    body = json.dumps(error_body(error(detail='unknown'))).encode()
+    is_served = curio.run(
+        helpers._relay_error,
+        call,
+        HOST,
+        make_mark(attempts=attempts),
+        _Exchange(error.http_status, body),
+        UNSIGNED,
+        responder,
+    )
+    return is_served, call, responder
+
+
+@pytest.mark.parametrize('attempts', [0, 1])
+@pytest.mark.parametrize('error', [NotFound, KeyUnknown])
+def test_route_or_key_that_a_helper_does_not_know_yet_is_refused(
+    helpers, error, attempts
+):
+    """Guards against 404 and 401 for a route or key that was just added.
+
+    This host has admitted the request; a host with an older configuration
+    has not run it, so another one may.
+    """
+    is_served, call, responder = refuse(helpers, error, attempts)
+    assert not is_served
+    assert not responder.status
+    assert not call.attempts
+
+
+@pytest.mark.parametrize(
+    ('error', 'config'),
+    [
+        (NotFound, make_config(make_route('other'), version=2)),
+        (
+            KeyUnknown,
+            FleetConfig(
+                version=2,
+                routes=[make_route('check')],
+                services=[],
+                accounts=[
+                    AccountRule(
+                        name='gin', key_hashes=[], rate_per_s=0.0, burst=0.0
+                    )
+                ],
+                limits=make_config().limits,
+            ),
+        ),
+    ],
+)
+def test_removed_route_or_key_is_tried_at_another_helper(
+    helpers, helper, error, config
+):
+    """The host that refused it has a newer configuration; it is right."""
+    helper.newer = config
+    is_served, _, responder = refuse(helpers, error)
+    assert is_served
+    assert responder.status == error.http_status
+
+
 def test_failure_of_an_endpoint_is_replaced_after_an_attempt(helpers):
     """What an endpoint has answered is passed on."""
     responder = _Responder()
     is_reached = curio.run(
         helpers._relay_error,
         make_call(None),
+        HOST,
         make_mark(attempts=1),
         _Exchange(404),
         replaced(UNSIGNED, signed=True),
