A status that HTTP does not know is no answer, nor a part a stream

- 600 to 999 reached callers of routes that are not repeated, as they came.
- a stream with another success was passed on as a complete 200: 204 as an empty one, 206 a part; items were completed by them, and the first interface took their end marker.

The client now refuses a status above 599, and streams and items take 200 only. Other requests keep any success of their engine.

--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
@@ -74,6 +74,8 @@
 
     async def iter_events(self) -> AsyncIterator[StreamEvent]:
         """See :meth:`~jacinthmount.ports.BackendExchange.iter_events`."""
+        if self.status != HTTPStatus.OK:
+            raise EndpointFailed(detail=f'stream with status {self.status}')
         ended = False
         async for payload in self._iter_payloads():
             if payload == END_OF_STREAM:
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -21,6 +21,8 @@
 MAX_HEADER_BYTES = 32_768
 MAX_ANSWER_BYTES = 33_554_432
 MAX_INTERIM_ANSWERS = 16
+# The last status that HTTP knows; the parser takes three digits.
+MAX_STATUS = 599
 # Events up to this size are not counted against the memory budget.
 SMALL_ANSWER_BYTES = 16_384
 MAX_IDLE_PER_ADDRESS = 32
@@ -110,7 +112,8 @@
 
         :param framed: reject an answer that is delimited by the end of the
             connection.
-        :raises EndpointFailed: there is no answer, or it is not framed.
+        :raises EndpointFailed: there is no answer, it is not framed, or its
+            status is none of HTTP.
         :raises EndlessAnswer: there are too many interim answers.
         """
         event = await self._next_event()
@@ -124,6 +127,8 @@
         if not isinstance(event, h11.Response):
             raise EndpointFailed(detail='connection closed without an answer')
         self.stage = Stage.ANSWERING
+        if event.status_code > MAX_STATUS:
+            raise EndpointFailed(detail=f'status {event.status_code}')
         self.status = event.status_code
         self.headers = _join_headers(event.headers)
         if framed and not self.framed:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_responses.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_responses.py
@@ -1,5 +1,7 @@
 """Response heads, event streams and connection reuse of endpoints."""
 
+from http import HTTPStatus
+
 from jacinthmount.errors import EndlessAnswer, EndpointFailed
 from jacinthmount.event_stream import EventChecker, ServerEvent
 
@@ -44,8 +46,11 @@
     """Yields the events that each received chunk completes, possibly none.
 
     :returns: an iterator over lists of events.
-    :raises EndpointFailed: the stream is incomplete or out of order.
+    :raises EndpointFailed: the stream is incomplete or out of order, or its
+        status is not that of a whole answer.
     """
+    if exchange.status != HTTPStatus.OK:
+        raise EndpointFailed(detail=f'stream with status {exchange.status}')
     has_events = False
     async for received in exchange.iter_body():
         events: list[ServerEvent] = checker.feed(received)
