--- a/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/members/config_sync.py
@@ -143,10 +143,10 @@
         :raises PeerUnavailable: this host does not have the configuration yet,
             so another one would take its part for the whole.
         """
-        if not self._node.loaded:
-            raise PeerUnavailable(detail='the configuration is not loaded')
         for key_id in digest.withdrawn:
             self._node.keyring.withdraw(key_id)
+        if not self._node.loaded:
+            raise PeerUnavailable(detail='the configuration is not loaded')
         return DigestReply(
             buckets=self._node.table.differing(digest.digest),
             withdrawn=self._node.keyring.withdrawn_ids(),
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -216,3 +216,12 @@
     assert not curio.run(sync.load)
     assert not node.loaded
     assert peer.table.revision + node.table.revision == 1
+
+
+def test_host_that_is_not_loaded_ignores_withdrawn_keys(store):
+    """It takes them from any digest, although it answers none."""
+    node, sync = make_sync(store, _Links(), loaded=False)
+    digest = Digest(digest=node.table.digest(), withdrawn=['k1'])
+    with pytest.raises(PeerUnavailable):
+        sync.answer_digest(digest)
+    assert node.keyring.withdrawn_ids() == ['k1']
