Tests: the early engine listens as the raw engine does

EarlyEngine had its own copy of the listener and the accept loop of RawEngine. It now extends it, as UnframedEngine does, and has its own way to serve only.

No assertion changed.

--- a/tests/early_engine.py
+++ b/tests/early_engine.py
@@ -3,9 +3,10 @@
 import contextlib
 import socket
 import struct
-import threading
 import time
 
+from tests.test_faulty_answers import RawEngine
+
 __all__ = ('EarlyEngine', 'chunked', 'sized', 'unframed')
 
 RESET_LINGER = struct.pack('ii', 1, 0)
@@ -14,7 +15,7 @@
 HOLD_S = 4.0
 
 
-class EarlyEngine:
+class EarlyEngine(RawEngine):
     """Answers once it has the head of a request, by a plan.
 
     The plan is a function of the id of the request and its head. It returns
@@ -35,28 +36,13 @@
         self.delay_s = delay_s
         self.reads_all = reads_all
         self.asked = []
-        self.connections = 0
-        self._listener = socket.create_server(('127.0.0.1', 0))
+        super().__init__(script=None)
         if buffer_bytes:
             self._listener.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes
             )
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        """Stops to accept connections."""
-        self._listener.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            for conn, _ in iter(self._listener.accept, None):
-                self.connections += 1
-                threading.Thread(
-                    target=self._serve, args=(conn,), daemon=True
-                ).start()
-
-    def _serve(self, conn):
+
+    def _serve(self, conn, connection):
         with conn, contextlib.suppress(OSError):
             while self._serve_one(conn):
                 """Goes on with the next request."""
