Tests: one way to make a batch runner

The tests of removed routes built the runner with the same arguments as those of takeovers. Both now call make_batch_runner, and the fake connectivity is private to its file again. 17 passed; no assertion changed.

--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -13,11 +13,8 @@
 )
 from jacinthmount.memory import ManualClock
 from jacinthmount.ports import ABSENT
-from jacinthmount.recent_objects import RecentObjects
 from jacinthmount.records import serialize_json
 from jacinthmount.stores import MemoryStore
-from jacinthmount_node.relay.batch_runner import RelayBatchRunner
-from jacinthmount_node.relay.runner_capacity import RunnerCapacity
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.sync import RelaySync
 
@@ -28,7 +25,7 @@
     make_relay_settings,
     make_route,
 )
-from tests.test_runner_takeover import ITEMS, KEY, Connectivity, announce
+from tests.test_runner_takeover import ITEMS, KEY, make_batch_runner
 
 CONFIG = 'config/main'
 OLD_ROUTES = ('check',)
@@ -82,15 +79,7 @@
         self.sync = RelaySync(
             state=self.state, links=None, decoder=_Decoder(), on_config=bool
         )
-        self.runner = RelayBatchRunner(
-            state=self.state,
-            rooms=RunnerCapacity(state=self.state),
-            item_runner=None,
-            copies=RecentObjects(limit_bytes=10_000),
-            connectivity=Connectivity(),
-            config_view=self.sync.config_view,
-            announce=announce,
-        )
+        self.runner = make_batch_runner(self.state, self.sync.config_view)
 
     async def write_config(self, routes):
         """Writes a configuration as the operator."""
--- a/tests/test_runner_takeover.py
+++ b/tests/test_runner_takeover.py
@@ -42,7 +42,7 @@
 ITEMS = ('a', 'b', 'c', 'd')
 
 
-class Connectivity:
+class _Connectivity:
     """Connectivity of a runner that reaches everything."""
 
     def __init__(self):
@@ -90,6 +90,19 @@
     """Notifies no other host."""
 
 
+def make_batch_runner(state, config_view):
+    """Makes the runner of a host that reaches everything."""
+    return RelayBatchRunner(
+        state=state,
+        rooms=RunnerCapacity(state=state),
+        item_runner=None,
+        copies=RecentObjects(limit_bytes=10_000),
+        connectivity=_Connectivity(),
+        config_view=config_view,
+        announce=announce,
+    )
+
+
 class Successor:
     """A runner that takes over an open batch, and the store."""
 
@@ -104,15 +117,7 @@
             rng=random.Random(1),
         )
         self.state.leadership.active = True
-        self.runner = RelayBatchRunner(
-            state=self.state,
-            rooms=RunnerCapacity(state=self.state),
-            item_runner=None,
-            copies=RecentObjects(limit_bytes=10_000),
-            connectivity=Connectivity(),
-            config_view=None,
-            announce=announce,
-        )
+        self.runner = make_batch_runner(self.state, config_view=None)
 
     async def accept(self, key):
         """Writes the input and the manifest of a batch."""
