--- a/packages/jacinthmount-node/jacinthmount_node/callers/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/front.py
@@ -278,7 +278,8 @@
         await responder.send(answer.status, answer.body, answer.headers)
 
     def _fit_deadline(self, service: str, deadline: float) -> float:
-        return self._node.stop.fit(self._node.now(), deadline, service)
+        now = self._node.now()
+        return self._node.stop.fit(now, deadline, service, now)
 
     def _route(self, path: str) -> Route | None:
         if not path.startswith(ROUTE_URL_PREFIX):
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -157,6 +157,7 @@
                 self._node.now(),
                 call.deadline - self._node.now(),
                 call.service,
+                call.arrived_at,
             )
         call.deadline = min(call.deadline, stop.ends_at)
 
--- a/packages/jacinthmount-node/jacinthmount_node/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/daemon.py
@@ -221,7 +221,8 @@
         started_at = self._node.now()
         self._node.ready = False
         self._node.stop.begin(
-            started_at + settings.stop_s * (1 - STOP_RESERVE_FRACTION)
+            started_at + settings.stop_s * (1 - STOP_RESERVE_FRACTION),
+            started_at + settings.drain_delay_s,
         )
         self._front_server.close_after_answers()
         await curio.sleep(
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_server.py
@@ -91,9 +91,16 @@
         await self._close_listener()
         await curio.sleep(DRAIN_GRACE_S)
         while self._connections:
-            idle_since = time.monotonic() - DRAIN_GRACE_S
-            for conn in list(self._connections):
-                conn.close_if_idle(idle_since)
+            self._close_idle()
+            await curio.sleep(POLL_S)
+
+    async def close_idle(self) -> None:
+        """Closes connections as they become idle, until it is cancelled.
+
+        Their callers learn that they have to send to another host.
+        """
+        while True:
+            self._close_idle()
             await curio.sleep(POLL_S)
 
     async def cut_answers(self) -> None:
@@ -149,5 +156,10 @@
             self._connections.discard(conn)
             await conn.close()
 
+    def _close_idle(self) -> None:
+        idle_since = time.monotonic() - DRAIN_GRACE_S
+        for conn in list(self._connections):
+            conn.close_if_idle(idle_since)
+
     def _is_closing(self) -> bool:
         return self._closing
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -46,6 +46,9 @@
 # Load balancers may still send requests for this long after the process stops
 # being ready.
 BALANCER_DRAIN_S = 3.2
+# Requests taken later must fit into the stop by all the time they may take.
+# Idle connections are closed then, so that their callers go elsewhere.
+ESTIMATES_S = 2.8
 # Part of the stop time that is reserved for the steps after the drain.
 STOP_RESERVE_S = 1.0
 # Requests have their own errors sent for this long before they are cut.
@@ -271,16 +274,17 @@
         started_at = self._state.now()
         self._state.leaving = True
         self._state.stop.begin(
-            started_at + self._state.settings.stop_s - STOP_RESERVE_S
+            started_at + self._state.settings.stop_s - STOP_RESERVE_S,
+            started_at + ESTIMATES_S,
         )
         if self._front_server is not None:
             self._front_server.close_after_answers()
         if self._runner is not None:
             await self._runner.stop()
         if self._front_server is not None:
-            balancer_until = started_at + BALANCER_DRAIN_S
-            await self._sleep_until(
-                min(balancer_until, self._state.stop.ends_at)
+            await self._sleep_until(started_at + ESTIMATES_S)
+            await self._close_idle(
+                self._front_server, started_at + BALANCER_DRAIN_S
             )
             await self._drain(self._front_server)
         await self._sync.deregister()
@@ -293,8 +297,17 @@
         async with curio.ignore_after(CUT_TIMEOUT_S):
             await server.cut_answers()
 
+    async def _close_idle(self, server: HttpServer, until: float) -> None:
+        async with curio.ignore_after(self._left_s(until)):
+            await server.close_idle()
+
     async def _sleep_until(self, moment: float) -> None:
-        await curio.sleep(max(0, moment - self._state.now()))
+        await curio.sleep(self._left_s(moment))
+
+    def _left_s(self, moment: float) -> float:
+        # The stop may be shorter than its parts.
+        until = min(moment, self._state.stop.ends_at)
+        return max(0, until - self._state.now())
 
 
 def run_relay(settings: RelaySettings, ports: RelayPorts) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -25,13 +25,14 @@
 from jacinthmount_node.relay.crash_evidence import find_blocked_error
 from jacinthmount_node.relay.helper_relay import HelperRelay
 from jacinthmount_node.relay.online import OnlineRelay
-from jacinthmount_node.relay.online_call import OnlineCall
+from jacinthmount_node.relay.online_call import OnlineCall, find_taken_at
 from jacinthmount_node.relay.protocols import (
     CallerProtocol,
     EndBatch,
     ReadItemBody,
     ReadResults,
     RelayedRequest,
+    RelayMark,
 )
 from jacinthmount_node.relay.quota import AccountQuota
 from jacinthmount_node.relay.response_relay import LANE
@@ -166,15 +167,16 @@
         await request.keep_parsed(body)
         await _submit(call, front, route, account, body, responder)
         return
+    mark = front.helpers.verify(call)
     online = OnlineCall(
         request=call,
         route=route,
         account=account.name if account else '',
         body=body,
         arrived_at=arrived_at,
-        deadline=_find_deadline(call, route, front, arrived_at),
+        deadline=_find_deadline(call, route, front, arrived_at, mark),
         service=route.pick_service(front.state.rng),
-        mark=front.helpers.verify(call),
+        mark=mark,
     )
     _refuse_if_blocked(front.state, online)
     if front.helpers.is_needed(online):
@@ -217,6 +219,7 @@
     route: RouteRule,
     front: RelayFront,
     arrived_at: float,
+    mark: RelayMark | None,
 ) -> float:
     """Returns the monotonic time by which a request has to be answered.
 
@@ -226,10 +229,9 @@
     if route.timeout_s:
         left_s = min(left_s, route.timeout_s)
     now = front.state.now()
-    front.state.stop.raise_if_too_late(
-        now, arrived_at + left_s - now, route.name
+    return front.state.stop.fit(
+        now, arrived_at + left_s, route.name, find_taken_at(mark, now)
     )
-    return arrived_at + left_s
 
 
 def _log_served(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
@@ -16,6 +16,7 @@
     NotFound,
     OutcomeUnknown,
     PeerUnavailable,
+    ShuttingDown,
 )
 from jacinthmount.event_stream import EventChecker
 from jacinthmount.peer_choice import PeerChoice
@@ -56,6 +57,8 @@
 # Connections to other hosts are used again within this time.
 IDLE_S = 1.0
 RETRY_AFTER_S = 0.5
+# Codes of hosts that serve nothing now, whatever their configuration.
+UNABLE_CODES = frozenset((NoEndpointReached.code, ShuttingDown.code))
 # Codes of hosts whose configuration does not name the route or the key.
 UNKNOWN_CODES = frozenset((NotFound.code, KeyMissing.code, KeyUnknown.code))
 
@@ -250,8 +253,8 @@
     ) -> bool:
         """Sends a request and passes the answer on.
 
-        :returns: false if the host reaches no endpoint either, or does not know
-            the route or the key yet.
+        :returns: false if the host reaches no endpoint either, ends too soon,
+            or does not know the route or the key yet.
         """
         call.attempts += 1
         headers = self._callers.make_helper_headers(
@@ -312,7 +315,7 @@
     ) -> bool:
         body = await exchange.read_body()
         code = 0 if answer.signed else _read_code(body)
-        if code == NoEndpointReached.code:
+        if code in UNABLE_CODES:
             call.attempts -= 1
             return False
         if code in UNKNOWN_CODES and await self._is_older(call, helper):
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -27,7 +27,7 @@
 from jacinthmount_node.relay.endpoint_notices import EndpointNotices
 from jacinthmount_node.relay.endpoint_responses import count_endless
 from jacinthmount_node.relay.helper_relay import HelperRelay
-from jacinthmount_node.relay.online_call import OnlineCall
+from jacinthmount_node.relay.online_call import OnlineCall, find_taken_at
 from jacinthmount_node.relay.online_queue import OnlineQueue
 from jacinthmount_node.relay.place_requests import PlaceRequests
 from jacinthmount_node.relay.protocols import EndpointProtocol
@@ -265,7 +265,12 @@
         """
         stop = self._state.stop
         if not call.attempts:
-            stop.raise_if_too_late(now, call.deadline - now, call.route.name)
+            stop.raise_if_too_late(
+                now,
+                call.deadline - now,
+                call.route.name,
+                find_taken_at(call.mark, call.arrived_at),
+            )
         call.deadline = min(call.deadline, stop.ends_at)
         self._recheck_key(call)
         await self._recheck_crashes(call, responder)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online_call.py
@@ -1,5 +1,7 @@
 """An online request and the progress of its attempts."""
 
+import math
+
 from jacinthmount.crash_strikes import Suspect
 from jacinthmount.fleet_config import RouteRule
 from jacinthmount.request_digest import digest_request, digest_stream
@@ -7,7 +9,19 @@
 
 from jacinthmount_node.relay.protocols import RelayedRequest, RelayMark
 
-__all__ = ('OnlineCall',)
+__all__ = ('OnlineCall', 'find_taken_at')
+
+
+def find_taken_at(mark: RelayMark | None, arrived_at: float) -> float:
+    """Returns when a request was taken, by which a planned stop judges it.
+
+    Another host can send its requests elsewhere, so that only the time that
+    they may take counts.
+
+    :param mark: that of the host that sent it for its caller, or None.
+    :param arrived_at: monotonic time in seconds.
+    """
+    return arrived_at if mark is None else math.inf
 
 
 class OnlineCall(ResumableText):
--- a/tests/test_cut_hosts.py
+++ b/tests/test_cut_hosts.py
@@ -1,6 +1,7 @@
 """Hosts that reach no engine, on real processes."""
 
 import json
+import signal
 import threading
 import time
 from pathlib import Path
@@ -19,6 +20,10 @@
 KNOWN_S = 1.0
 PAUSE_S = 0.05
 LOG_DELAY_S = 2.0
+LONG_EVENT_S = 0.45
+# From then on a host that stops may end before a request of 5 s.
+STOPPING_S = 2.65
+ENOUGH_S = 10.0
 # What the callers of such a host get, compared with others.
 SERVED = 0.9
 ITEMS = 24
@@ -140,6 +145,29 @@
     assert sum(stream.is_whole for stream in streams) >= SERVED * len(streams)
 
 
+def test_helper_that_stops_cuts_what_it_took_by_run_times(site, cut_file):
+    """Guards against long requests that are run where they can't end.
+
+    They were short before; what a host runs for another one goes elsewhere
+    if it may outlast the host.
+    """
+    cut(site, cut_file, 'reset')
+    time.sleep(KNOWN_S)
+    assert call_at(site, 'front-1', 's', '/scan/1') >= SERVED * COUNT
+    for port in site.engines.values():
+        site.switch(port, event_s=LONG_EVENT_S)
+    site.signal('front-2', signal.SIGTERM)
+    time.sleep(STOPPING_S)
+    streams = [
+        Stream(name=f't{number}', count=EVENTS, path='/scan/1')
+        for number in range(COUNT)
+    ]
+    for thread in run_all(streams, [site.fronts['front-1']]):
+        thread.join()
+    assert all(stream.is_whole for stream in streams), streams
+    assert not site.wait_end('front-2', ENOUGH_S)
+
+
 def find_active_runner(site):
     """Finds the runner that has become active, once it has logged that."""
     until = time.monotonic() + LOG_DELAY_S
--- a/tests/test_helper_relay.py
+++ b/tests/test_helper_relay.py
@@ -10,6 +10,7 @@
     JacinthmountError,
     KeyUnknown,
     NotFound,
+    ShuttingDown,
 )
 from jacinthmount.fleet_config import AccountRule, FleetConfig
 from jacinthmount.memory import ManualClock
@@ -227,6 +228,15 @@
     assert not call.attempts
 
 
+@pytest.mark.parametrize('attempts', [0, 1])
+def test_helper_that_stops_refuses_a_request_for_good(helpers, attempts):
+    """Guards against 503 of a host that ends, while others could help."""
+    is_served, call, responder = refuse(helpers, ShuttingDown, attempts)
+    assert not is_served
+    assert not responder.status
+    assert not call.attempts
+
+
 @pytest.mark.parametrize(
     ('error', 'config'),
     [
