--- a/packages/jacinthmount-node/jacinthmount_node/batches/batch_items.py
+++ b/packages/jacinthmount-node/jacinthmount_node/batches/batch_items.py
@@ -74,6 +74,7 @@
         exchange = await backend.open(
             endpoint.address,
             no_reuse=not profile.idempotent,
+            request_id=item.name,
         )
         if kind == 'model':
             record = await _run_model(item, exchange)
--- a/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/calls.py
@@ -278,6 +278,7 @@
                 exchange = await node.plain.open(
                     state.endpoint.address,
                     no_reuse=no_reuse,
+                    request_id=call.request_id,
                 )
                 answer = await self._exchange(call, exchange)
         except ATTEMPT_ERRORS:
--- a/packages/jacinthmount-node/jacinthmount_node/callers/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/online.py
@@ -239,6 +239,7 @@
                 exchange = await self._node.engine.open(
                     state.endpoint.address,
                     no_reuse=not profile.idempotent,
+                    request_id=call.request_id,
                 )
                 await self._relay_unless_left(
                     call,
--- a/packages/jacinthmount-node/jacinthmount_node/callers/plain_service.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/plain_service.py
@@ -29,7 +29,6 @@
             ('x-client-account', call.account or NO_ACCOUNT),
         ]
         await self.send_and_read_head(call, headers)
-        self.check_request_id(call)
 
 
 class HttpPlainService(HttpBackend):
--- a/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
@@ -7,6 +7,7 @@
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, EndpointLost
 from jacinthmount.ports import Backend, BackendCall, BackendExchange
 
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.http_client import ClientPool, Exchange
 
 __all__ = (
@@ -65,21 +66,36 @@
         call: BackendCall,
         headers: list[tuple[str, str]],
     ) -> None:
-        """Sends a call with these headers and reads the response head."""
+        """Sends a call with these headers and reads the response head.
+
+        :raises EndpointFailed: the response belongs to another request.
+        """
         with self.track_stage():
             await self.http.send(call.method, call.target, headers, call.body)
-            await self._read_head()
+            await self._read_own_head(call)
         self.status = self.http.status
         self.headers = self.http.headers
 
-    def check_request_id(self, call: BackendCall) -> None:
-        """Checks the request id of the response, if it has one.
+    async def _read_own_head(self, call: BackendCall) -> None:
+        """Reads heads until that of the response to a call, if it names one.
 
         :raises EndpointFailed: the response belongs to another request.
         """
-        answered_id = self.headers.get(REQUEST_ID, call.request_id)
-        if answered_id != call.request_id:
-            raise EndpointFailed(detail='response to another request')
+        while True:
+            await self._read_head()
+            named_id = self.http.headers.get(REQUEST_ID, call.request_id)
+            if named_id == call.request_id:
+                return
+            if not self.http.has_sent(named_id):
+                raise EndpointFailed(detail='response to another request')
+            log_event(
+                'extra_answer',
+                request=call.request_id,
+                other=named_id,
+                status=self.http.status,
+                address=self.http.address,
+            )
+            await self.http.skip_answer()
 
     async def _read_head(self) -> None:
         try:
@@ -102,10 +118,14 @@
     def __init__(self, *, pool: ClientPool) -> None:
         self.pool = pool
 
-    async def open(self, address: str, *, no_reuse: bool) -> BackendExchange:
+    async def open(
+        self, address: str, *, no_reuse: bool, request_id: str = ''
+    ) -> BackendExchange:
         """See :meth:`~jacinthmount.ports.Backend.open`."""
         with map_connection_errors():
-            http = await self.pool.open(address, no_reuse=no_reuse)
+            http = await self.pool.open(
+                address, no_reuse=no_reuse, request_id=request_id
+            )
         return self.exchange_type(http=http)
 
     async def release(self, exchange: BackendExchange) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
@@ -65,7 +65,6 @@
         if call.offset:
             headers.append(('x-resume-offset', str(call.offset)))
         await self.send_and_read_head(call, headers)
-        self.check_request_id(call)
         self.version = self.headers.get(ENGINE_VERSION, '')
         if REQUEST_ID not in self.headers:
             raise EndpointFailed(detail='response without a request id')
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -12,6 +12,7 @@
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 
 from jacinthmount_node.net.header_rows import pack_rows
+from jacinthmount_node.net.sent_ids import SentIds
 from jacinthmount_node.net.sockets import abort_socket, connect, with_timeout
 from jacinthmount_node.net.uploads import Upload
 from jacinthmount_node.net.wire_reader import FramingTooLong, WireReader
@@ -22,6 +23,8 @@
 MAX_HEADER_BYTES = 32_768
 MAX_ANSWER_BYTES = 33_554_432
 MAX_INTERIM_ANSWERS = 16
+# Extra answers that are read before that to a request.
+MAX_EXTRA_ANSWERS = 16
 # The last status that HTTP knows; the parser takes three digits.
 MAX_STATUS = 599
 # Events up to this size are not counted against the memory budget.
@@ -41,7 +44,10 @@
         '_is_aborted',
         '_is_over_budget',
         '_memory',
+        '_method',
         '_reader',
+        '_sent_ids',
+        '_skipped',
         '_sock',
         '_upload',
         '_wire',
@@ -61,14 +67,19 @@
         sock: Any,
         wire: h11.Connection,
         memory: AnswerMemory,
-        reused: bool = False,
+        sent_ids: SentIds | None = None,
     ) -> None:
         """Creates an exchange on a connected socket.
 
         :param memory: memory budget of all answers that are being received.
-        :param reused: whether the connection was used by another exchange.
+        :param sent_ids: ids of the requests of the exchanges before it on the
+            connection, or None if it is new.
         """
         self._memory = memory
+        self._method = ''
+        self._sent_ids = sent_ids or SentIds()
+        # Answers to requests of other exchanges.
+        self._skipped = 0
         self._reader = WireReader(sock=sock, wire=wire)
         self._is_aborted = False
         self._is_over_budget = False
@@ -77,7 +88,7 @@
         self.address = address
         # Bytes of whole events that the reader keeps.
         self.held_bytes = 0
-        self.reused = reused
+        self.reused = sent_ids is not None
         self.unusable_at = UNLIMITED_S
         self._sock = sock
         self._wire = wire
@@ -97,6 +108,7 @@
         With a large body it ends once the answer begins, too. Whether all was
         sent then shows where it matters.
         """
+        self._method = method
         rows = [('content-length', str(len(body))), *headers]
         if all(name != 'host' for name, _ in headers):
             rows.insert(0, ('host', self.address))
@@ -163,6 +175,32 @@
                 )
             yield bytes(event.data)
 
+    async def skip_answer(self) -> None:
+        """Reads the rest of an answer to a request of an earlier exchange.
+
+        The head of the answer to this request may be read after it.
+
+        :raises EndpointFailed: the answer is incomplete or ends the connection,
+            or there are too many.
+        """
+        self._skipped += 1
+        size = 0
+        async for piece in self.iter_body():
+            size += len(piece)
+            EndlessAnswer.check(GarbageKind.BODY, size, MAX_ANSWER_BYTES)
+        if self._skipped > MAX_EXTRA_ANSWERS or not self._is_wire_done():
+            raise EndpointFailed(detail='response to another request')
+        self._wire.start_next_cycle()
+        # The parser expects an answer once more. Nothing is sent.
+        repeated = h11.Request(
+            method=self._method,
+            target='/',
+            headers=pack_rows([('host', self.address)]),
+        )
+        self._wire.send(repeated)
+        self._wire.send(h11.EndOfMessage())
+        self.stage = Stage.SENT
+
     async def read_body(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
         """Reads the whole body.
 
@@ -220,8 +258,18 @@
             # Bytes after the end of the answer belong to no request, and those
             # of a request that was not read are no next one.
             return False
-        done = h11.DONE
-        return self._wire.our_state is done and self._wire.their_state is done
+        return self._is_wire_done() and not self._sent_ids.is_full()
+
+    def has_sent(self, request_id: str) -> bool:
+        """Returns whether a request with this id was sent on the connection.
+
+        That of this exchange counts as well, once it is recorded.
+        """
+        return request_id in self._sent_ids
+
+    def record_id(self, request_id: str) -> None:
+        """Records the id of the request of this exchange; empty for none."""
+        self._sent_ids.add(request_id)
 
     def is_stale(self) -> bool:
         """Returns whether an idle connection is closed or has stray bytes."""
@@ -243,7 +291,7 @@
             sock=self._sock,
             wire=self._wire,
             memory=self._memory,
-            reused=True,
+            sent_ids=self._sent_ids,
         )
 
     def abort(self) -> None:
@@ -297,6 +345,10 @@
         if not self._is_request_taken():
             raise EndpointFailed(detail='answer ended before the request')
 
+    def _is_wire_done(self) -> bool:
+        done = h11.DONE
+        return self._wire.our_state is done and self._wire.their_state is done
+
     def _is_request_taken(self) -> bool:
         return self._upload is None or self._upload.is_taken()
 
@@ -339,6 +391,7 @@
         *,
         no_reuse: bool,
         timeout_s: float = CONNECT_TIMEOUT_S,
+        request_id: str = '',
     ) -> Exchange:
         """Opens an exchange.
 
@@ -347,26 +400,17 @@
         :param no_reuse: open a new connection, since an idle one may be lost
             after the request was sent.
         :param timeout_s: connection timeout in seconds.
+        :param request_id: id of the request, for which no connection is used
+            that has carried it before; empty if it has none.
         :raises OSError: the endpoint is unreachable.
         """
-        idle = self._idle.get(address, [])
-        while idle and not no_reuse:
-            exchange = idle.pop()
-            expired = time.monotonic() >= exchange.unusable_at
-            if not expired and not exchange.is_stale():
-                return exchange.next_exchange()
-            await exchange.close()
-        sock = await with_timeout(timeout_s, connect, address)
-        wire = h11.Connection(
-            h11.CLIENT,
-            max_incomplete_event_size=MAX_HEADER_BYTES,
-        )
-        return Exchange(
-            address=address,
-            sock=sock,
-            wire=wire,
-            memory=self.memory,
-        )
+        exchange = None
+        if not no_reuse:
+            exchange = await self._take_idle(address, request_id)
+        if exchange is None:
+            exchange = await self._connect(address, timeout_s)
+        exchange.record_id(request_id)
+        return exchange
 
     async def accepts(self, address: str, timeout_s: float) -> bool:
         """Returns whether an address accepts a new connection.
@@ -427,6 +471,33 @@
             raise
         return exchange
 
+    async def _take_idle(
+        self, address: str, request_id: str
+    ) -> Exchange | None:
+        idle = self._idle.get(address, [])
+        for exchange in reversed(idle.copy()):
+            if exchange not in idle or exchange.has_sent(request_id):
+                continue
+            idle.remove(exchange)
+            expired = time.monotonic() >= exchange.unusable_at
+            if not expired and not exchange.is_stale():
+                return exchange.next_exchange()
+            await exchange.close()
+        return None
+
+    async def _connect(self, address: str, timeout_s: float) -> Exchange:
+        sock = await with_timeout(timeout_s, connect, address)
+        wire = h11.Connection(
+            h11.CLIENT,
+            max_incomplete_event_size=MAX_HEADER_BYTES,
+        )
+        return Exchange(
+            address=address,
+            sock=sock,
+            wire=wire,
+            memory=self.memory,
+        )
+
 
 async def _send_and_read(
     exchange: Exchange,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_responses.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_responses.py
@@ -5,38 +5,56 @@
 from jacinthmount.errors import EndlessAnswer, EndpointFailed
 from jacinthmount.event_stream import EventChecker, ServerEvent
 
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import Metrics
 from jacinthmount_node.net.http_client import Exchange
 from jacinthmount_node.relay.protocols import EndpointProtocol, EndpointResponse
 
-__all__ = ('count_endless', 'idle_limit', 'iter_events', 'parse_response_head')
+__all__ = ('count_endless', 'idle_limit', 'iter_events', 'read_response_head')
 
 # Part of the announced idle time after which a connection is not used again.
 IDLE_FRACTION = 0.5
 DEFAULT_IDLE_S = 1.0
 
 
-def parse_response_head(
+async def read_response_head(
     protocol: EndpointProtocol,
     request_id: str,
     exchange: Exchange,
 ) -> EndpointResponse:
-    """Parses the head of the response to a request.
+    """Reads the head of the response to a request.
+
+    Late extra responses to earlier requests of the connection are skipped.
 
     :raises EndpointFailed: the response belongs to another request.
     """
-    answer = protocol.parse_response(
-        request_id,
-        exchange.status,
-        exchange.headers,
-    )
-    if not answer.own:
-        raise EndpointFailed(detail='response to another request')
-    return answer
+    while True:
+        await exchange.read_head(framed=False)
+        answer = protocol.parse_response(
+            request_id,
+            exchange.status,
+            exchange.headers,
+        )
+        if answer.own:
+            return answer
+        is_other = answer.request_id not in {'', request_id}
+        if not is_other or not exchange.has_sent(answer.request_id):
+            raise EndpointFailed(detail='response to another request')
+        log_event(
+            'extra_answer',
+            request=request_id,
+            other=answer.request_id,
+            status=exchange.status,
+            address=exchange.address,
+        )
+        await exchange.skip_answer()
 
 
 def idle_limit(answer: EndpointResponse) -> float:
     """Returns for how many seconds an idle connection may be used again."""
+    if not answer.request_id:
+        # An extra response without an id could not be told from others.
+        return 0.0
     if answer.idle_s is None:
         return DEFAULT_IDLE_S
     return answer.idle_s * IDLE_FRACTION
--- a/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
@@ -205,6 +205,7 @@
                     await self._addresses.find(helper),
                     no_reuse=not call.route.idempotent,
                     timeout_s=CONNECT_TIMEOUT_S,
+                    request_id=call.request.request_id,
                 )
                 is_served = await self._relay(
                     call, helper, mark, exchange, responder
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -25,7 +25,7 @@
     count_endless,
     idle_limit,
     iter_events,
-    parse_response_head,
+    read_response_head,
 )
 from jacinthmount_node.relay.protocols import (
     EndpointProtocol,
@@ -96,6 +96,7 @@
                 use.entry.address,
                 no_reuse=False,
                 timeout_s=CONNECT_TIMEOUT_S,
+                request_id=run.item_id,
             )
             outcome, idle_s = await self._exchange(run, use, exchange)
         except ATTEMPT_ERRORS as exc:
@@ -204,8 +205,13 @@
             self._protocol.make_headers(request),
             run.body,
         )
-        await with_timeout(HEAD_TIMEOUT_S, _read_head, exchange)
-        answer = parse_response_head(self._protocol, run.item_id, exchange)
+        answer = await with_timeout(
+            HEAD_TIMEOUT_S,
+            read_response_head,
+            self._protocol,
+            run.item_id,
+            exchange,
+        )
         if answer.leaving:
             self._state.note_leaving(use.entry)
         if not answer.other_endpoint:
@@ -288,7 +294,3 @@
     if exc.kind in EVENT_KINDS:
         # No other answer could go on after these events.
         run.begin_anew()
-
-
-async def _read_head(exchange: Exchange) -> None:
-    await exchange.read_head(framed=False)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -318,6 +318,7 @@
                     use.entry.address,
                     no_reuse=False,
                     timeout_s=CONNECT_TIMEOUT_S,
+                    request_id=call.request.request_id,
                 )
                 self._attempts.begin(call, use, exchange)
                 idle_s = await self._answers.relay(
--- a/packages/jacinthmount-node/jacinthmount_node/relay/protocols.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/protocols.py
@@ -205,7 +205,8 @@
 class EndpointResponse(Record):
     """Head of an endpoint's response.
 
-    ``own`` is true if the response belongs to the request that was sent.
+    ``request_id`` is the id that it names, or an empty string, and ``own`` is
+    true if the response belongs to the request that was sent.
     ``not_run`` is true if the endpoint guarantees that it did not run the
     request, ``other_endpoint`` if another endpoint now has the address,
     ``signed`` if the response carries the endpoint's signature, ``leaving`` if
@@ -216,6 +217,7 @@
     """
 
     __slots__ = (
+        'request_id',
         'own',
         'not_run',
         'other_endpoint',
@@ -227,6 +229,7 @@
         'limit_per_s',
     )
 
+    request_id: str
     own: bool
     not_run: bool
     other_endpoint: bool
--- a/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
@@ -14,7 +14,7 @@
 from jacinthmount_node.relay.endpoint_responses import (
     idle_limit,
     iter_events,
-    parse_response_head,
+    read_response_head,
 )
 from jacinthmount_node.relay.online_call import OnlineCall
 from jacinthmount_node.relay.protocols import (
@@ -104,13 +104,12 @@
             self._protocol.make_headers(request),
             call.body,
         )
-        await exchange.read_head(framed=False)
-        self._record_contact(call, use)
-        answer = parse_response_head(
+        answer = await read_response_head(
             self._protocol,
             call.request.request_id,
             exchange,
         )
+        self._record_contact(call, use)
         if answer.leaving:
             self._state.note_leaving(use.entry)
         if not answer.other_endpoint:
--- a/packages/jacinthmount/jacinthmount/memory.py
+++ b/packages/jacinthmount/jacinthmount/memory.py
@@ -171,7 +171,9 @@
     def __init__(self) -> None:
         self.replies: dict[str, Callable[[BackendCall], BackendReply]] = {}
 
-    async def open(self, address: str, *, no_reuse: bool) -> BackendExchange:
+    async def open(
+        self, address: str, *, no_reuse: bool, request_id: str = ''
+    ) -> BackendExchange:
         """Implements :meth:`~jacinthmount.ports.Backend.open`."""
         if address not in self.replies:
             raise EndpointLost(detail=f'{address}: connection refused')
--- a/packages/jacinthmount/jacinthmount/ports.py
+++ b/packages/jacinthmount/jacinthmount/ports.py
@@ -367,11 +367,15 @@
 class Backend:
     """Client for model engines or plain services."""
 
-    async def open(self, address: str, *, no_reuse: bool) -> BackendExchange:
+    async def open(
+        self, address: str, *, no_reuse: bool, request_id: str = ''
+    ) -> BackendExchange:
         """Opens an exchange.
 
         :param no_reuse: open a new connection, since an idle one may be lost
             after the request was sent.
+        :param request_id: id of the request, for which no connection is used
+            that has carried it before; empty if it has none.
         :raises EndpointLost: the endpoint is unreachable.
         """
         raise NotImplementedError
--- a/tests/test_helper_relay.py
+++ b/tests/test_helper_relay.py
@@ -145,6 +145,7 @@
 
 
 UNSIGNED = EndpointResponse(
+    request_id='r1',
     own=True,
     not_run=False,
     other_endpoint=False,
