--- a/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/batch_api.py
@@ -103,6 +103,7 @@
     ) -> None:
         """Accepts a batch; it is durable when this returns.
 
+        :param account: its owner, or an empty string for none.
         :raises QuotaExceeded: too many tokens of the account wait already.
         :raises ShuttingDown: the process may end before the answer.
         :raises StoreUnavailable: the batch was not accepted.
--- a/packages/jacinthmount-node/jacinthmount_node/relay/front.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/front.py
@@ -116,6 +116,20 @@
             raise KeyUnknown(detail='unknown key')
         return account
 
+    def find_owner(self, key: str) -> str:
+        """Finds the account whose batches the calls with a key are about.
+
+        It is that of the key, also where routes are public, since reads name
+        no route. A configuration without accounts has batches of no account.
+
+        :returns: its name, or an empty string for no account.
+        :raises KeyMissing: the key is empty.
+        :raises KeyUnknown: no account has the key.
+        """
+        if not self.state.config.has_accounts:
+            return ''
+        return self.find_account(key).name
+
     def _record_refusal(
         self,
         call: Record | None,
@@ -159,14 +173,13 @@
     route = front.state.config.find_route(call.host_name, call.path)
     if route is None:
         raise NotFound(detail='no route matches the host name and path')
+    if route.takes_batches:
+        await _submit(call, front, route, request, responder)
+        return
     account = None
     if front.state.config.has_accounts and not route.public:
         account = front.find_account(call.key)
     body = await request.read_body()
-    if route.takes_batches:
-        await request.keep_parsed(body)
-        await _submit(call, front, route, account, body, responder)
-        return
     mark = front.helpers.verify(call)
     online = OnlineCall(
         request=call,
@@ -263,10 +276,12 @@
     call: RelayedRequest,
     front: RelayFront,
     route: RouteRule,
-    account: AccountRule | None,
-    body: bytes,
+    request: HttpRequest,
     responder: Responder,
 ) -> None:
+    owner = front.find_owner(call.key)
+    body = await request.read_body()
+    await request.keep_parsed(body)
     if not call.request_id:
         raise MalformedRequest(detail='a batch needs a request id')
     items = front.protocol.parse_items(body)
@@ -277,7 +292,7 @@
     if len({item.item_id for item in items}) < len(items):
         raise MalformedRequest(detail='two items have the same id')
     await front.batches.submit(
-        account.name if account else '',
+        owner,
         route,
         call.request_id,
         call.host_name,
@@ -293,9 +308,9 @@
     request: HttpRequest,
     responder: Responder,
 ) -> None:
-    account = front.find_account(call.key)
+    owner = front.find_owner(call.key)
     total, results = await front.batches.read_results(
-        account.name,
+        owner,
         call.batch_id,
         call.after,
         call.wait_s,
@@ -313,9 +328,9 @@
     request: HttpRequest,
     responder: Responder,
 ) -> None:
-    account = front.find_account(call.key)
+    owner = front.find_owner(call.key)
     body = await front.batches.read_item(
-        account.name,
+        owner,
         call.batch_id,
         call.item_id,
     )
@@ -333,6 +348,6 @@
     request: HttpRequest,
     responder: Responder,
 ) -> None:
-    account = front.find_account(call.key)
-    await front.batches.end(account.name, call.batch_id)
+    owner = front.find_owner(call.key)
+    await front.batches.end(owner, call.batch_id)
     await responder.send_json(HTTPStatus.OK, {})
--- a/packages/jacinthmount-node/jacinthmount_node/relay/running_attempts.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/running_attempts.py
@@ -213,7 +213,11 @@
 
 
 def has_key(state: RelayState, call: OnlineCall) -> bool:
-    """Returns whether the key of a request is valid, if it needs one."""
+    """Returns whether the key of a request is valid, if it needs one.
+
+    That of another account by now is not.
+    """
     if call.route.public or not state.config.has_accounts:
         return True
-    return state.config.account_of_key(call.request.key) is not None
+    account = state.config.account_of_key(call.request.key)
+    return account is not None and call.account in {'', account.name}
--- a/tests/test_running_attempts.py
+++ b/tests/test_running_attempts.py
@@ -11,11 +11,17 @@
 from jacinthmount_node.relay.running_attempts import (
     SILENT_AFTER_S,
     RunningAttempts,
+    has_key,
 )
 from jacinthmount_node.relay.state import RelayState
 from jacinthmount_node.relay.stream_registry import make_origin
 
-from tests.relay_builders import make_entry, make_relay_settings, make_route
+from tests.relay_builders import (
+    make_config,
+    make_entry,
+    make_relay_settings,
+    make_route,
+)
 
 SERVICE = 'model-a'
 DEADLINE_S = 105.0
@@ -76,7 +82,7 @@
         return self.exchange.aborted
 
 
-def make_call(**route):
+def make_call(key='', account='gin', **route):
     """Builds a request that may be sent to two endpoints."""
     fields = {'idempotent': True, 'max_attempts': 2, 'public': True}
     call = OnlineCall(
@@ -86,7 +92,7 @@
             host_name='scans.example',
             headers=[],
             request_id='r1',
-            key='',
+            key=key,
             path='/a',
             left_s=None,
             received_events=None,
@@ -95,7 +101,7 @@
             mark=None,
         ),
         route=make_route('check', **{**fields, **route}),
-        account='gin',
+        account=account,
         body=b'',
         arrived_at=100.0,
         deadline=DEADLINE_S,
@@ -231,3 +237,21 @@
     relay.attempts.note_failed(relay.call, relay.first)
     relay.first.on_contact(relay.state.now())
     assert not relay.placement.is_available(relay.first, relay.state.now())
+
+
+@pytest.mark.parametrize(
+    ('key', 'account', 'is_valid'),
+    [
+        ('secret', 'gin', True),
+        # It came when the configuration had no accounts.
+        ('secret', '', True),
+        ('secret', 'mills', False),
+        ('withdrawn', 'gin', False),
+    ],
+)
+def test_key_of_another_account_runs_a_request(key, account, is_valid):
+    """Guards against runs for an account that has lost the key to another."""
+    relay = Relay()
+    relay.state.apply_config(make_config(), 1)
+    call = make_call(key=key, account=account, public=False)
+    assert has_key(relay.state, call) is is_valid
