--- a/tests/test_item_versions.py
+++ b/tests/test_item_versions.py
@@ -74,7 +74,7 @@
         """Returns itself."""
         return self
 
-    async def open(self, address, *, no_reuse):
+    async def open(self, address, *, no_reuse, request_id):
         """Returns the next answer."""
         return next(self._answers)
 
