--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -95,7 +95,9 @@
         self._ports = ports
         self._limits = ServerLimits()
         memory = make_answer_memory(settings.memory_mb)
-        self._pools = EndpointPools(memory=memory)
+        self._pools = EndpointPools(memory=memory, clock=ports.clock)
+        for contacts in self._pools.contacts():
+            state.versions.certainty.attach_contacts(contacts)
         state.metrics.show_answer_memory(memory)
         self._caller_memory = make_caller_memory(
             settings.memory_mb,
