--- a/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
@@ -360,7 +360,7 @@
             call.last_event = checker.last
         if not responder.started:
             await responder.start(HTTPStatus.OK, answer.headers)
-        await responder.finish()
+        await responder.finish(checker.rest)
 
     def _count(self, outcome: str) -> None:
         self._state.metrics.relayed_requests.labels(outcome).inc()
--- a/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/response_relay.py
@@ -190,7 +190,7 @@
             await self._notices.crashes.on_answer(
                 use.entry.service, call.suspect
             )
-        await responder.finish()
+        await responder.finish(checker.rest)
 
     async def _write(
         self, call: OnlineCall, writing: Coroutine[None, None, None]
--- a/packages/jacinthmount/jacinthmount/event_stream.py
+++ b/packages/jacinthmount/jacinthmount/event_stream.py
@@ -59,6 +59,14 @@
         """Whether no incomplete event is buffered."""
         return not self._buffer.strip()
 
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last event.
+
+        A stream may end with blank lines, which are part of its body.
+        """
+        return bytes(self._buffer)
+
     @property
     def pending_bytes(self) -> int:
         """Size of the buffered incomplete event in bytes."""
