--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -272,7 +272,10 @@
                 if event.number is None:
                     continue
                 if run.origin is None:
-                    run.begin(make_origin(self._state, use), run.last_seen_at)
+                    run.begin(
+                        make_origin(self._state, use, run.last_seen_at),
+                        run.last_seen_at,
+                    )
                 text = event.read_data()
                 size += count_json_bytes(text)
                 EndlessAnswer.check(GarbageKind.RESULT, size, MAX_RESULT_BYTES)
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -24,6 +24,8 @@
 MAX_EXTRA_WAITING = 1
 # Streams send an event every few tens of milliseconds.
 STALLED_AFTER_S = 0.35
+# Time in which the registration of an endpoint that restarted is known here.
+REGISTRATION_LAG_S = 2.0
 NO_LIMIT = ColdLimit(period_s=0.0, interval_s=0.0, first_wait_s=0.0)
 
 
@@ -41,6 +43,7 @@
         '_viewed_at',
         'batch_from_others',
         'cold',
+        'doubtful_until',
         'ejected_until',
         'entry',
         'evacuated',
@@ -66,6 +69,8 @@
         self.online = 0
         self.online_from_others = 0
         self.batch_from_others = 0
+        # Until then another process may have its address and id.
+        self.doubtful_until = 0.0
         self.ejected_until = 0.0
         self.no_data_since: float | None = None
         self.unreachable = False
@@ -99,6 +104,10 @@
         """Returns the seconds until it may get a request of this process."""
         return max(self.cold.wait_s(now), self.limit.wait_s(now))
 
+    def find_version(self, now: float) -> str:
+        """Returns the version that runs, empty while it is in doubt."""
+        return '' if now < self.doubtful_until else self.entry.version
+
     def on_view(self, online: int, batch: int, now: float) -> None:
         """Records the requests in flight from other hosts."""
         self.online_from_others = online
@@ -305,6 +314,7 @@
     def on_reached(self, use: EndpointUse, now: float) -> None:
         """Records that an unreachable endpoint accepts connections again."""
         use.unreachable = False
+        use.doubtful_until = now + REGISTRATION_LAG_S
         use.cold.presume(self._rng, now)
 
     def on_host_reconnected(self) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,6 +5,7 @@
 import pytest
 from jacinthmount.placement import (
     MAX_EXTRA_WAITING,
+    REGISTRATION_LAG_S,
     STALLED_AFTER_S,
     Placement,
 )
@@ -147,6 +148,16 @@
     assert placement.uses()[0].online == 0
 
 
+def test_version_is_in_doubt_after_an_endpoint_was_unreachable(placement):
+    """Another process may have its address before its registration is known."""
+    use = placement.uses()[0]
+    assert use.find_version(10.0) == 'v1'
+    use.unreachable = True
+    placement.on_reached(use, 10.0)
+    assert not use.find_version(11.0)
+    assert use.find_version(10.0 + REGISTRATION_LAG_S) == 'v1'
+
+
 def test_stream_goes_on_only_at_its_version(centres):
     """No endpoint is chosen if all of its version are full or tried."""
     placement = Placement(rng=random.Random(1), centres=centres)
--- a/tests/test_version_certainty.py
+++ b/tests/test_version_certainty.py
@@ -9,17 +9,13 @@
 from jacinthmount.placement import Placement
 from jacinthmount.ports import AddressContacts
 from jacinthmount.reachability import DataCentreContacts
-from jacinthmount.stores import MemoryStore
 from jacinthmount.version_certainty import (
     MAX_AGE_S,
     REGISTRATION_LAG_S,
     VersionCertainty,
 )
-from jacinthmount_node.net.contacts import Contacts
-from jacinthmount_node.relay.state import RelayState
-from jacinthmount_node.relay.stream_registry import make_origin
 
-from tests.relay_builders import make_entry, make_relay_settings
+from tests.relay_builders import make_entry
 
 START = 100.0
 
@@ -128,30 +124,3 @@
     assert placement.choose(set(), host.clock.now(), version) is None
     assert placement.choose(set(), host.clock.now())
     assert placement.has_version(version)
-
-
-def test_version_is_certain_after_an_endpoint_was_unreachable(host):
-    """Another process may have its address before its registration is known.
-
-    What begins there meanwhile belongs to no version.
-    """
-    state = RelayState(
-        settings=make_relay_settings(),
-        store=MemoryStore(),
-        clock=host.clock,
-        rng=random.Random(1),
-    )
-    state.endpoints.put(host.entry, 1)
-    placement = state.placement(host.entry.service)
-    use = placement.find(host.entry.endpoint_id)
-    contacts = Contacts(clock=host.clock)
-    state.versions.certainty.attach_list(host.freshness)
-    state.versions.certainty.attach_contacts(contacts)
-    assert make_origin(state, use).version == host.entry.version
-    contacts.note_refused(host.entry.address)
-    placement.on_reached(use, host.clock.now())
-    assert not make_origin(state, use).version
-    host.clock.advance(REGISTRATION_LAG_S + 0.1)
-    assert not make_origin(state, use).version
-    host.freshness.confirm(host.clock.now())
-    assert make_origin(state, use).version == host.entry.version
