--- a/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
@@ -1,9 +1,7 @@
 """Connection pools with a shared memory budget for answers."""
 
 from jacinthmount.answer_memory import AnswerMemory
-from jacinthmount.ports import Clock
 
-from jacinthmount_node.net.contacts import Contacts
 from jacinthmount_node.net.host_memory import find_memory_part
 from jacinthmount_node.net.http_client import ClientPool
 
@@ -23,17 +21,13 @@
 
     __slots__ = ('helpers', 'items', 'memory', 'online')
 
-    def __init__(self, *, memory: AnswerMemory, clock: Clock) -> None:
+    def __init__(self, *, memory: AnswerMemory) -> None:
         """Creates pools without connections."""
         self.memory = memory
-        self.online = ClientPool(memory=memory, contacts=Contacts(clock=clock))
-        self.items = ClientPool(memory=memory, contacts=Contacts(clock=clock))
+        self.online = ClientPool(memory=memory)
+        self.items = ClientPool(memory=memory)
         self.helpers = ClientPool(memory=memory)
 
-    def contacts(self) -> list[Contacts]:
-        """Lists the connections to endpoints, by pool."""
-        return [self.online.contacts, self.items.contacts]
-
 
 def make_pool(memory_mb: int) -> ClientPool:
     """Creates one pool for all connections of a host.
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -11,15 +11,9 @@
 from jacinthmount.dispatch import Stage
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 
-from jacinthmount_node.net.contacts import Contact, Contacts
 from jacinthmount_node.net.header_rows import pack_rows
 from jacinthmount_node.net.sent_ids import SentIds
-from jacinthmount_node.net.sockets import (
-    SystemClock,
-    abort_socket,
-    connect,
-    with_timeout,
-)
+from jacinthmount_node.net.sockets import abort_socket, connect, with_timeout
 from jacinthmount_node.net.uploads import Upload
 from jacinthmount_node.net.wire_reader import FramingTooLong, WireReader
 
@@ -58,12 +52,12 @@
         '_upload',
         '_wire',
         'address',
-        'contact',
         'headers',
         'held_bytes',
         'reused',
         'stage',
         'status',
+        'unusable_at',
     )
 
     def __init__(
@@ -73,13 +67,11 @@
         sock: Any,
         wire: h11.Connection,
         memory: AnswerMemory,
-        contact: Contact | None = None,
         sent_ids: SentIds | None = None,
     ) -> None:
         """Creates an exchange on a connected socket.
 
         :param memory: memory budget of all answers that are being received.
-        :param contact: what its pool records of the connection, if any.
         :param sent_ids: ids of the requests of the exchanges before it on the
             connection, or None if it is new.
         """
@@ -97,8 +89,7 @@
         # Bytes of whole events that the reader keeps.
         self.held_bytes = 0
         self.reused = sent_ids is not None
-        self.contact = contact or Contact(address=address, sock=sock)
-        self.contact.usable_until = UNLIMITED_S
+        self.unusable_at = UNLIMITED_S
         self._sock = sock
         self._wire = wire
         self.stage = Stage.CONNECTING
@@ -300,7 +291,6 @@
             sock=self._sock,
             wire=self._wire,
             memory=self._memory,
-            contact=self.contact,
             sent_ids=self._sent_ids,
         )
 
@@ -317,7 +307,6 @@
         self._memory.release(self)
         if self._upload is not None:
             await self._upload.cancel()
-        self.contact.close()
         await self._sock.close()
 
     async def _next_event(self) -> Any:
@@ -386,20 +375,13 @@
     Only the connection of a complete exchange is reused.
     """
 
-    __slots__ = ('_idle', 'contacts', 'memory')
+    __slots__ = ('_idle', 'memory')
 
-    def __init__(
-        self,
-        *,
-        memory: AnswerMemory | None = None,
-        contacts: Contacts | None = None,
-    ) -> None:
+    def __init__(self, *, memory: AnswerMemory | None = None) -> None:
         """Creates a pool without connections.
 
         :param memory: memory budget of all answers that are being received.
-        :param contacts: told of all connections.
         """
-        self.contacts = contacts or Contacts(clock=SystemClock())
         self._idle: dict[str, list[Exchange]] = {}
         self.memory = memory or AnswerMemory()
 
@@ -453,7 +435,7 @@
 
         :param idle_s: seconds after which the idle connection is not reused.
         """
-        exchange.contact.usable_until = time.monotonic() + idle_s
+        exchange.unusable_at = time.monotonic() + idle_s
         idle = self._idle.setdefault(exchange.address, [])
         if exchange.reusable() and len(idle) < MAX_IDLE_PER_ADDRESS:
             idle.append(exchange)
@@ -497,18 +479,14 @@
             if exchange not in idle or exchange.has_sent(request_id):
                 continue
             idle.remove(exchange)
-            is_expired = exchange.contact.is_expired()
-            if not is_expired and not exchange.is_stale():
+            expired = time.monotonic() >= exchange.unusable_at
+            if not expired and not exchange.is_stale():
                 return exchange.next_exchange()
             await exchange.close()
         return None
 
     async def _connect(self, address: str, timeout_s: float) -> Exchange:
-        try:
-            sock = await with_timeout(timeout_s, connect, address)
-        except OSError:
-            self.contacts.note_refused(address)
-            raise
+        sock = await with_timeout(timeout_s, connect, address)
         wire = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=MAX_HEADER_BYTES,
@@ -518,7 +496,6 @@
             sock=sock,
             wire=wire,
             memory=self.memory,
-            contact=self.contacts.open(address, sock),
         )
 
 
--- a/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/daemon.py
@@ -95,9 +95,7 @@
         self._ports = ports
         self._limits = ServerLimits()
         memory = make_answer_memory(settings.memory_mb)
-        self._pools = EndpointPools(memory=memory, clock=ports.clock)
-        for contacts in self._pools.contacts():
-            state.versions.certainty.attach_contacts(contacts)
+        self._pools = EndpointPools(memory=memory)
         state.metrics.show_answer_memory(memory)
         self._caller_memory = make_caller_memory(
             settings.memory_mb,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -273,8 +273,7 @@
                     continue
                 if run.origin is None:
                     run.begin(
-                        make_origin(self._state, use, run.last_seen_at),
-                        run.last_seen_at,
+                        make_origin(use, run.last_seen_at), run.last_seen_at
                     )
                 text = event.read_data()
                 size += count_json_bytes(text)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/run_scheduler.py
@@ -236,9 +236,7 @@
         ]
         origin = run.origin
         if origin is not None:
-            own = [
-                use for use in uses if placement.has_surely(use, origin.version)
-            ]
+            own = [use for use in uses if use.entry.version == origin.version]
             if uses and not own and self._has_waited_enough(run, now):
                 # It is owed, and other versions have slots.
                 self._begin_anew(run, origin)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/state.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/state.py
@@ -177,11 +177,7 @@
         found = self.placements.get(service)
         if found is None:
             now = self.now()
-            found = Placement(
-                rng=self.rng,
-                centres=self.centres,
-                certainty=self.versions.certainty,
-            )
+            found = Placement(rng=self.rng, centres=self.centres)
             found.apply_limit(self._cold_limit(service))
             found.apply_share(self._limit_share, now)
             found.apply_evacuations(self.evacuated, now)
--- a/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/stream_registry.py
@@ -75,7 +75,7 @@
         """Records the first event of an attempt, before the caller has it."""
         now = self._state.now()
         if call.origin is None:
-            call.begin(make_origin(self._state, use, now), now)
+            call.begin(make_origin(use, now), now)
         else:
             self._count('went_on')
         if call.origin is None or not call.route.resumable:
@@ -315,17 +315,14 @@
             return
 
 
-def make_origin(
-    state: RelayState, use: EndpointUse, now: float
-) -> StreamOrigin:
+def make_origin(use: EndpointUse, now: float) -> StreamOrigin:
     """Makes the origin of what an endpoint begins now.
 
     Its version is empty while it is in doubt.
     """
-    is_certain = state.versions.certainty.is_certain(use.entry)
     return StreamOrigin(
         service=use.entry.service,
         endpoint_id=use.entry.endpoint_id,
         started_at_ms=use.entry.started_at_ms,
-        version=use.find_version(now) if is_certain else '',
+        version=use.find_version(now),
     )
--- a/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/sync.py
@@ -113,7 +113,6 @@
             clock=state.clock,
             on_missed=lambda: state.versions.restart(state.now()),
         )
-        state.versions.certainty.attach_list(freshness)
         self._endpoint_watch = self._make_watch(
             cfg.endpoint_prefix,
             self._apply_endpoints,
--- a/packages/jacinthmount/jacinthmount/list_freshness.py
+++ b/packages/jacinthmount/jacinthmount/list_freshness.py
@@ -91,10 +91,6 @@
         """
         self._note_known(requested_at - FRESH_S)
 
-    def known_until(self) -> float:
-        """Returns the time up to which no change is missing."""
-        return self.now() if self._is_followed else self._followed_until
-
     def is_confirmed_since(self, moment: float) -> bool:
         """Returns whether a request sent since then has confirmed the list."""
         return self._confirmed_at >= moment
--- a/packages/jacinthmount/jacinthmount/placement.py
+++ b/packages/jacinthmount/jacinthmount/placement.py
@@ -10,7 +10,6 @@
 from jacinthmount.endpoint_limit import RUNNER_SHARE, LimitPace, LimitShare
 from jacinthmount.endpoint_table import EndpointEntry
 from jacinthmount.reachability import DataCentreContacts
-from jacinthmount.version_certainty import VersionCertainty
 
 __all__ = ('EndpointUse', 'Placement')
 
@@ -192,30 +191,15 @@
 class Placement:
     """Endpoints of one service, and the choice of one for a request."""
 
-    __slots__ = (
-        '_centres',
-        '_certainty',
-        '_evacuated',
-        '_limit',
-        '_rng',
-        '_share',
-        '_uses',
-    )
+    __slots__ = ('_centres', '_evacuated', '_limit', '_rng', '_share', '_uses')
 
     def __init__(
         self,
         *,
         rng: random.Random,
         centres: DataCentreContacts,
-        certainty: VersionCertainty | None = None,
     ) -> None:
-        """Starts without endpoints.
-
-        :param certainty: tells which versions are certain; all of them without
-            it.
-        """
         self._rng = rng
-        self._certainty = certainty or VersionCertainty()
         self._centres = centres
         self._limit = NO_LIMIT
         self._share = RUNNER_SHARE
@@ -365,22 +349,16 @@
         """Lists the endpoints that a request has not tried, available or not.
 
         :param tried: ids of endpoints to leave out.
-        :param version: leaves out those of other versions, and those whose
-            version is not certain, unless None.
+        :param version: leaves out those of other versions, unless None.
         """
         return [
             use
             for use in self._uses.values()
             if use.entry.endpoint_id not in tried
             and not use.evacuated
-            and (version is None or self.has_surely(use, version))
+            and version in {None, use.entry.version}
         ]
 
-    def has_surely(self, use: EndpointUse, version: str) -> bool:
-        """Returns whether what a version began may go on at an endpoint."""
-        entry = use.entry
-        return entry.version == version and self._certainty.is_certain(entry)
-
     def has_version(self, version: str) -> bool:
         """Returns whether an endpoint of a version may get requests."""
         return any(
--- a/packages/jacinthmount/jacinthmount/ports.py
+++ b/packages/jacinthmount/jacinthmount/ports.py
@@ -12,7 +12,6 @@
 
 __all__ = (
     'ABSENT',
-    'AddressContacts',
     'FLEET_PREFIX',
     'Backend',
     'BackendCall',
@@ -386,28 +385,6 @@
         raise NotImplementedError
 
 
-class AddressContacts:
-    """Connections of this host by address.
-
-    Times are those of :meth:`Clock.boot_now`.
-    """
-
-    def since(self, address: str) -> float:
-        """Returns since when there is a connection without a gap.
-
-        The same process has served the address all the while. It is ``inf`` if
-        there is none.
-        """
-        raise NotImplementedError
-
-    def lost_at(self, address: str) -> float:
-        """Returns when the peer last ended all, or took none.
-
-        Another process may serve the address since. It is ``-inf`` for never.
-        """
-        raise NotImplementedError
-
-
 class Clock:
     """Monotonic time in seconds."""
 
--- a/packages/jacinthmount/jacinthmount/version_history.py
+++ b/packages/jacinthmount/jacinthmount/version_history.py
@@ -5,7 +5,6 @@
 
 from jacinthmount.endpoint_table import EndpointEntry
 from jacinthmount.stream_origins import StreamOrigin
-from jacinthmount.version_certainty import VersionCertainty
 
 __all__ = ('GONE_VALID_S', 'VersionHistory')
 
@@ -32,7 +31,6 @@
 
     A process that has just started lacks the versions that left before. It
     learns them from other hosts or from the record in the store.
-    ``certainty`` tells whether endpoints still have the versions of the list.
     """
 
     __slots__ = (
@@ -41,7 +39,6 @@
         '_gone_at',
         '_present',
         '_registered',
-        'certainty',
     )
 
     def __init__(self, *, now: float) -> None:
@@ -53,7 +50,6 @@
         # Last change of version under the id of each endpoint.
         self._changes: dict[str, _Change] = {}
         self._complete_at = math.inf
-        self.certainty = VersionCertainty()
         self.restart(now)
 
     def update(self, entries: Iterable[EndpointEntry], now: float) -> None:
--- a/tests/test_running_attempts.py
+++ b/tests/test_running_attempts.py
@@ -205,7 +205,7 @@
     entry = relay.first.entry
     versions = relay.state.versions
     versions.note_registration(entry, 100.0)
-    relay.call.begin(make_origin(relay.state, relay.first, 100.0), 100.0)
+    relay.call.begin(make_origin(relay.first, 100.0), 100.0)
     versions.note_registration(
         make_entry('e0', version='v9', started_at_ms=9), 100.1
     )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,6 +1,5 @@
 """Streams stay at the software version that began them, on real processes."""
 
-import signal
 import time
 
 import pytest
@@ -271,53 +270,3 @@
     ]
     assert not joined
     assert all(len(text.splitlines()) == events for text in texts)
-
-
-def start_anew(site, name):
-    """Ends an engine and starts it under its id, with another version."""
-    site.kill(name)
-    time.sleep(0.3)
-    site.start_engine(name, SLOTS, version=NEW)
-    site.switch(site.engines[name], event_s=EVENT_S, show_version=True)
-
-
-@pytest.mark.parametrize('silent_s', [0.2, 5.0])
-def test_stream_goes_on_at_an_engine_that_started_anew_in_an_outage(
-    site, streams, silent_s
-):
-    """Guards against the version in a list from before an outage."""
-    site.signal('store', signal.SIGSTOP)
-    time.sleep(silent_s)
-    threads = begin_midway(site, streams)
-    start_anew(site, 'old-1')
-    break_off(site, ['old-2'])
-    join(threads)
-    ports = list(site.fronts.values())
-    for _ in range(2):
-        take_up(streams, ports)
-    site.signal('store', signal.SIGCONT)
-    assert any(stream.events for stream in streams)
-    assert not find_joined(streams)
-
-
-def test_item_goes_on_at_an_engine_that_started_anew_in_an_outage(site):
-    """Guards against items with events of two versions, likewise."""
-    # More than there are slots, so that those of the engine wait for it.
-    count, events = 2 * SLOTS * len(ENGINES), 60
-    submit(site, 'b1', count, events)
-    until = time.monotonic() + WAIT_S
-    while len(site.ran()) < SLOTS * len(ENGINES) / 2:
-        assert time.monotonic() < until
-        time.sleep(0.05)
-    site.signal('store', signal.SIGSTOP)
-    time.sleep(0.3)
-    start_anew(site, 'old-1')
-    time.sleep(2.0)
-    site.signal('store', signal.SIGCONT)
-    texts = read_texts(site, 'b1', count)
-    versions = [
-        {line.rsplit(maxsplit=1)[1] for line in text.splitlines()}
-        for text in texts
-    ]
-    assert all(len(one) == 1 for one in versions), versions
-    assert all(len(text.splitlines()) == events for text in texts)
