--- a/packages/jacinthmount-node/jacinthmount_node/callers/plain_service.py
+++ b/packages/jacinthmount-node/jacinthmount_node/callers/plain_service.py
@@ -29,6 +29,7 @@
             ('x-client-account', call.account or NO_ACCOUNT),
         ]
         await self.send_and_read_head(call, headers)
+        await self.skip_extra_answers(call)
 
 
 class HttpPlainService(HttpBackend):
--- a/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
@@ -66,24 +66,18 @@
         call: BackendCall,
         headers: list[tuple[str, str]],
     ) -> None:
-        """Sends a call with these headers and reads the response head.
-
-        :raises EndpointFailed: the response belongs to another request.
-        """
+        """Sends a call with these headers and reads a response head."""
         with self.track_stage():
             await self.http.send(call.method, call.target, headers, call.body)
-            await self._read_own_head(call)
-        self.status = self.http.status
-        self.headers = self.http.headers
+            await self._read_head()
 
-    async def _read_own_head(self, call: BackendCall) -> None:
+    async def skip_extra_answers(self, call: BackendCall) -> None:
         """Reads heads until that of the response to a call, if it names one.
 
         :raises EndpointFailed: the response belongs to another request.
         """
         while True:
-            await self._read_head()
-            named_id = self.http.headers.get(REQUEST_ID, call.request_id)
+            named_id = self.headers.get(REQUEST_ID, call.request_id)
             if named_id == call.request_id:
                 return
             if not self.http.has_sent(named_id):
@@ -92,10 +86,12 @@
                 'extra_answer',
                 request=call.request_id,
                 other=named_id,
-                status=self.http.status,
+                status=self.status,
                 address=self.http.address,
             )
-            await self.http.skip_answer()
+            with self.track_stage():
+                await self.http.skip_answer()
+                await self._read_head()
 
     async def _read_head(self) -> None:
         try:
@@ -106,6 +102,8 @@
             if self.http.stage < Stage.ANSWERING:
                 raise EndpointLost(detail=exc.detail) from exc
             raise
+        self.status = self.http.status
+        self.headers = self.http.headers
 
 
 class HttpBackend(Backend):
--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
@@ -65,6 +65,7 @@
         if call.offset:
             headers.append(('x-resume-offset', str(call.offset)))
         await self.send_and_read_head(call, headers)
+        await self.skip_extra_answers(call)
         self.version = self.headers.get(ENGINE_VERSION, '')
         if REQUEST_ID not in self.headers:
             raise EndpointFailed(detail='response without a request id')
