--- a/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/main.py
@@ -18,7 +18,7 @@
     StoreUnavailable,
 )
 from jacinthmount.records import Record, parse_json
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.object_api import HttpStore
 from rich.console import Console
 from rich.progress import Progress
--- a/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
+++ b/packages/jacinthmount-ctl/jacinthmount_ctl/porcelain.py
@@ -37,7 +37,8 @@
     FLEET_BLOCKED_PREFIX,
     BlockedStore,
 )
-from jacinthmount_node.net.http_client import TRANSPORT_ERRORS, ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import TRANSPORT_ERRORS
 
 from jacinthmount_ctl.changes import Change, check_shares, compare
 
--- a/packages/jacinthmount-node/jacinthmount_node/assembly.py
+++ b/packages/jacinthmount-node/jacinthmount_node/assembly.py
@@ -12,8 +12,8 @@
 from jacinthmount_node.engines.load_slots import LoadSlots
 from jacinthmount_node.engines.order_task import OrderTask
 from jacinthmount_node.metrics import Metrics
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.connection_memory import make_caller_memory
-from jacinthmount_node.net.http_client import ClientPool
 from jacinthmount_node.net.object_api import HttpStore, HttpWeightStore
 from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.net.sockets import SystemClock
--- a/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
@@ -8,7 +8,8 @@
 from jacinthmount.ports import Backend, BackendCall, BackendExchange
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.net.http_client import ClientPool, Exchange
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import Exchange
 
 __all__ = (
     'REQUEST_ID',
--- a/packages/jacinthmount-node/jacinthmount_node/engines/crash_watch.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/crash_watch.py
@@ -17,7 +17,7 @@
 from jacinthmount_node.logs import log_event
 from jacinthmount_node.members.config_sync import ConfigSync
 from jacinthmount_node.messages import Strikes
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.peers import PeerLinks
 from jacinthmount_node.node import Node
 from jacinthmount_node.parts import PartGroup
--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine.py
@@ -26,7 +26,8 @@
     HttpBackend,
     HttpBackendExchange,
 )
-from jacinthmount_node.net.http_client import TRANSPORT_ERRORS, ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import TRANSPORT_ERRORS
 
 __all__ = (
     'EngineCacheEvents',
--- a/packages/jacinthmount-node/jacinthmount_node/engines/engine_control.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/engine_control.py
@@ -8,7 +8,8 @@
 from jacinthmount.ports import EngineControl, EngineOrder, EngineState
 from jacinthmount.records import parse_json, serialize_json
 
-from jacinthmount_node.net.http_client import TRANSPORT_ERRORS, ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import TRANSPORT_ERRORS
 from jacinthmount_node.net.sockets import with_timeout
 
 __all__ = ('HttpEngineControl',)
--- a/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/endpoint_pools.py
@@ -2,8 +2,8 @@
 
 from jacinthmount.answer_memory import AnswerMemory
 
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.host_memory import find_memory_part
-from jacinthmount_node.net.http_client import ClientPool
 
 __all__ = ('EndpointPools', 'make_answer_memory', 'make_pool')
 
--- a/packages/jacinthmount-node/jacinthmount_node/net/object_api.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/object_api.py
@@ -25,7 +25,8 @@
     WeightStore,
 )
 
-from jacinthmount_node.net.http_client import TRANSPORT_ERRORS, ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import TRANSPORT_ERRORS
 from jacinthmount_node.net.sockets import with_timeout
 
 __all__ = ('HttpHostList', 'HttpStore', 'HttpWeightStore')
--- a/packages/jacinthmount-node/jacinthmount_node/relay/crash_evidence.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/crash_evidence.py
@@ -13,7 +13,7 @@
 from jacinthmount.records import Record
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.relay.blocked_records import (
     log_blocked,
     remove_record,
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_notices.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_notices.py
@@ -1,6 +1,6 @@
 """What answers and losses tell of endpoints, shared with other hosts."""
 
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.parts import PartGroup
 from jacinthmount_node.relay.active_runner import ActiveRunner
 from jacinthmount_node.relay.crash_evidence import CrashEvidence
--- a/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/helper_relay.py
@@ -22,11 +22,8 @@
 from jacinthmount.peer_choice import PeerChoice
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.net.http_client import (
-    ATTEMPT_ERRORS,
-    ClientPool,
-    Exchange,
-)
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import ATTEMPT_ERRORS, Exchange
 from jacinthmount_node.net.http_messages import Responder
 from jacinthmount_node.net.sockets import with_timeout
 from jacinthmount_node.relay.endpoint_responses import iter_events
--- a/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/item_runs.py
@@ -13,11 +13,8 @@
 from jacinthmount.request_digest import digest_item
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.net.http_client import (
-    ATTEMPT_ERRORS,
-    ClientPool,
-    Exchange,
-)
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import ATTEMPT_ERRORS, Exchange
 from jacinthmount_node.net.sockets import with_timeout
 from jacinthmount_node.relay.blocked_records import begin_trial
 from jacinthmount_node.relay.endpoint_notices import EndpointNotices
--- a/packages/jacinthmount-node/jacinthmount_node/relay/online.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/online.py
@@ -16,11 +16,8 @@
 from jacinthmount.placement import EndpointUse
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.net.http_client import (
-    ATTEMPT_ERRORS,
-    ClientPool,
-    Exchange,
-)
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import ATTEMPT_ERRORS, Exchange
 from jacinthmount_node.net.http_messages import Responder
 from jacinthmount_node.relay.blocked_records import begin_trial
 from jacinthmount_node.relay.crash_evidence import find_blocked_error
--- a/packages/jacinthmount-node/jacinthmount_node/relay/reach_checks.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/reach_checks.py
@@ -4,7 +4,7 @@
 from jacinthmount.endpoint_table import EndpointEntry
 
 from jacinthmount_node.logs import log_event
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.relay.state import RelayState
 
 __all__ = ('ReachChecks',)
--- a/packages/jacinthmount-standin/jacinthmount_standin/load.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/load.py
@@ -9,7 +9,8 @@
 from hdrh.histogram import HdrHistogram
 from jacinthmount.ports import Backend, BackendCall, BackendExchange
 from jacinthmount_node.engines.engine import EngineExchange, HttpEngine
-from jacinthmount_node.net.http_client import ATTEMPT_ERRORS, ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import ATTEMPT_ERRORS
 
 __all__ = ('LoadPlan', 'LoadReport', 'run_load')
 
--- a/packages/jacinthmount-standin/jacinthmount_standin/operator.py
+++ b/packages/jacinthmount-standin/jacinthmount_standin/operator.py
@@ -2,7 +2,7 @@
 
 import curio
 from jacinthmount_ctl import porcelain
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.object_api import HttpStore
 
 from jacinthmount_standin.declare import Declared, write_declarations
--- a/tests/cut_host.py
+++ b/tests/cut_host.py
@@ -21,7 +21,7 @@
 sys.path.insert(0, str(ROOT / 'packages' / 'jacinthmount'))
 sys.path.insert(0, str(ROOT / 'packages' / 'jacinthmount-node'))
 
-from jacinthmount_node.net import http_client, sockets  # noqa: E402
+from jacinthmount_node.net import client_pool, sockets  # noqa: E402
 from jacinthmount_platform.settings import SETTINGS_VARIABLE  # noqa: E402
 
 CUT = Path(os.environ[SETTINGS_VARIABLE]).with_suffix('.cut')
@@ -61,6 +61,6 @@
                 sockets.abort_socket(sock)
 
 
-http_client.connect = connect
+client_pool.connect = connect
 threading.Thread(target=reset_when_cut, daemon=True).start()
 runpy.run_path(str(ROOT / 'platform' / 'run.py'), run_name='__main__')
--- a/tests/stale_host.py
+++ b/tests/stale_host.py
@@ -21,7 +21,7 @@
 sys.path.insert(0, str(ROOT / 'packages' / 'jacinthmount'))
 sys.path.insert(0, str(ROOT / 'packages' / 'jacinthmount-node'))
 
-from jacinthmount_node.net import http_client, peers, sockets  # noqa: E402
+from jacinthmount_node.net import client_pool, peers, sockets  # noqa: E402
 from jacinthmount_platform.settings import SETTINGS_VARIABLE  # noqa: E402
 
 CUT = Path(os.environ[SETTINGS_VARIABLE]).with_suffix('.cut')
@@ -109,7 +109,7 @@
                 sockets.abort_socket(sock)
 
 
-http_client.connect = connect
+client_pool.connect = connect
 peers.connect = connect
 peers.accept = accept
 peers.PeerServer = CutServer
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -21,10 +21,10 @@
 from jacinthmount.records import serialize_msgpack
 from jacinthmount_node.messages import Envelope, Hello
 from jacinthmount_node.metrics import Metrics
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.http_client import (
     ATTEMPT_ERRORS,
     TRANSPORT_ERRORS,
-    ClientPool,
     Exchange,
 )
 from jacinthmount_node.net.http_server import HttpServer
--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -12,7 +12,8 @@
 from jacinthmount.errors import EndpointFailed
 from jacinthmount.ports import BackendCall
 from jacinthmount_node.engines.engine import HttpEngine
-from jacinthmount_node.net.http_client import MAX_EXTRA_ANSWERS, ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
+from jacinthmount_node.net.http_client import MAX_EXTRA_ANSWERS
 from jacinthmount_node.net.sent_ids import MAX_IDS
 from jacinthmount_platform_standin.site import PlatformSite
 
--- a/tests/test_helper_relay.py
+++ b/tests/test_helper_relay.py
@@ -16,7 +16,7 @@
 from jacinthmount.memory import ManualClock
 from jacinthmount.records import replaced
 from jacinthmount.stores import MemoryStore
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.http_messages import error_body
 from jacinthmount_node.relay.helper_relay import HelperRelay
 from jacinthmount_node.relay.messages import RelayHost
--- a/tests/test_odd_node_objects.py
+++ b/tests/test_odd_node_objects.py
@@ -14,7 +14,7 @@
 from jacinthmount.ports import ABSENT, Stored
 from jacinthmount.records import serialize_json
 from jacinthmount.shares import SHARE_PREFIX
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.http_server import HttpServer
 from jacinthmount_node.net.object_api import HttpHostList, HttpStore
 from jacinthmount_node.net.sockets import SystemClock, listen
--- a/tests/test_odd_statuses.py
+++ b/tests/test_odd_statuses.py
@@ -6,7 +6,7 @@
 from jacinthmount.ports import BackendCall
 from jacinthmount_node.callers.plain_service import HttpPlainService
 from jacinthmount_node.engines.engine import HttpEngine
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 
 from tests.early_engine import EarlyEngine, chunked, sized, unframed
 from tests.early_site import EVENTS, EarlySite
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,7 +24,7 @@
 from jacinthmount.item_batches import ItemResult
 from jacinthmount.ports import ABSENT
 from jacinthmount.records import serialize_msgpack
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.http_messages import HttpRequest
 from jacinthmount_node.net.http_server import HttpServer
 from jacinthmount_node.net.sockets import listen
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -43,7 +43,7 @@
     HttpEngine,
 )
 from jacinthmount_node.engines.engine_control import HttpEngineControl
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.object_api import HttpHostList, HttpWeightStore
 from jacinthmount_node.net.sockets import SystemClock
 from jacinthmount_standin.addresses import PortReserve
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -10,7 +10,7 @@
 )
 from jacinthmount.ports import ABSENT, MAX_VALUE_BYTES
 from jacinthmount.stores import MemoryStore, write_with_retry
-from jacinthmount_node.net.http_client import ClientPool
+from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.object_api import HttpStore
 from jacinthmount_standin.fleet import Fleet
 
