Tests: one raw engine, one caller, one way to build items

tests/test_extra_answers.py and others had copies of what stood elsewhere. The raw engine is in tests/raw_engine.py, with a fixture that all files share; `ask` is in platform_callers, items and their results in batch_callers.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,8 +8,10 @@
 from jacinthmount.records import replaced, serialize_json
 
 from tests.builders import DECLARATIONS
+from tests.raw_engine import RawEngine, register
 from tests.site import Site
 
+RAW_SLOTS = 8
 KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
 
@@ -53,3 +55,19 @@
     )
     yield made
     made.fleet.stop()
+
+
+@pytest.fixture
+def start_engine(site):
+    """Function that starts and registers an engine with a script."""
+    engines = []
+
+    def start(script):
+        engine = RawEngine(script=script)
+        engines.append(engine)
+        register(site, engine.port, slots=RAW_SLOTS)
+        return engine
+
+    yield start
+    for engine in engines:
+        engine.close()
--- a/tests/early_engine.py
+++ b/tests/early_engine.py
@@ -5,7 +5,7 @@
 import struct
 import time
 
-from tests.test_faulty_answers import RawEngine
+from tests.raw_engine import RawEngine
 
 __all__ = ('EarlyEngine', 'chunked', 'sized', 'unframed')
 
--- a/tests/early_site.py
+++ b/tests/early_site.py
@@ -9,7 +9,7 @@
 from jacinthmount_platform_standin.site import HOST_NAME, KEY, PlatformSite
 
 from tests.early_engine import EarlyEngine
-from tests.test_faulty_answers import register
+from tests.raw_engine import register
 
 __all__ = ('EVENTS', 'EarlySite', 'Got')
 
--- a/tests/platform_callers.py
+++ b/tests/platform_callers.py
@@ -5,7 +5,7 @@
 
 from jacinthmount_platform_standin.site import HOST_NAME, KEY
 
-__all__ = ('RawAnswer', 'ask_raw')
+__all__ = ('RawAnswer', 'ask', 'ask_raw')
 
 ENOUGH_S = 20.0
 
@@ -49,6 +49,25 @@
     return answer
 
 
+def ask(site, request_id, path='/scan/1', front='front-1'):
+    """Sends a request.
+
+    :returns: its status and body; the status is None if the answer was cut.
+    """
+    try:
+        return site.call(
+            front,
+            'POST',
+            path,
+            {},
+            attempt_id=request_id,
+            token_usage='10,2',
+            deadline_remaining='3000',
+        )
+    except (OSError, HTTPException) as exc:
+        return None, getattr(exc, 'partial', b'')
+
+
 def _read(conn, answer):
     response = conn.getresponse()
     answer.status = response.status
--- a/tests/test_batch_owners.py
+++ b/tests/test_batch_owners.py
@@ -1,6 +1,5 @@
 """Whose a batch is, on public routes and without accounts."""
 
-import base64
 import json
 import time
 from http import HTTPStatus
@@ -8,12 +7,15 @@
 import pytest
 from jacinthmount_platform_standin.site import KEY, PlatformSite
 
+from tests.batch_callers import make_items
+
 FRONTS = ('front-1', 'front-2')
 ACCOUNT = 'gin-yards'
 SECOND_KEY = 'second-key-of-gin-yards'
 OTHER_KEY = 'key-of-mills'
 UNKNOWN_KEY = 'key-of-nobody'
 ITEMS = 3
+EVENTS = 5
 CAP = 10_000
 WAIT_S = 15.0
 POLL_S = 0.05
@@ -61,16 +63,7 @@
 
 def submit(site, batch_id, key=KEY, front='front-1', tokens=20):
     """Submits a batch; returns the status of the answer."""
-    rows = [
-        {
-            'id': f'{batch_id}-{number}',
-            'path': '/audit/1',
-            'headers': {'Token-Usage': '10,5'},
-            'body': base64.b64encode(b'bale').decode(),
-            'tokens': tokens,
-        }
-        for number in range(ITEMS)
-    ]
+    rows = make_items(batch_id, ITEMS, EVENTS, tokens, b'bale')
     return site.call(
         front,
         'POST',
--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -1,10 +1,7 @@
 """Engines that write an answer once more, where the next one is expected."""
 
-import base64
 import contextlib
-import json
 import time
-from http.client import HTTPException
 
 import curio
 import pytest
@@ -17,11 +14,14 @@
 from jacinthmount_node.net.sent_ids import MAX_IDS
 from jacinthmount_platform_standin.site import PlatformSite
 
-from tests.test_faulty_answers import RawEngine, register
+from tests.batch_callers import submit, wait_results
+from tests.platform_callers import ask
+from tests.raw_engine import RawEngine
 
 WAIT_S = 15.0
 POLL_S = 0.05
 ITEMS = 8
+EVENTS = 1
 EMPTY = b'content-length: 0\r\n\r\n'
 REFUSED = b'not-executed: 1\r\n'
 
@@ -109,75 +109,6 @@
         found.stop()
 
 
-@pytest.fixture
-def start_engine(site):
-    """Function that starts and registers an engine with a script."""
-    engines = []
-
-    def start(script):
-        engine = RawEngine(script=script)
-        engines.append(engine)
-        register(site, engine.port, slots=ITEMS)
-        return engine
-
-    yield start
-    for engine in engines:
-        engine.close()
-
-
-def ask(site, request_id, path):
-    """Sends a request.
-
-    :returns: its status and body; the status is None if the answer was cut.
-    """
-    try:
-        return site.call(
-            'front-1',
-            'POST',
-            path,
-            {},
-            attempt_id=request_id,
-            token_usage='10,2',
-            deadline_remaining='3000',
-        )
-    except (OSError, HTTPException):
-        return None, b''
-
-
-def submit(site, batch_id, count):
-    """Submits a batch of items without a body."""
-    rows = [
-        {
-            'id': f'{batch_id}-{number}',
-            'path': '/audit/1',
-            'headers': {'Token-Usage': '10,2'},
-            'body': base64.b64encode(b'bale').decode(),
-            'tokens': 20,
-        }
-        for number in range(count)
-    ]
-    assert (
-        site.call(
-            'front-1', 'POST', '/audit/x', {'items': rows}, attempt_id=batch_id
-        )[0]
-        == 202
-    )
-
-
-def wait_results(site, batch_id, count):
-    """Reads the results of a batch once there are as many."""
-    until = time.monotonic() + WAIT_S
-    while True:
-        status, answer = site.call(
-            'front-1', 'GET', f'/api/lots/{batch_id}?after=0'
-        )
-        found = json.loads(answer)['results'] if status == 200 else []
-        if len(found) == count:
-            return found
-        assert time.monotonic() < until, found
-        time.sleep(POLL_S)
-
-
 @pytest.mark.parametrize('make_first', [make_failure, make_refusal])
 @pytest.mark.parametrize('count', [1, ITEMS])
 def test_copy_of_an_answer_ends_the_next_run_of_an_item(
@@ -195,8 +126,8 @@
     engine = start_engine(
         Copier(make_answer=make_answer, is_copied=lambda name, run: run == 1)
     )
-    submit(site, 'b1', count)
-    found = wait_results(site, 'b1', count)
+    submit(site, 'b1', count, EVENTS)
+    found = wait_results(site, 'b1', count, WAIT_S)
     assert {one['state'] for one in found} == {'completed'}
     assert {one['text'] for one in found} == {
         f'{one["id"]} run 2' for one in found
@@ -214,8 +145,8 @@
         Copier(make_answer=make, is_copied=lambda name, run: True)
     )
     for number in range(4):
-        submit(site, f'b{number}', 1)
-        found = wait_results(site, f'b{number}', 1)
+        submit(site, f'b{number}', 1, EVENTS)
+        found = wait_results(site, f'b{number}', 1, WAIT_S)
         assert found[0]['text'] == f'b{number}-0 run 1'
     assert engine.ran == [b'b0-0', b'b1-0', b'b2-0', b'b3-0']
     assert engine.connections == 1
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -4,16 +4,14 @@
 """
 
 import base64
-import contextlib
 import json
 import socket
-import threading
 import time
-from http.client import HTTPException
 
 import pytest
-from jacinthmount_platform_standin.site import SERVICE, PlatformSite
-from jacinthmount_standin.callers import call_http
+from jacinthmount_platform_standin.site import PlatformSite
+
+from tests.platform_callers import ask
 
 WAIT_S = 10.0
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
@@ -23,67 +21,6 @@
 CHUNKED = b'transfer-encoding: chunked\r\n'
 
 
-class RawEngine:
-    """Answers the requests of each connection by a script.
-
-    :param script: returns the bytes of an answer and whether the connection is
-        closed after it; gets the id of the request, the number of the
-        connection from 1 on, and that of all requests before it.
-    """
-
-    def __init__(self, *, script):
-        """Listens on a free port."""
-        self._script = script
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        self.port = self._listener.getsockname()[1]
-        self.ran = []
-        self.connections = 0
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        """Stops to accept connections."""
-        self._listener.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            for conn, _ in iter(self._listener.accept, None):
-                self.connections += 1
-                threading.Thread(
-                    target=self._serve,
-                    args=(conn, self.connections),
-                    daemon=True,
-                ).start()
-
-    def _serve(self, conn, connection):
-        reader = conn.makefile('rb')
-        with conn, contextlib.suppress(OSError):
-            for request_id in iter(lambda: _read_request(reader), None):
-                self.ran.append(request_id)
-                answer, closes = self._script(
-                    request_id, connection, len(self.ran) - 1
-                )
-                conn.sendall(answer)
-                if closes:
-                    return
-
-
-def _read_request(reader):
-    """Reads one request; returns its id, or None at the end."""
-    length, request_id = 0, b''
-    if not reader.readline():
-        return None
-    for line in iter(reader.readline, b'\r\n'):
-        if not line:
-            return None
-        name, _, text = line.partition(b':')
-        if name.lower() == b'content-length':
-            length = int(text)
-        if name.lower() == b'attempt-id':
-            request_id = text.strip()
-    reader.read(length)
-    return request_id
-
-
 @pytest.fixture
 def site(tmp_path):
     """A site of one front and one runner, without engines."""
@@ -95,50 +32,6 @@
         found.stop()
 
 
-@pytest.fixture
-def start_engine(site):
-    """Function that starts and registers an engine with a script."""
-    engines = []
-
-    def start(script):
-        engine = RawEngine(script=script)
-        engines.append(engine)
-        register(site, engine.port, slots=8)
-        return engine
-
-    yield start
-    for engine in engines:
-        engine.close()
-
-
-def register(site, port, slots):
-    """Registers an engine, and waits until the front knows it."""
-    spec = {
-        'service': SERVICE,
-        'address': f'127.0.0.1:{port}',
-        'zone': 'east',
-        'version': 'v1',
-        'slots': slots,
-        'state': 'ready',
-        'cold_left_ms': 0,
-        'sequence': 1,
-        'born': 1,
-    }
-    body = {'metadata': {'name': f'raw-{port}'}, 'spec': spec}
-    call_http(site.store, 'POST', '/api/objects/servers', body)
-    wait_usable(site, f'raw-{port}')
-
-
-def wait_usable(site, endpoint_id):
-    """Waits until the front knows an endpoint."""
-    until = time.monotonic() + WAIT_S
-    while endpoint_id not in {
-        line.get('endpoint') for line in site.read_lines('front-1')
-    }:
-        assert time.monotonic() < until, 'the front does not know the engine'
-        time.sleep(0.05)
-
-
 def head(request_id, *rows, status=b'200 OK'):
     """Builds the head of an answer."""
     return b''.join([
@@ -166,25 +59,6 @@
     ])
 
 
-def ask(site, request_id, path='/scan/1'):
-    """Sends a request.
-
-    :returns: its status and body; the status is None if the answer was cut.
-    """
-    try:
-        return site.call(
-            'front-1',
-            'POST',
-            path,
-            {},
-            attempt_id=request_id,
-            token_usage='10,2',
-            deadline_remaining='3000',
-        )
-    except (OSError, HTTPException) as exc:
-        return None, getattr(exc, 'partial', b'')
-
-
 def count_results(site):
     """Counts the results of the batch that can be read."""
     status, answer = site.call('front-1', 'GET', '/api/lots/b1?after=0')
--- a/tests/test_own_aborts.py
+++ b/tests/test_own_aborts.py
@@ -12,8 +12,8 @@
 from jacinthmount_node.net.http_client import Exchange
 from jacinthmount_platform_standin.site import PlatformSite
 
+from tests.raw_engine import RawEngine, register
 from tests.silences import EVENT_S, begin, check_whole, join, wait_events
-from tests.test_faulty_answers import RawEngine, register
 
 SILENCE_S = 1.2
 SLOTS = 12
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -8,8 +8,9 @@
 import pytest
 from jacinthmount_platform_standin.site import PlatformSite
 
+from tests.platform_callers import ask
+from tests.raw_engine import RawEngine, register
 from tests.test_extra_answers import make_head
-from tests.test_faulty_answers import RawEngine, register
 
 CUT_HOST = Path(__file__).parent / 'cut_host.py'
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
@@ -73,22 +74,14 @@
 def wait_served(site, front):
     """Waits until a front that was cut off serves through another one."""
     until = time.monotonic() + WAIT_S
-    while ask(site, front, '/check/1')[0] != HTTPStatus.OK:
+    while ask_anew(site, front, '/check/1')[0] != HTTPStatus.OK:
         assert time.monotonic() < until
         time.sleep(POLL_S)
 
 
-def ask(site, front, path):
-    """Sends a request; returns its status and body."""
-    return site.call(
-        front,
-        'POST',
-        path,
-        {},
-        attempt_id=f'r{time.monotonic_ns()}',
-        token_usage='10,2',
-        deadline_remaining='3000',
-    )
+def ask_anew(site, front, path):
+    """Sends a request with an id of its own; returns its status and body."""
+    return ask(site, f'r{time.monotonic_ns()}', path, front)
 
 
 @pytest.mark.parametrize('front', ['front-1', 'front-2'])
@@ -115,4 +108,4 @@
     """
     answers.body = events + rest
     answers.framing = framing
-    assert ask(site, front, path) == (HTTPStatus.OK, events + rest)
+    assert ask_anew(site, front, path) == (HTTPStatus.OK, events + rest)
