Extra answers are skipped by one piece of code

The relay and the first interface each judged an id, logged it and skipped the answer. The exchange knows its own id and those before, and does all of it.

--- a/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
+++ b/packages/jacinthmount-node/jacinthmount_node/engines/backends.py
@@ -7,7 +7,6 @@
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, EndpointLost
 from jacinthmount.ports import Backend, BackendCall, BackendExchange
 
-from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.client_pool import ClientPool
 from jacinthmount_node.net.http_client import Exchange
 
@@ -81,17 +80,8 @@
             named_id = self.headers.get(REQUEST_ID, call.request_id)
             if named_id == call.request_id:
                 return
-            if not self.http.has_sent(named_id):
-                raise EndpointFailed(detail='response to another request')
-            log_event(
-                'extra_answer',
-                request=call.request_id,
-                other=named_id,
-                status=self.status,
-                address=self.http.address,
-            )
             with self.track_stage():
-                await self.http.skip_answer()
+                await self.http.skip_answer(named_id)
                 await self._read_head()
 
     async def _read_head(self) -> None:
--- a/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/http_client.py
@@ -10,6 +10,7 @@
 from jacinthmount.dispatch import Stage
 from jacinthmount.errors import EndlessAnswer, EndpointFailed, GarbageKind
 
+from jacinthmount_node.logs import log_event
 from jacinthmount_node.net.header_rows import pack_rows
 from jacinthmount_node.net.sent_ids import SentIds
 from jacinthmount_node.net.sockets import abort_socket
@@ -49,6 +50,7 @@
         '_memory',
         '_method',
         '_reader',
+        '_request_id',
         '_sent_ids',
         '_skipped',
         '_sock',
@@ -80,6 +82,7 @@
         """
         self._memory = memory
         self._method = ''
+        self._request_id = ''
         self._sent_ids = sent_ids or SentIds()
         # Answers to requests of other exchanges.
         self._skipped = 0
@@ -178,14 +181,24 @@
                 )
             yield bytes(event.data)
 
-    async def skip_answer(self) -> None:
+    async def skip_answer(self, named_id: str) -> None:
         """Reads the rest of an answer to a request of an earlier exchange.
 
         The head of the answer to this request may be read after it.
 
-        :raises EndpointFailed: the answer is incomplete or ends the connection,
-            or there are too many.
+        :param named_id: id that the answer names.
+        :raises EndpointFailed: no earlier exchange had this id, the answer is
+            incomplete or ends the connection, or there are too many.
         """
+        if named_id == self._request_id or named_id not in self._sent_ids:
+            raise EndpointFailed(detail='response to another request')
+        log_event(
+            'extra_answer',
+            request=self._request_id,
+            other=named_id,
+            status=self.status,
+            address=self.address,
+        )
         self._skipped += 1
         size = 0
         async for piece in self.iter_body():
@@ -272,6 +285,7 @@
 
     def record_id(self, request_id: str) -> None:
         """Records the id of the request of this exchange; empty for none."""
+        self._request_id = request_id
         self._sent_ids.add(request_id)
 
     def is_stale(self) -> bool:
--- a/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_responses.py
+++ b/packages/jacinthmount-node/jacinthmount_node/relay/endpoint_responses.py
@@ -5,7 +5,6 @@
 from jacinthmount.errors import EndlessAnswer, EndpointFailed
 from jacinthmount.event_stream import EventChecker, ServerEvent
 
-from jacinthmount_node.logs import log_event
 from jacinthmount_node.metrics import Metrics
 from jacinthmount_node.net.http_client import Exchange
 from jacinthmount_node.relay.protocols import EndpointProtocol, EndpointResponse
@@ -37,17 +36,7 @@
         )
         if answer.own:
             return answer
-        is_other = answer.request_id not in {'', request_id}
-        if not is_other or not exchange.has_sent(answer.request_id):
-            raise EndpointFailed(detail='response to another request')
-        log_event(
-            'extra_answer',
-            request=request_id,
-            other=answer.request_id,
-            status=exchange.status,
-            address=exchange.address,
-        )
-        await exchange.skip_answer()
+        await exchange.skip_answer(answer.request_id)
 
 
 def idle_limit(answer: EndpointResponse) -> float:
--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -268,7 +268,7 @@
     await exchange.send('POST', '/x', [('attempt-id', 'second')], b'body')
     for _ in range(count):
         await exchange.read_head()
-        await exchange.skip_answer()
+        await exchange.skip_answer('first')
     stage = exchange.stage
     await exchange.read_head()
     return await exchange.read_body(), stage
