A connection that is not used again is closed at once

After an answer without an id the pool kept the connection, expired, until the next request to its endpoint took it out; endpoints count it meanwhile.

test_connection_that_is_not_used_again_stays_open failed before (15 s).

--- a/packages/jacinthmount-node/jacinthmount_node/net/client_pool.py
+++ b/packages/jacinthmount-node/jacinthmount_node/net/client_pool.py
@@ -86,7 +86,8 @@
         """
         exchange.unusable_at = time.monotonic() + idle_s
         idle = self._idle.setdefault(exchange.address, [])
-        if exchange.reusable() and len(idle) < MAX_IDLE_PER_ADDRESS:
+        has_room = idle_s > 0 and len(idle) < MAX_IDLE_PER_ADDRESS
+        if has_room and exchange.reusable():
             idle.append(exchange)
         else:
             await exchange.close()
--- a/tests/raw_engine.py
+++ b/tests/raw_engine.py
@@ -28,6 +28,7 @@
         self.port = self._listener.getsockname()[1]
         self.ran = []
         self.connections = 0
+        self.closed = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self):
@@ -39,11 +40,15 @@
             for conn, _ in iter(self._listener.accept, None):
                 self.connections += 1
                 threading.Thread(
-                    target=self._serve,
+                    target=self._serve_and_count,
                     args=(conn, self.connections),
                     daemon=True,
                 ).start()
 
+    def _serve_and_count(self, conn, connection):
+        self._serve(conn, connection)
+        self.closed += 1
+
     def _serve(self, conn, connection):
         reader = conn.makefile('rb')
         with conn, contextlib.suppress(OSError):
--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -353,3 +353,27 @@
             b'2',
         ]
         assert engine.connections == 2
+
+
+async def use_once(pool, port):
+    """Sends a request and gives its connection back for no time."""
+    exchange = await pool.open(
+        f'127.0.0.1:{port}', no_reuse=False, request_id='first'
+    )
+    await exchange.send('POST', '/x', [('attempt-id', 'first')], b'')
+    await exchange.read_head()
+    await exchange.read_body()
+    await pool.release(exchange, idle_s=0.0)
+
+
+def test_connection_that_is_not_used_again_stays_open():
+    """An endpoint counts it among those that it accepts."""
+    copier = Copier(make_answer=make_sized, is_copied=lambda name, run: False)
+    # Its connections end with it.
+    pool = ClientPool()
+    with running_engine(copier) as engine:
+        curio.run(use_once, pool, engine.port)
+        until = time.monotonic() + WAIT_S
+        while not engine.closed:
+            assert time.monotonic() < until
+            time.sleep(POLL_S)
