Tests of whole processes: the first request waits for its bucket

Cause: a token bucket begins empty when the first share table lists its host (shares.py says so), and fills with 100 tokens a second in this site. A site was handed to its test as soon as the share was confirmed; its first request came 4 to 10 ms later, about the time of the first token.

The product keeps its rule.

Now a site waits 0.1 s once its shares are confirmed. No bound of a check changes.

--- a/tests/site.py
+++ b/tests/site.py
@@ -29,6 +29,8 @@
 )
 
 POLL_S = 0.05
+# A bucket begins empty when the first share table lists its host.
+FIRST_TOKENS_S = 0.1
 MODEL = 'provenance-llm'
 
 
@@ -268,6 +270,7 @@
                 lambda: self.fleet.status(host)['revision'] >= version,
             )
             eventually(lambda: self.fleet.status(host)['shares_confirmed'])
+        time.sleep(FIRST_TOKENS_S)
 
 
 class Load:
